--- /dev/null
+++ b/crates/base/src/executed.rs
@@ -0,0 +1,31 @@
+//! Whether the work behind an unsuccessful answer ran.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Execution state reported to a caller with every answer that is not a success.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Executed {
+    /// No byte of the request was sent to any upstream.
+    No,
+    /// An upstream completed the request.
+    Yes,
+    /// At least one upstream may have run the request.
+    Unknown,
+}
+
+impl Executed {
+    /// Combines the outcomes of two parts of one request; the less certain one wins.
+    #[must_use]
+    pub fn and(self, other: Executed) -> Executed {
+        match (self, other) {
+            (Executed::No, Executed::No) => Executed::No,
+            (Executed::Yes, Executed::Yes) => Executed::Yes,
+            _ => Executed::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/base/src/rate.rs
@@ -0,0 +1,89 @@
+//! Rates, fractions and the token bucket that enforces them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Events a second; finite and not negative.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct Rate(f64);
+
+/// The text is not a finite, non-negative number with an optional `/s`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+pub enum ParseError {
+    /// Not a number.
+    #[strum(to_string = "not a number of events a second")]
+    NotANumber,
+    /// Negative or not finite.
+    #[strum(to_string = "a rate must be finite and not negative")]
+    OutOfRange,
+}
+
+impl std::error::Error for ParseError {}
+
+impl Rate {
+    /// Events a second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for Rate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Rate, ParseError> {
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        let value: f64 = digits.parse().map_err(|_| ParseError::NotANumber)?;
+        if !value.is_finite() || value < 0.0 {
+            return Err(ParseError::OutOfRange);
+        }
+        Ok(Rate(value))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// A token bucket over a caller-supplied clock.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    tokens: f64,
+    burst: f64,
+}
+
+impl Bucket {
+    /// Creates a full bucket of `burst` tokens.
+    #[must_use]
+    pub fn new(burst: f64) -> Bucket {
+        Bucket {
+            tokens: burst,
+            burst,
+        }
+    }
+
+    /// Adds `amount` tokens, up to the burst size.
+    pub fn put(&mut self, amount: f64) {
+        self.tokens = (self.tokens + amount).min(self.burst);
+    }
+
+    /// Adds the tokens that `rate` yields in `elapsed`.
+    pub fn refill(&mut self, rate: Rate, elapsed: Duration) {
+        self.put(rate.per_second() * elapsed.as_secs_f64());
+    }
+
+    /// Takes one token; returns whether there was one.
+    pub fn take(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/claims/src/batch.rs
@@ -0,0 +1,130 @@
+//! Group commit: one transaction carries the writes of a few milliseconds.
+//!
+//! The platform bears several hundred transactions a second. Independent conditional writes are
+//! gathered and sent as one transaction; a conflict of one write takes only that write out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use table::Commit;
+use table::Error;
+use table::Op;
+use table::Platform;
+use table::Row;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Time for which the first write of a batch waits for others.
+pub const GATHER: Duration = Duration::from_millis(3);
+/// Most operations in one transaction.
+pub const OPS_MAX: usize = 64;
+const QUEUE: usize = 4096;
+
+/// Outcome of one write.
+pub type Outcome = Result<Written, Error>;
+
+/// What became of one conditional write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// Applied as this version.
+    Applied(u64),
+    /// Not applied; the row as it is.
+    Conflict(Option<Row>),
+}
+
+struct Job {
+    op: Op,
+    done: oneshot::Sender<Outcome>,
+}
+
+/// Handle to the gathering task; cheap to clone.
+#[derive(Clone)]
+pub struct Batch {
+    jobs: mpsc::Sender<Job>,
+}
+
+impl Batch {
+    /// Creates a handle and the task that serves it; the caller supervises the task.
+    pub fn new(platform: Arc<dyn Platform>) -> (Batch, impl Future<Output = ()> + Send) {
+        let (jobs, queue) = mpsc::channel(QUEUE);
+        (Batch { jobs }, serve(platform, queue))
+    }
+
+    /// Writes `op` with others.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the platform does; an ambiguous failure may have taken effect.
+    pub async fn write(&self, op: Op) -> Outcome {
+        let (done, outcome) = oneshot::channel();
+        if self.jobs.send(Job { op, done }).await.is_err() {
+            return Err(Error::Down);
+        }
+        outcome.await.unwrap_or(Err(Error::Ambiguous))
+    }
+}
+
+async fn serve(platform: Arc<dyn Platform>, mut queue: mpsc::Receiver<Job>) {
+    // Transactions overlap, so a slow one does not hold the next batch up.
+    let mut commits = tokio::task::JoinSet::new();
+    while let Some(first) = queue.recv().await {
+        tokio::time::sleep(GATHER).await;
+        let mut jobs = vec![first];
+        while jobs.len() < OPS_MAX {
+            let Ok(job) = queue.try_recv() else {
+                break;
+            };
+            jobs.push(job);
+        }
+        while commits.try_join_next().is_some() {}
+        commits.spawn(commit(platform.clone(), jobs));
+    }
+    while commits.join_next().await.is_some() {}
+}
+
+async fn commit(platform: Arc<dyn Platform>, mut jobs: Vec<Job>) {
+    // Two writes of one row cannot share a transaction; the later one conflicts by itself.
+    while !jobs.is_empty() {
+        let (distinct, rest) = split_distinct(jobs);
+        jobs = rest;
+        jobs.extend(commit_distinct(&platform, distinct).await);
+    }
+}
+
+fn split_distinct(jobs: Vec<Job>) -> (Vec<Job>, Vec<Job>) {
+    let mut keys = std::collections::BTreeSet::new();
+    jobs.into_iter()
+        .partition(|job| keys.insert(job.op.key.clone()))
+}
+
+/// Commits what does not conflict and returns the writes that are to be tried again.
+async fn commit_distinct(platform: &Arc<dyn Platform>, jobs: Vec<Job>) -> Vec<Job> {
+    let ops = jobs.iter().map(|job| job.op.clone()).collect();
+    match platform.transact(ops).await {
+        Ok(Commit::Applied(versions)) => {
+            for (job, version) in jobs.into_iter().zip(versions) {
+                // A writer that has gone resolves its write by reading the row.
+                let _ = job.done.send(Ok(Written::Applied(version)));
+            }
+            Vec::new()
+        }
+        Ok(Commit::Conflict(conflicts)) => {
+            let mut rest = Vec::new();
+            for (idx, job) in jobs.into_iter().enumerate() {
+                match conflicts.iter().find(|it| it.op == idx) {
+                    Some(conflict) => {
+                        let _ = job.done.send(Ok(Written::Conflict(conflict.row.clone())));
+                    }
+                    None => rest.push(job),
+                }
+            }
+            rest
+        }
+        Err(err) => {
+            for job in jobs {
+                let _ = job.done.send(Err(err));
+            }
+            Vec::new()
+        }
+    }
+}
--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,12 @@
+//! Claims that make non-idempotent stages run at most once.
+//!
+//! A claim is a row of the platform's table, keyed by workspace, pipeline, idempotency key and
+//! stage. It is written before the first byte goes upstream and holds the recorded answer
+//! afterwards. This crate knows the table and nothing of upstreams.
+
+pub mod batch;
+pub mod book;
+pub mod row;
+
+pub use book::Book;
+pub use row::Claim;
--- /dev/null
+++ b/crates/client/src/command.rs
@@ -0,0 +1,167 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use base::id;
+use config::check::Span;
+use wire::message::Target;
+
+use crate::failure::Failure;
+
+/// Text of `--help`.
+pub const HELP: &str = "\
+catkinvane: operators' client
+
+USAGE: catkinvane [OPTIONS] COMMAND
+
+COMMANDS
+  check FILE                  check a configuration; reports every fault
+  apply FILE [--expect N]     put a configuration in force everywhere
+  show                        print the configuration in force
+  diff FILE                   compare a file with the configuration in force
+  zone drain|return ZONE      take an availability zone out, or bring it back
+  upstream drain|return NAME  take one upstream out, or bring it back
+  status                      instances, members, upstreams
+  timeline [--trace ID]       merged events of all processes
+  keys DIR                    make a set of test certificates
+
+OPTIONS
+  --settings FILE   client settings (default: catkinvane.yaml)
+  --wait SPAN       longest wait until a change is in force (default: 10s)
+  --output FORMAT   text or json (default: text)
+  -h, --help        this text
+
+EXIT CODES
+  0 done   1 file or setup   2 usage   3 faults in a text   4 conflict
+  5 unknown zone or upstream   6 table down   7 not in force everywhere
+  8 no dispatcher answers
+";
+
+const DEFAULT_SETTINGS: &str = "catkinvane.yaml";
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+/// Output format.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Format {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// A parsed command line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Invocation {
+    /// Client settings.
+    pub settings: PathBuf,
+    /// Longest wait until a change is in force.
+    pub wait: Duration,
+    /// Output format.
+    pub format: Format,
+    /// What to do.
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Print the help.
+    Help,
+    /// Check a file.
+    Check(PathBuf),
+    /// Put a file in force.
+    Apply {
+        /// The file.
+        file: PathBuf,
+        /// Version that it must follow; by default the one in force.
+        expect: Option<u64>,
+    },
+    /// Print the configuration in force.
+    Show,
+    /// Compare a file with the configuration in force.
+    Diff(PathBuf),
+    /// Take something out of service.
+    Drain(Target),
+    /// Bring something back.
+    Return(Target),
+    /// Print the state of every instance.
+    Status,
+    /// Print the merged time line.
+    Timeline(Option<id::Trace>),
+    /// Make test certificates.
+    Keys(PathBuf),
+}
+
+/// Parses the command line.
+///
+/// # Errors
+///
+/// Fails when it cannot be understood.
+pub fn parse(mut args: pico_args::Arguments) -> Result<Invocation, Failure> {
+    let is_help = args.contains(["-h", "--help"]);
+    let settings = args.opt_value_from_str("--settings")?;
+    let wait: Option<Span> = args.opt_value_from_str("--wait")?;
+    let format = args.opt_value_from_str("--output")?;
+    let command = match is_help {
+        true => Command::Help,
+        false => command(&mut args)?,
+    };
+    let rest = args.finish();
+    if let Some(extra) = rest.first().filter(|_| !is_help) {
+        let extra = extra.to_string_lossy();
+        return Err(Failure::Usage(format!("unexpected argument '{extra}'")));
+    }
+    Ok(Invocation {
+        settings: settings.unwrap_or_else(|| PathBuf::from(DEFAULT_SETTINGS)),
+        wait: wait.map_or(DEFAULT_WAIT, |it| it.0),
+        format: format.unwrap_or(Format::Text),
+        command,
+    })
+}
+
+fn command(args: &mut pico_args::Arguments) -> Result<Command, Failure> {
+    let Some(name) = args.subcommand()? else {
+        return Ok(Command::Help);
+    };
+    match name.as_str() {
+        "check" => Ok(Command::Check(args.free_from_str()?)),
+        "apply" => {
+            let expect = args.opt_value_from_str("--expect")?;
+            let file = args.free_from_str()?;
+            Ok(Command::Apply { file, expect })
+        }
+        "show" => Ok(Command::Show),
+        "diff" => Ok(Command::Diff(args.free_from_str()?)),
+        "zone" => {
+            let is_drain = drain_or_return(args)?;
+            let zone = args.free_from_str()?;
+            Ok(drain_command(is_drain, Target::Zone(zone)))
+        }
+        "upstream" => {
+            let is_drain = drain_or_return(args)?;
+            let name = args.free_from_str()?;
+            Ok(drain_command(is_drain, Target::Upstream(name)))
+        }
+        "status" => Ok(Command::Status),
+        "timeline" => Ok(Command::Timeline(args.opt_value_from_str("--trace")?)),
+        "keys" => Ok(Command::Keys(args.free_from_str()?)),
+        other => Err(Failure::Usage(format!("unknown command '{other}'"))),
+    }
+}
+
+fn drain_or_return(args: &mut pico_args::Arguments) -> Result<bool, Failure> {
+    match args.subcommand()?.as_deref() {
+        Some("drain") => Ok(true),
+        Some("return") => Ok(false),
+        _ => Err(Failure::Usage("expected 'drain' or 'return'".to_owned())),
+    }
+}
+
+fn drain_command(is_drain: bool, target: Target) -> Command {
+    match is_drain {
+        true => Command::Drain(target),
+        false => Command::Return(target),
+    }
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,35 @@
+//! Settings files of the daemons.
+
+use expect_test::expect;
+
+#[test]
+fn every_fault_is_named_at_once() {
+    let text = "instance: entry 1\nzone: a\nlisten: here\nports: 3\ntls: {authority: a.pem}\n";
+    let faults = config::settings::gateway(text).expect_err("the text has faults");
+    let report: String = faults.iter().map(|it| format!("{it}\n")).collect();
+    expect![[r#"
+        1:1: missing field 'platform'
+        1:1: missing field 'dispatcher'
+        1:11: expected a name of letters, digits, '-', '_', '.', ':', found 'entry 1'
+        3:9: expected an IP address and port, found 'here'
+        4:1: unknown field 'ports'
+        5:6: missing field 'certificate'
+        5:6: missing field 'key'
+    "#]]
+    .assert_eq(&report);
+}
+
+#[test]
+fn settings_of_a_dispatcher_are_read() {
+    let text = "\
+instance: entry-1
+zone: a
+listen: 127.0.0.1:1
+platform: 127.0.0.1:2
+tls: {authority: a.pem, certificate: b.pem, key: c.pem}
+drain: 5s
+";
+    let settings = config::settings::dispatcher(text).expect("the text is sound");
+    assert_eq!(settings.common.instance.as_str(), "entry-1");
+    assert_eq!(settings.common.drain.as_secs(), 5);
+}
--- /dev/null
+++ b/crates/dispatcher/src/bin/catkinvane-dispatcher.rs
@@ -0,0 +1,129 @@
+//! The dispatcher daemon.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use config::settings;
+use dispatcher::Node;
+use dispatcher::tasks;
+use eyre::WrapErr;
+use supervisor::Restart;
+use supervisor::Supervisor;
+use telemetry::Telemetry;
+use telemetry::timeline::Event;
+use telemetry::timeline::Kind;
+
+const HELP: &str = "\
+catkinvane-dispatcher: owns a share of the upstreams
+
+USAGE: catkinvane-dispatcher --settings FILE [--check]
+
+  --settings FILE  settings in YAML
+  --check          check the settings and exit
+";
+
+const IDLE_POLL: Duration = Duration::from_millis(20);
+/// Time for the last replies to reach their gateways.
+const FLUSH: Duration = Duration::from_millis(300);
+/// Time for which a leaving dispatcher refers late askers to the new owners.
+const LINGER: Duration = Duration::from_millis(1500);
+
+fn main() -> eyre::Result<()> {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let is_check = args.contains("--check");
+    let path: PathBuf = args.value_from_str("--settings")?;
+    let text = std::fs::read_to_string(&path).wrap_err_with(|| path.display().to_string())?;
+    let settings = match settings::dispatcher(&text) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            for fault in &faults {
+                eprintln!("{}:{fault}", path.display());
+            }
+            eyre::bail!("{} faults in {}", faults.len(), path.display());
+        }
+    };
+    if is_check {
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: settings::Dispatcher) -> eyre::Result<()> {
+    let common = settings.common;
+    let telemetry = Telemetry::daemon(&format!("dispatcher@{}", common.instance), common.statsd)?;
+    let keys = wire::keys::load(&common.tls)?;
+    let server = Arc::new(wire::quic::Server::bind(&keys, common.listen)?);
+    let peer = Arc::new(wire::quic::Client::new(&keys, common.listen)?);
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let node = Node::builder()
+        .instance(common.instance)
+        .zone(common.zone)
+        .address(common.listen)
+        .incarnation(since_epoch?.as_millis() as u64)
+        .peer(peer.clone())
+        .platform(Arc::new(table::http::Client::new(common.platform)?))
+        .upstreams(Arc::new(dispatcher::http::Client::new()?))
+        .telemetry(telemetry.clone())
+        .build();
+    let node = Arc::new(node);
+
+    let mut supervisor = Supervisor::new(telemetry.clone());
+    supervise(&mut supervisor, &node);
+    let serving = (server.clone(), node.clone());
+    supervisor.spawn("serve", Restart::Always, move || {
+        let (server, node) = serving.clone();
+        async move { server.serve(node).await }
+    });
+
+    let signals = supervisor::signals()?;
+    let drain = common.drain;
+    let stop = async {
+        signals.await;
+        node.begin_stop();
+        let idle = async {
+            tokio::time::sleep(LINGER).await;
+            while node.in_flight() > 0 {
+                tokio::time::sleep(IDLE_POLL).await;
+            }
+        };
+        if tokio::time::timeout(drain, idle).await.is_err() {
+            slog::warn!(telemetry.logger(), "stop_timeout"; "in_flight" => node.in_flight());
+        }
+        tokio::time::sleep(FLUSH).await;
+        tasks::depart(node.clone()).await;
+    };
+    supervisor.run(stop).await?;
+    telemetry.event(Event::new(Kind::Stopped));
+    server.close().await;
+    peer.close().await;
+    Ok(())
+}
+
+/// Starts every loop of the dispatcher.
+fn supervise(supervisor: &mut Supervisor, node: &Arc<Node>) {
+    macro_rules! task {
+        ($name:ident) => {
+            let node = node.clone();
+            supervisor.spawn(stringify!($name), Restart::Always, move || {
+                tasks::$name(node.clone())
+            });
+        };
+    }
+    task!(heartbeats);
+    task!(configuration);
+    task!(fetches);
+    task!(listing);
+    task!(reports);
+    task!(sweeps);
+    task!(member_events);
+}
--- /dev/null
+++ b/crates/dispatcher/src/dispatching.rs
@@ -0,0 +1,372 @@
+//! One dispatch: admission, the call, its answer and the evidence that it leaves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Executed;
+use base::invariant;
+use base::invariant::Invariant;
+use config::model::Kind as Protocol;
+use limits::Finish;
+use limits::Outcome;
+use limits::Ticket;
+use telemetry::timeline::Event;
+use telemetry::timeline::Kind;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::Reply;
+use wire::dispatch::Cause;
+use wire::dispatch::Dispatch;
+use wire::dispatch::LATE_GRACE;
+use wire::dispatch::Progress;
+use wire::dispatch::Reason;
+use wire::dispatch::Refusal;
+use wire::member::Crash;
+
+use crate::node::Node;
+use crate::owned::Owned;
+use crate::owned::Permit;
+use crate::upstream::Answer;
+use crate::upstream::Call;
+use crate::upstream::Failure;
+use crate::upstream::Piece;
+use crate::upstream::Target;
+
+/// Time after which a refusal for reasons of membership or configuration is worth another try.
+const RETRY_SOON: Duration = Duration::from_millis(500);
+/// Time after which a stopping or unreachable upstream is worth another try.
+const RETRY_LATER: Duration = Duration::from_secs(2);
+/// Crashes in which a request was running before it is quarantined.
+const CRASHES_BEFORE_QUARANTINE: usize = 2;
+
+/// How a sent call ended.
+enum Ended {
+    Whole,
+    Broken(Cause),
+    NotSent,
+    /// The asker has gone, and the call could be cancelled.
+    Cancelled,
+}
+
+/// What a dispatch needs once it may be sent.
+struct Flight<'a> {
+    owned: &'a Owned,
+    dispatch: &'a Dispatch,
+    target: Target,
+    deadline: Instant,
+    replies: &'a mpsc::Sender<Reply>,
+}
+
+impl Node {
+    /// Runs one stage attempt and reports its progress.
+    pub(crate) async fn dispatch(&self, dispatch: Dispatch, replies: mpsc::Sender<Reply>) {
+        let deadline = Instant::now() + dispatch.budget;
+        let (owned, target) = match self.admissible(&dispatch) {
+            Ok(found) => found,
+            Err(reason) => return self.refuse(&dispatch, reason, None, &replies).await,
+        };
+        let permit = tokio::select! {
+            biased;
+            permit = self.queue(&owned, &dispatch, deadline) => permit,
+            // Nothing was sent, and nobody listens any more.
+            () = replies.closed() => return,
+        };
+        let permit = match permit {
+            Ok(permit) => permit,
+            Err(reason) => return self.refuse(&dispatch, reason, Some(&owned), &replies).await,
+        };
+        // Time has passed in the queue: everything is checked again at the moment of sending.
+        let objection = self.lock().objection(&owned, Instant::now());
+        if let Some(reason) = objection {
+            drop(permit);
+            return self.refuse(&dispatch, reason, Some(&owned), &replies).await;
+        }
+        if replies.send(progress(Progress::Sent)).await.is_err() {
+            return;
+        }
+        let flight = Flight {
+            owned: &owned,
+            dispatch: &dispatch,
+            target,
+            deadline: match dispatch.is_detached {
+                true => deadline + LATE_GRACE,
+                false => deadline,
+            },
+            replies: &replies,
+        };
+        self.fly(flight, permit).await;
+        self.hand_over_rest(&owned);
+    }
+
+    /// Finds the upstream, if this dispatcher may take new work for it.
+    fn admissible(&self, dispatch: &Dispatch) -> Result<(Arc<Owned>, Target), Reason> {
+        let mut state = self.lock();
+        state.note_version(dispatch.config_version, None);
+        let snapshot = state.snapshot.clone();
+        if snapshot.version == 0 {
+            return Err(Reason::NotReady);
+        }
+        let deployment = &snapshot.deployment;
+        let (service, upstream) = deployment
+            .upstream(&dispatch.upstream)
+            .ok_or(Reason::UnknownUpstream)?;
+        let owned = state.owned.get(&dispatch.upstream).cloned();
+        let owned = owned.ok_or(Reason::NotOwner)?;
+        if let Some(reason) = state.objection(&owned, Instant::now()) {
+            return Err(reason);
+        }
+        if state.membership.is_quarantined(dispatch.fingerprint) {
+            return Err(Reason::Quarantined);
+        }
+        let target = Target {
+            address: upstream.address,
+            kind: service.kind,
+        };
+        Ok((owned, target))
+    }
+
+    async fn queue<'a>(
+        &self,
+        owned: &'a Owned,
+        dispatch: &Dispatch,
+        deadline: Instant,
+    ) -> Result<Permit<'a>, Reason> {
+        let (weight, is_suspect) = {
+            let state = self.lock();
+            let workspaces = &state.snapshot.deployment.workspaces;
+            let weight = workspaces
+                .get(&dispatch.workspace)
+                .map_or(1, |it| it.weight);
+            (weight, state.membership.crashes(dispatch.fingerprint) > 0)
+        };
+        let ticket = |id| Ticket {
+            id,
+            workspace: dispatch.workspace.clone(),
+            weight,
+            priority: dispatch.priority,
+            deadline,
+            is_suspect,
+        };
+        let waiting = owned.offer(ticket, Instant::now())?;
+        match tokio::time::timeout_at(deadline, waiting.permit()).await {
+            Ok(permit) => permit,
+            Err(_) => Err(Reason::Expired),
+        }
+    }
+
+    async fn refuse(
+        &self,
+        dispatch: &Dispatch,
+        reason: Reason,
+        owned: Option<&Owned>,
+        replies: &mpsc::Sender<Reply>,
+    ) {
+        self.telemetry.count("dispatch.refused", 1);
+        let now = Instant::now();
+        let retry_after = match (reason, owned) {
+            (
+                Reason::QueueFull | Reason::DeadlineTooShort | Reason::Expired | Reason::TakingOver,
+                Some(owned),
+            ) => owned.retry_after(now),
+            (Reason::Stopping | Reason::Unreachable | Reason::Drained, _) => RETRY_LATER,
+            _ => RETRY_SOON,
+        };
+        let event = Event::new(Kind::Refused)
+            .trace(dispatch.trace)
+            .with("upstream", &dispatch.upstream)
+            .with("reason", reason);
+        self.telemetry.event(event);
+        let refusal = Refusal {
+            reason,
+            retry_after,
+            load: owned.map(Owned::load),
+        };
+        let _ = replies.send(progress(Progress::Refused(refusal))).await;
+    }
+
+    async fn fly(&self, flight: Flight<'_>, permit: Permit<'_>) {
+        let dispatch = flight.dispatch;
+        let sent = Event::new(Kind::Sent)
+            .trace(dispatch.trace)
+            .with("attempt", dispatch.attempt)
+            .with("upstream", &dispatch.upstream);
+        self.telemetry.event(sent);
+        let start = Instant::now();
+        let mut pieces = 0;
+        let ended = self.call(&flight, &mut pieces).await;
+        let elapsed = start.elapsed();
+        let latency = match flight.target.kind {
+            Protocol::Plain => elapsed,
+            Protocol::Engine => elapsed / pieces.max(1),
+        };
+        permit.finish(Finish {
+            outcome: outcome(&ended),
+            latency,
+        });
+        self.telemetry
+            .time_ms("upstream.call", elapsed.as_millis() as u64);
+        self.conclude(&flight, ended).await;
+    }
+
+    async fn call(&self, flight: &Flight<'_>, pieces: &mut u32) -> Ended {
+        let dispatch = flight.dispatch;
+        let call = Call {
+            attempt: dispatch.attempt,
+            budget: flight.deadline.saturating_duration_since(Instant::now()),
+            body: dispatch.body.clone(),
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = self.upstreams.call(flight.target, call) => answer,
+            () = tokio::time::sleep_until(flight.deadline) => return Ended::Broken(Cause::Deadline),
+            () = flight.replies.closed(), if !dispatch.is_detached => return Ended::Cancelled,
+        };
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(Failure::NotSent) => return Ended::NotSent,
+            Err(Failure::Broken(cause)) => return Ended::Broken(cause),
+        };
+        if answer.attempt != dispatch.attempt {
+            let event = Event::new(Kind::Discarded)
+                .trace(dispatch.trace)
+                .with("attempt", dispatch.attempt)
+                .with("echoed", answer.attempt);
+            self.telemetry.event(event);
+            self.telemetry.count("answers.crossed", 1);
+            return Ended::Broken(Cause::CrossedAnswer);
+        }
+        self.pump(flight, answer, pieces).await
+    }
+
+    /// Moves the pieces of an answer to the asker.
+    async fn pump(&self, flight: &Flight<'_>, mut answer: Answer, pieces: &mut u32) -> Ended {
+        let dispatch = flight.dispatch;
+        invariant::check(
+            Invariant::AnswerMatchesAttempt,
+            answer.attempt == dispatch.attempt,
+        );
+        loop {
+            let piece = tokio::select! {
+                biased;
+                piece = answer.pieces.recv() => piece,
+                () = tokio::time::sleep_until(flight.deadline) => {
+                    return Ended::Broken(Cause::Deadline);
+                }
+                () = flight.replies.closed(), if !dispatch.is_detached => return Ended::Cancelled,
+            };
+            let part = match piece {
+                Some(Ok(Piece::Part(part))) => part,
+                Some(Ok(Piece::End)) => return Ended::Whole,
+                Some(Err(cause)) => return Ended::Broken(cause),
+                None => return Ended::Broken(Cause::Connection),
+            };
+            *pieces += 1;
+            let delivered = flight.replies.send(progress(Progress::Part(part))).await;
+            if delivered.is_err() && !dispatch.is_detached {
+                return Ended::Cancelled;
+            }
+        }
+    }
+
+    /// Tells the asker how the call ended and keeps the evidence of a crash.
+    async fn conclude(&self, flight: &Flight<'_>, ended: Ended) {
+        let dispatch = flight.dispatch;
+        let load = flight.owned.load();
+        let (kind, last) = match ended {
+            Ended::Whole => {
+                let attempt = dispatch.attempt;
+                (Kind::Finished, Progress::Finished { attempt, load })
+            }
+            Ended::Cancelled => return,
+            Ended::NotSent => {
+                return self
+                    .refuse(
+                        dispatch,
+                        Reason::Unreachable,
+                        Some(flight.owned),
+                        flight.replies,
+                    )
+                    .await;
+            }
+            Ended::Broken(cause) => {
+                if cause == Cause::Connection {
+                    self.suspect_crash(flight).await;
+                }
+                let executed = match cause {
+                    Cause::CrossedAnswer | Cause::Protocol => Executed::Yes,
+                    _ => Executed::Unknown,
+                };
+                let broken = Progress::Broken {
+                    cause,
+                    executed,
+                    load,
+                };
+                (Kind::Broken, broken)
+            }
+        };
+        let event = Event::new(kind)
+            .trace(dispatch.trace)
+            .with("attempt", dispatch.attempt)
+            .with("upstream", &dispatch.upstream);
+        self.telemetry.event(event);
+        let _ = flight.replies.send(progress(last)).await;
+    }
+
+    /// Counts a crash against the request if its upstream died while running it.
+    async fn suspect_crash(&self, flight: &Flight<'_>) {
+        // A cut connection to an upstream that still listens is not a crash.
+        if self.upstreams.probe(flight.target).await {
+            return;
+        }
+        let fingerprint = flight.dispatch.fingerprint;
+        let crash = Crash {
+            fingerprint,
+            attempt: flight.dispatch.attempt,
+        };
+        let is_poison = {
+            let mut state = self.lock();
+            state.membership.crash(crash);
+            let is_poison = state.membership.crashes(fingerprint) >= CRASHES_BEFORE_QUARANTINE;
+            if is_poison {
+                state.membership.quarantine_add(fingerprint);
+            }
+            is_poison
+        };
+        self.telemetry.count("upstream.crash_suspects", 1);
+        if is_poison {
+            let event = Event::new(Kind::Quarantined)
+                .trace(flight.dispatch.trace)
+                .with("fingerprint", fingerprint);
+            self.telemetry.event(event);
+        }
+        self.refresh();
+    }
+
+    /// Tells the new owner of a given-up upstream that one of its inherited calls has ended.
+    fn hand_over_rest(&self, owned: &Owned) {
+        if owned.is_owner() {
+            return;
+        }
+        let state = self.lock();
+        let owner = state.owner_of(&owned.upstream).cloned();
+        let handover = state.handover(owned, false, Instant::now());
+        drop(state);
+        if let Some(owner) = owner {
+            self.send_handover(owner.address, handover);
+        }
+    }
+}
+
+fn progress(progress: Progress) -> Reply {
+    Reply::Dispatch(progress)
+}
+
+fn outcome(ended: &Ended) -> Outcome {
+    match ended {
+        Ended::Whole => Outcome::Good,
+        Ended::Cancelled => Outcome::Cancelled,
+        Ended::NotSent | Ended::Broken(Cause::Connection) => Outcome::Disconnected,
+        Ended::Broken(Cause::Overloaded) => Outcome::Overloaded,
+        Ended::Broken(_) => Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,43 @@
+//! Membership, failure detection and the self-fence of owners.
+//!
+//! A [`Node`] is a state machine: it takes heartbeats, the platform's list and the time, and
+//! returns the messages to send. It performs no I/O and spawns nothing.
+//!
+//! Safety rests on two thresholds that always intersect. A member counts as lost only when more
+//! than half of its neighbours have heard nothing from it for [`Timing::suspect`]. A member admits
+//! new work only while at least half of its neighbours have acknowledged a heartbeat that it sent
+//! within [`Timing::fence`], which is shorter. Both are measured on each process's own clock.
+
+mod fence;
+mod node;
+mod overlay;
+mod rumor;
+
+pub use node::Node;
+pub use node::Outgoing;
+
+use std::time::Duration;
+
+/// Intervals of the protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    /// Interval of heartbeats to each neighbour.
+    pub heartbeat: Duration,
+    /// Age of the newest acknowledged heartbeat at which a neighbour no longer vouches.
+    pub fence: Duration,
+    /// Silence after which a neighbour suspects a member.
+    pub suspect: Duration,
+    /// Time of renewed acknowledgements before a lapsed fence opens again.
+    pub settle: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            heartbeat: Duration::from_secs(1),
+            fence: Duration::from_millis(2500),
+            suspect: Duration::from_millis(4000),
+            settle: Duration::from_millis(2000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/node.rs
@@ -0,0 +1,519 @@
+//! State machine of one member.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::hash;
+use base::id;
+use tokio::time::Instant;
+use wire::member::Crash;
+use wire::member::Heartbeat;
+use wire::member::News;
+use wire::member::Record;
+use wire::member::Restriction;
+use wire::member::State;
+use wire::member::Suspicion;
+
+use crate::Timing;
+use crate::fence::Fence;
+use crate::overlay;
+use crate::rumor::Rumors;
+
+/// Consecutive heartbeats with a foreign digest after which everything is sent.
+const MISMATCHES_BEFORE_SYNC: u32 = 3;
+/// Heartbeats whose send time is kept while an acknowledgement may still come.
+const SENT_KEPT: usize = 8;
+
+/// A heartbeat to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// Receiver.
+    pub to: id::Instance,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The message.
+    pub heartbeat: Heartbeat,
+}
+
+/// Membership as one process sees it.
+#[derive(Debug)]
+pub struct Node {
+    timing: Timing,
+    own: Record,
+    members: BTreeMap<id::Instance, Record>,
+    rumors: Rumors,
+    fence: Fence,
+    config_version: u64,
+    heard: BTreeMap<id::Instance, Instant>,
+    suspicions: BTreeMap<(id::Instance, id::Instance), Suspicion>,
+    suspicion_sequence: u64,
+    sequence: u64,
+    sent: BTreeMap<u64, Instant>,
+    pending: BTreeMap<id::Instance, Vec<News>>,
+    mismatches: BTreeMap<id::Instance, u32>,
+    neighbours: Vec<id::Instance>,
+}
+
+impl Node {
+    /// A member that knows only itself.
+    #[must_use]
+    pub fn new(own: Record, timing: Timing, now: Instant) -> Node {
+        let members = BTreeMap::from([(own.instance.clone(), own.clone())]);
+        Node {
+            timing,
+            own,
+            members,
+            rumors: Rumors::default(),
+            fence: Fence::new(timing, now),
+            config_version: 0,
+            heard: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
+            suspicion_sequence: 0,
+            sequence: 0,
+            sent: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            mismatches: BTreeMap::new(),
+            neighbours: Vec::new(),
+        }
+    }
+
+    /// This member's own record.
+    #[must_use]
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Every known member, lost ones included.
+    pub fn members(&self) -> impl Iterator<Item = &Record> {
+        self.members.values()
+    }
+
+    /// Restrictions that the configuration in force does not keep yet.
+    pub fn restrictions(&self) -> impl Iterator<Item = &Restriction> {
+        self.rumors.restrictions.values()
+    }
+
+    /// Quarantined fingerprints.
+    pub fn quarantine(&self) -> impl Iterator<Item = id::Fingerprint> {
+        self.rumors.quarantine.iter().copied()
+    }
+
+    /// Crashes in which `fingerprint` was running.
+    #[must_use]
+    pub fn crashes(&self, fingerprint: id::Fingerprint) -> usize {
+        let crashes = self.rumors.crashes.iter();
+        crashes.filter(|it| it.fingerprint == fingerprint).count()
+    }
+
+    /// Whether `fingerprint` is quarantined.
+    #[must_use]
+    pub fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
+        self.rumors.quarantine.contains(&fingerprint)
+    }
+
+    /// Order-independent digest of everything that floods.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let members = self.members.values().fold(0u64, |digest, it| {
+            let incarnation = it.incarnation.to_le_bytes();
+            let state = [it.state as u8];
+            let name = it.instance.as_str().as_bytes();
+            let gateway = it.gateway.to_le_bytes();
+            digest ^ hash::of([name, &incarnation[..], &state[..], &gateway[..]])
+        });
+        members ^ self.rumors.digest()
+    }
+
+    /// Whether this member may admit new work.
+    pub fn is_unfenced(&mut self, now: Instant) -> bool {
+        self.fence.is_open(now, &self.neighbours)
+    }
+
+    /// Sets the configuration version in force, which heartbeats announce, and the changes that it
+    /// includes.
+    pub fn set_config(&mut self, version: u64, includes: &[id::Token]) {
+        self.config_version = version;
+        self.rumors.settle(includes);
+    }
+
+    /// Notes the gateway that follows this member; returns whether it is a new one.
+    pub fn set_gateway(&mut self, incarnation: u64) -> bool {
+        if incarnation <= self.own.gateway {
+            return false;
+        }
+        self.own.gateway = incarnation;
+        let own = self.own.clone();
+        self.adopt(own.clone());
+        self.spread(&News::Member(own), None);
+        true
+    }
+
+    /// Begins an orderly leave.
+    pub fn leave(&mut self) {
+        self.own.state = State::Leaving;
+        let own = self.own.clone();
+        self.adopt(own.clone());
+        self.spread(&News::Member(own), None);
+    }
+
+    /// Ends an orderly leave: the last record that the neighbours hear.
+    pub fn depart(&mut self) {
+        self.own.state = State::Gone;
+        let own = self.own.clone();
+        self.adopt(own.clone());
+        self.spread(&News::Member(own), None);
+    }
+
+    /// Takes a target out of service ahead of the table.
+    pub fn restrict(&mut self, restriction: Restriction) {
+        self.learn(News::Restriction(restriction), None);
+    }
+
+    /// Records a crash in which a request was running.
+    pub fn crash(&mut self, crash: Crash) {
+        self.learn(News::Crash(crash), None);
+    }
+
+    /// Quarantines a request.
+    pub fn quarantine_add(&mut self, fingerprint: id::Fingerprint) {
+        self.learn(News::Quarantine(fingerprint), None);
+    }
+
+    /// Takes the platform's list of instances. Members that were listed and are no more are gone.
+    pub fn listed(&mut self, listing: &table::Listing, previous: &table::Listing, now: Instant) {
+        for listed in &listing.instances {
+            let known = self.members.get(&listed.instance);
+            let incarnation = known.map_or(0, |it| it.incarnation);
+            let state = match listed.is_leaving {
+                true => State::Leaving,
+                false => State::Alive,
+            };
+            if known.is_some_and(|it| it.state >= state) {
+                continue;
+            }
+            let record = Record {
+                instance: listed.instance.clone(),
+                zone: listed.zone.clone(),
+                address: listed.address,
+                incarnation,
+                state,
+                gateway: known.map_or(0, |it| it.gateway),
+            };
+            self.heard.entry(listed.instance.clone()).or_insert(now);
+            self.learn(News::Member(record), None);
+        }
+        let is_listed = |instance: &id::Instance| {
+            let mut listed = listing.instances.iter();
+            listed.any(|it| it.instance == *instance)
+        };
+        for gone in &previous.instances {
+            if !is_listed(&gone.instance) {
+                self.declare_gone(&gone.instance);
+            }
+        }
+    }
+
+    /// Heartbeats that are due: to every neighbour, with its pending news.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.refresh_neighbours(now);
+        self.suspect_silent(now);
+        self.bury_lost();
+        let neighbours = self.neighbours.clone();
+        self.send_to(neighbours, now)
+    }
+
+    /// Heartbeats with news that cannot wait for the next tick.
+    pub fn flush(&mut self, now: Instant) -> Vec<Outgoing> {
+        let with_news = |it: &&id::Instance| self.pending.get(*it).is_some_and(|it| !it.is_empty());
+        let receivers = self.neighbours.iter().filter(with_news).cloned().collect();
+        self.send_to(receivers, now)
+    }
+
+    /// Heartbeats to all neighbours outside the tick, to announce a configuration version.
+    pub fn announce(&mut self, now: Instant) -> Vec<Outgoing> {
+        let neighbours = self.neighbours.clone();
+        self.send_to(neighbours, now)
+    }
+
+    /// Takes a heartbeat and returns its acknowledgement.
+    pub fn receive(&mut self, heartbeat: Heartbeat, now: Instant) -> Heartbeat {
+        let sequence = heartbeat.sequence;
+        let from = heartbeat.from.clone();
+        self.hear(heartbeat, now);
+        self.compose(&from, sequence)
+    }
+
+    /// Takes the acknowledgement of a heartbeat.
+    pub fn acknowledged(&mut self, heartbeat: Heartbeat, now: Instant) {
+        let from = heartbeat.from.clone();
+        let incarnation = self.own.incarnation;
+        let sent = self.sent.get(&heartbeat.sequence).copied();
+        self.hear(heartbeat, now);
+        // The news may have told that this member was replaced; then nothing vouches for it.
+        if self.own.incarnation != incarnation {
+            return;
+        }
+        if let Some(sent) = sent {
+            self.fence.acknowledge(&from, sent);
+        }
+    }
+
+    fn hear(&mut self, heartbeat: Heartbeat, now: Instant) {
+        let from = heartbeat.from;
+        self.heard.insert(from.clone(), now);
+        for news in heartbeat.news {
+            self.learn(news, Some(&from));
+        }
+        self.clear_suspicion(&from, heartbeat.incarnation);
+        self.correct_stale(&from, heartbeat.incarnation);
+        if heartbeat.members == self.digest() {
+            self.mismatches.remove(&from);
+            return;
+        }
+        let mismatches = self.mismatches.entry(from.clone()).or_default();
+        *mismatches += 1;
+        if *mismatches >= MISMATCHES_BEFORE_SYNC {
+            self.mismatches.remove(&from);
+            let all = self.everything();
+            self.pending.insert(from, all);
+        }
+    }
+
+    /// Tells a sender that it was declared lost, so that it comes back as a new incarnation.
+    fn correct_stale(&mut self, from: &id::Instance, incarnation: u64) {
+        let Some(known) = self.members.get(from) else {
+            return;
+        };
+        let is_stale = known.incarnation > incarnation || known.state == State::Gone;
+        if is_stale {
+            let news = News::Member(known.clone());
+            self.queue(from.clone(), &news);
+        }
+    }
+
+    fn everything(&self) -> Vec<News> {
+        let members = self.members.values().cloned().map(News::Member);
+        members.chain(self.rumors.all()).collect()
+    }
+
+    fn compose(&mut self, to: &id::Instance, sequence: u64) -> Heartbeat {
+        Heartbeat {
+            from: self.own.instance.clone(),
+            incarnation: self.own.incarnation,
+            sequence,
+            members: self.digest(),
+            config_version: self.config_version,
+            news: self.pending.remove(to).unwrap_or_default(),
+        }
+    }
+
+    fn send_to(&mut self, receivers: Vec<id::Instance>, now: Instant) -> Vec<Outgoing> {
+        if receivers.is_empty() {
+            return Vec::new();
+        }
+        self.sequence += 1;
+        let sequence = self.sequence;
+        self.sent.insert(sequence, now);
+        while self.sent.len() > SENT_KEPT {
+            self.sent.pop_first();
+        }
+        let mut outgoing = Vec::with_capacity(receivers.len());
+        for to in receivers {
+            let Some(address) = self.members.get(&to).map(|it| it.address) else {
+                continue;
+            };
+            let heartbeat = self.compose(&to, sequence);
+            outgoing.push(Outgoing {
+                to,
+                address,
+                heartbeat,
+            });
+        }
+        outgoing
+    }
+
+    /// Takes a piece of news and passes it on if it is new.
+    fn learn(&mut self, news: News, from: Option<&id::Instance>) {
+        let is_new = match &news {
+            News::Member(record) => self.learn_member(record),
+            News::Suspicion(suspicion) => self.learn_suspicion(suspicion),
+            News::Restriction(restriction) => self.rumors.restrict(restriction),
+            News::Crash(crash) => self.rumors.crash(crash),
+            News::Quarantine(fingerprint) => self.rumors.quarantine(*fingerprint),
+        };
+        if is_new {
+            self.spread(&news, from);
+        }
+    }
+
+    fn learn_member(&mut self, record: &Record) -> bool {
+        if record.instance == self.own.instance {
+            return self.defend(record);
+        }
+        let is_new = match self.members.get(&record.instance) {
+            Some(known) => record.supersedes(known),
+            None => true,
+        };
+        if is_new {
+            self.adopt(record.clone());
+        }
+        is_new
+    }
+
+    /// Someone speaks of this member. A claim that it is gone starts a new incarnation.
+    fn defend(&mut self, record: &Record) -> bool {
+        if record.incarnation < self.own.incarnation {
+            return false;
+        }
+        if record.state == State::Leaving && self.own.state == State::Alive {
+            // The platform takes this instance away.
+            self.leave();
+            return false;
+        }
+        let is_replaced = record.state == State::Gone && self.own.state != State::Gone;
+        if !is_replaced && record.incarnation == self.own.incarnation {
+            return false;
+        }
+        self.own.incarnation = record.incarnation + 1;
+        // Evidence from before belongs to the lost incarnation.
+        self.fence.lapse(Instant::now());
+        let own = self.own.clone();
+        self.adopt(own.clone());
+        self.spread(&News::Member(own), None);
+        false
+    }
+
+    fn adopt(&mut self, record: Record) {
+        let about = record.instance.clone();
+        self.suspicions.retain(|(it, _), _| *it != about);
+        self.members.insert(about, record);
+        self.refresh_overlay();
+    }
+
+    fn learn_suspicion(&mut self, suspicion: &Suspicion) -> bool {
+        let known = self.members.get(&suspicion.about);
+        if known.is_none_or(|it| it.incarnation != suspicion.incarnation) {
+            return false;
+        }
+        let key = (suspicion.about.clone(), suspicion.by.clone());
+        if self
+            .suspicions
+            .get(&key)
+            .is_some_and(|it| it.sequence >= suspicion.sequence)
+        {
+            return false;
+        }
+        self.suspicions.insert(key, suspicion.clone());
+        true
+    }
+
+    fn refresh_overlay(&mut self) {
+        let present = self.members.values().filter(|it| it.state != State::Gone);
+        let instances = present.map(|it| &it.instance);
+        self.neighbours = overlay::neighbours(&self.own.instance, instances);
+        self.pending.retain(|it, _| self.neighbours.contains(it));
+    }
+
+    fn refresh_neighbours(&mut self, now: Instant) {
+        self.refresh_overlay();
+        for neighbour in &self.neighbours {
+            self.heard.entry(neighbour.clone()).or_insert(now);
+        }
+        self.heard.retain(|it, _| self.neighbours.contains(it));
+    }
+
+    fn suspect_silent(&mut self, now: Instant) {
+        let is_silent = |at: &Instant| now.duration_since(*at) >= self.timing.suspect;
+        let silent = self.heard.iter().filter(|(_, at)| is_silent(at));
+        let silent: Vec<id::Instance> = silent.map(|(it, _)| it.clone()).collect();
+        for about in silent {
+            self.say(&about, true);
+        }
+    }
+
+    fn clear_suspicion(&mut self, about: &id::Instance, incarnation: u64) {
+        let is_current = self
+            .members
+            .get(about)
+            .is_some_and(|it| it.incarnation == incarnation);
+        if is_current {
+            self.say(about, false);
+        }
+    }
+
+    /// Changes this member's word about `about`, if it differs from its last one.
+    fn say(&mut self, about: &id::Instance, is_silent: bool) {
+        let key = (about.clone(), self.own.instance.clone());
+        let said = self.suspicions.get(&key).is_some_and(|it| it.is_silent);
+        let Some(record) = self.members.get(about) else {
+            return;
+        };
+        if said == is_silent || record.state == State::Gone {
+            return;
+        }
+        self.suspicion_sequence += 1;
+        let suspicion = Suspicion {
+            about: about.clone(),
+            incarnation: record.incarnation,
+            by: self.own.instance.clone(),
+            sequence: self.suspicion_sequence,
+            is_silent,
+        };
+        self.learn(News::Suspicion(suspicion), None);
+    }
+
+    /// Declares members gone that more than half of their neighbours suspect.
+    fn bury_lost(&mut self) {
+        let suspects: std::collections::BTreeSet<id::Instance> = self
+            .suspicions
+            .values()
+            .filter(|it| it.is_silent)
+            .map(|it| it.about.clone())
+            .collect();
+        for about in suspects {
+            if self.is_lost(&about) {
+                self.declare_gone(&about);
+            }
+        }
+    }
+
+    fn is_lost(&self, about: &id::Instance) -> bool {
+        let present = self.members.values().filter(|it| it.state != State::Gone);
+        let neighbours = overlay::neighbours(about, present.map(|it| &it.instance));
+        let is_silent_to = |by: &&id::Instance| {
+            let key = (about.clone(), (*by).clone());
+            self.suspicions.get(&key).is_some_and(|it| it.is_silent)
+        };
+        let votes = neighbours.iter().filter(is_silent_to).count();
+        votes > neighbours.len() / 2
+    }
+
+    fn declare_gone(&mut self, about: &id::Instance) {
+        let Some(record) = self.members.get(about) else {
+            return;
+        };
+        if record.state == State::Gone || *about == self.own.instance {
+            return;
+        }
+        let gone = Record {
+            state: State::Gone,
+            ..record.clone()
+        };
+        self.learn(News::Member(gone), None);
+    }
+
+    fn spread(&mut self, news: &News, except: Option<&id::Instance>) {
+        for neighbour in self.neighbours.clone() {
+            if Some(&neighbour) != except {
+                self.queue(neighbour, news);
+            }
+        }
+    }
+
+    fn queue(&mut self, to: id::Instance, news: &News) {
+        let pending = self.pending.entry(to).or_default();
+        if !pending.contains(news) {
+            pending.push(news.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/pipeline/src/lib.rs
@@ -0,0 +1,32 @@
+//! Runs pipelines: owns one request from its arrival to its answer.
+//!
+//! Deadlines and stage budgets, choice of upstream, retries and hedges, resumed streams and
+//! at-most-once stages live here. The crate meets the outside only through [`wire::peer::Peer`] and
+//! [`claims::Book`]; it knows no HTTP.
+
+mod attempt;
+mod budget;
+mod generate;
+mod idempotent;
+mod latency;
+mod life;
+mod once;
+mod outcome;
+mod route;
+mod run;
+mod stage;
+mod view;
+
+pub use life::NotRun;
+pub use outcome::Answer;
+pub use outcome::Failed;
+pub use outcome::FailedReason;
+pub use outcome::NotRunReason;
+pub use outcome::Outcome;
+pub use outcome::Recorded;
+pub use route::Options;
+pub use run::Request;
+pub use run::Runner;
+pub use stage::Cost;
+pub use view::View;
+pub use view::follow;
--- /dev/null
+++ b/crates/standin/src/control.rs
@@ -0,0 +1,104 @@
+//! The control port: faults, statistics and the instance list.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fault;
+use crate::platform::Platform;
+use crate::upstream::Stats;
+use crate::upstream::Upstream;
+
+/// Everything that the control port reaches.
+pub struct Control {
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// The upstreams by name.
+    pub upstreams: BTreeMap<String, Arc<Upstream>>,
+}
+
+/// An order of the control port.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Switches the platform's faults.
+    Platform(fault::Platform),
+    /// Switches one upstream's faults.
+    Upstream(String, fault::Upstream),
+    /// Replaces the instance list.
+    Listing(table::Listing),
+}
+
+/// Routes of the control port.
+#[must_use]
+pub fn router(control: Arc<Control>) -> Router {
+    Router::new()
+        .push(Router::with_path("order").post(Orders(control.clone())))
+        .push(Router::with_path("stats").get(Statistics(control)))
+}
+
+struct Orders(Arc<Control>);
+
+#[salvo::async_trait]
+impl Handler for Orders {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let payload = request.payload().await;
+        let order = payload
+            .ok()
+            .and_then(|it| serde_json::from_slice::<Order>(it).ok());
+        let is_done = match order {
+            Some(Order::Platform(faults)) => {
+                self.0.platform.set_faults(faults);
+                true
+            }
+            Some(Order::Listing(listing)) => {
+                self.0.platform.set_listing(listing);
+                true
+            }
+            Some(Order::Upstream(name, faults)) => {
+                let upstream = self.0.upstreams.get(&name);
+                upstream.inspect(|it| it.set_faults(faults)).is_some()
+            }
+            None => false,
+        };
+        response.status_code(match is_done {
+            true => StatusCode::NO_CONTENT,
+            false => StatusCode::BAD_REQUEST,
+        });
+    }
+}
+
+struct Statistics(Arc<Control>);
+
+#[salvo::async_trait]
+impl Handler for Statistics {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let upstreams = self.0.upstreams.iter();
+        let stats: BTreeMap<String, Stats> = upstreams
+            .map(|(name, it)| (name.clone(), it.stats()))
+            .collect();
+        response.render(Json(stats));
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/log.rs
@@ -0,0 +1,50 @@
+//! Key=value logging.
+
+use std::io::Write;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use slog::Drain;
+
+use crate::timeline::Event;
+
+/// Log lines kept while standard error is slow; further ones are dropped and counted by `slog`.
+const CHANNEL_LINES: usize = 4096;
+
+/// A logger that writes one key=value line an event to standard error.
+pub fn stderr(process: &str) -> slog::Logger {
+    let drain = slog_logfmt::Logfmt::new(std::io::stderr())
+        .set_prefix(prefix)
+        .print_msg(false)
+        .print_level(false)
+        .print_tag(false)
+        .build()
+        .fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(CHANNEL_LINES)
+        .build()
+        .fuse();
+    slog::Logger::root(drain, slog::o!("process" => process.to_owned()))
+}
+
+fn prefix(out: &mut dyn Write, record: &slog::Record<'_>) -> slog::Result {
+    let level = record.level().as_short_str().to_ascii_lowercase();
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since_epoch.unwrap_or_default().as_millis();
+    write!(out, "ts_ms={millis} level={level} event={} ", record.msg())?;
+    Ok(())
+}
+
+/// Writes a time line event to the log.
+pub(crate) fn event(logger: &slog::Logger, event: &Event) {
+    let trace = event.trace.map(|it| it.to_string()).unwrap_or_default();
+    let fields = slog::o!("trace" => trace);
+    let logger = logger.new(fields);
+    let detail: String = event
+        .fields
+        .iter()
+        .map(|(key, value)| format!("{key}={value}"))
+        .collect::<Vec<_>>()
+        .join(",");
+    slog::info!(logger, "{}", event.kind; "detail" => detail);
+}
--- /dev/null
+++ b/crates/wire/src/keys.rs
@@ -0,0 +1,111 @@
+//! Certificates: reading them for the transport, and making a test set.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+
+use config::settings;
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::PrivateKeyDer;
+use rustls::pki_types::pem::PemObject;
+
+/// Name that every process certificate carries and every process expects.
+pub const SERVER_NAME: &str = "catkinvane";
+
+/// Why certificates cannot be used or made.
+#[derive(Debug, strum::Display)]
+pub enum Error {
+    /// A file cannot be read or written.
+    #[strum(to_string = "{0}: {1}")]
+    File(String, io::Error),
+    /// A file does not hold what it should.
+    #[strum(to_string = "{0}: not a PEM certificate or key: {1}")]
+    Pem(String, rustls::pki_types::pem::Error),
+    /// TLS refuses the certificates.
+    #[strum(to_string = "certificates refused: {0}")]
+    Tls(String),
+    /// A certificate cannot be made.
+    #[strum(to_string = "cannot make a certificate: {0}")]
+    Make(rcgen::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// Certificates of one process.
+#[derive(Debug)]
+pub struct Keys {
+    /// Authority that signs every process of the deployment.
+    pub roots: Arc<rustls::RootCertStore>,
+    /// Certificate chain.
+    pub chain: Vec<CertificateDer<'static>>,
+    /// Private key.
+    pub key: PrivateKeyDer<'static>,
+}
+
+/// Reads the certificates that the settings name.
+///
+/// # Errors
+///
+/// Fails when a file is missing or malformed.
+pub fn load(tls: &settings::Tls) -> Result<Keys, Error> {
+    let mut roots = rustls::RootCertStore::empty();
+    for certificate in certificates(&tls.authority)? {
+        roots
+            .add(certificate)
+            .map_err(|err| Error::Tls(err.to_string()))?;
+    }
+    let key = PrivateKeyDer::from_pem_slice(&read(&tls.key)?)
+        .map_err(|err| Error::Pem(tls.key.display().to_string(), err))?;
+    Ok(Keys {
+        roots: Arc::new(roots),
+        chain: certificates(&tls.certificate)?,
+        key,
+    })
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let pem = read(path)?;
+    CertificateDer::pem_slice_iter(&pem)
+        .collect::<Result<_, _>>()
+        .map_err(|err| Error::Pem(path.display().to_string(), err))
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, Error> {
+    fs::read(path).map_err(|err| Error::File(path.display().to_string(), err))
+}
+
+/// Writes an authority and one process certificate into `dir`.
+///
+/// The set is meant for tests and first trials: every process shares one key.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn make(dir: &Path) -> Result<settings::Tls, Error> {
+    let authority_key = rcgen::KeyPair::generate().map_err(Error::Make)?;
+    let mut params = rcgen::CertificateParams::new(Vec::new()).map_err(Error::Make)?;
+    params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+    let authority = params.self_signed(&authority_key).map_err(Error::Make)?;
+    let issuer = rcgen::Issuer::new(params, &authority_key);
+
+    let key = rcgen::KeyPair::generate().map_err(Error::Make)?;
+    let names = vec![SERVER_NAME.to_owned()];
+    let params = rcgen::CertificateParams::new(names).map_err(Error::Make)?;
+    let certificate = params.signed_by(&key, &issuer).map_err(Error::Make)?;
+
+    fs::create_dir_all(dir).map_err(|err| Error::File(dir.display().to_string(), err))?;
+    let tls = settings::Tls {
+        authority: dir.join("authority.pem"),
+        certificate: dir.join("process.pem"),
+        key: dir.join("process.key"),
+    };
+    write(&tls.authority, &authority.pem())?;
+    write(&tls.certificate, &certificate.pem())?;
+    write(&tls.key, &key.serialize_pem())?;
+    Ok(tls)
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    fs::write(path, text).map_err(|err| Error::File(path.display().to_string(), err))
+}
