--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -61,6 +61,8 @@
 pub struct Dispatcher {
     /// Common part; `listen` is the UDP address for other processes.
     pub common: Common,
+    /// Dispatchers to ask for the members while the platform's list cannot be read.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Settings of the operators' client.
@@ -121,8 +123,13 @@
 /// Returns every fault of the text.
 pub fn dispatcher(text: &str) -> Result<Dispatcher, Vec<Fault>> {
     read(text, |fields, faults| {
+        let mut seeds = Vec::new();
+        for node in fields.list("seeds", faults) {
+            seeds.extend(check::scalar::<SocketAddr>(node, ADDRESS, faults));
+        }
         Some(Dispatcher {
             common: common(fields, faults)?,
+            seeds,
         })
     })
 }
--- a/crates/dispatcher/src/bin/catkinvane-dispatcher.rs
+++ b/crates/dispatcher/src/bin/catkinvane-dispatcher.rs
@@ -74,6 +74,7 @@
         .platform(Arc::new(table::http::Client::new(common.platform)?))
         .upstreams(Arc::new(dispatcher::http::Client::new()?))
         .telemetry(telemetry.clone())
+        .seeds(settings.seeds)
         .build();
     let node = Arc::new(node);
 
--- a/crates/dispatcher/src/changes.rs
+++ b/crates/dispatcher/src/changes.rs
@@ -10,6 +10,7 @@
 use table::Read;
 use telemetry::timeline::Event;
 use telemetry::timeline::Kind;
+use tokio::time::Instant;
 use wire::Reply;
 use wire::Request;
 use wire::member::Restriction;
@@ -109,7 +110,7 @@
             target,
             author: change.author,
         };
-        self.lock().membership.restrict(restriction);
+        self.lock().membership.restrict(restriction, Instant::now());
         self.refresh();
         ChangeResult::Spreading
     }
--- a/crates/dispatcher/src/dispatching.rs
+++ b/crates/dispatcher/src/dispatching.rs
@@ -36,8 +36,6 @@
 const RETRY_SOON: Duration = Duration::from_millis(500);
 /// Time after which a stopping or unreachable upstream is worth another try.
 const RETRY_LATER: Duration = Duration::from_secs(2);
-/// Crashes in which a request was running before it is quarantined.
-const CRASHES_BEFORE_QUARANTINE: usize = 2;
 
 /// How a sent call ended.
 enum Ended {
@@ -137,7 +135,8 @@
             let weight = workspaces
                 .get(&dispatch.workspace)
                 .map_or(1, |it| it.weight);
-            (weight, state.membership.crashes(dispatch.fingerprint) > 0)
+            let is_known_suspect = state.membership.is_suspect(dispatch.fingerprint);
+            (weight, is_known_suspect || dispatch.crashes > 0)
         };
         let ticket = |id| Ticket {
             id,
@@ -217,8 +216,9 @@
         };
         let answer = tokio::select! {
             biased;
-            answer = self.upstreams.call(flight.target, call) => answer,
+            // A process that was frozen past the deadline sends nothing when it wakes.
             () = tokio::time::sleep_until(flight.deadline) => return Ended::Broken(Cause::Deadline),
+            answer = self.upstreams.call(flight.target, call) => answer,
             () = flight.replies.closed(), if !dispatch.is_detached => return Ended::Cancelled,
         };
         let answer = match answer {
@@ -274,6 +274,7 @@
         let load = flight.owned.load();
         let (kind, last) = match ended {
             Ended::Whole => {
+                self.clear_suspect(dispatch);
                 let attempt = dispatch.attempt;
                 (Kind::Finished, Progress::Finished { attempt, load })
             }
@@ -289,8 +290,10 @@
                     .await;
             }
             Ended::Broken(cause) => {
-                if cause == Cause::Connection {
-                    self.suspect_crash(flight).await;
+                let is_crash = cause == Cause::Connection && self.is_down(flight).await;
+                let cause = if is_crash { Cause::Crashed } else { cause };
+                if is_crash {
+                    self.note_crash(flight);
                 }
                 let executed = match cause {
                     Cause::CrossedAnswer | Cause::Protocol => Executed::Yes,
@@ -312,25 +315,23 @@
         let _ = flight.replies.send(progress(last)).await;
     }
 
-    /// Counts a crash against the request if its upstream died while running it.
-    async fn suspect_crash(&self, flight: &Flight<'_>) {
-        // A cut connection to an upstream that still listens is not a crash.
-        if self.upstreams.probe(flight.target).await {
-            return;
-        }
+    /// A cut connection to an upstream that still listens is not a crash.
+    async fn is_down(&self, flight: &Flight<'_>) -> bool {
+        !self.upstreams.probe(flight.target).await
+    }
+
+    /// Counts a crash against the request that was running.
+    fn note_crash(&self, flight: &Flight<'_>) {
         let fingerprint = flight.dispatch.fingerprint;
         let crash = Crash {
             fingerprint,
             attempt: flight.dispatch.attempt,
+            is_cleared: false,
         };
         let is_poison = {
             let mut state = self.lock();
-            state.membership.crash(crash);
-            let is_poison = state.membership.crashes(fingerprint) >= CRASHES_BEFORE_QUARANTINE;
-            if is_poison {
-                state.membership.quarantine_add(fingerprint);
-            }
-            is_poison
+            state.membership.crash(crash, Instant::now());
+            state.membership.is_quarantined(fingerprint)
         };
         self.telemetry.count("upstream.crash_suspects", 1);
         if is_poison {
@@ -339,7 +340,19 @@
                 .with("fingerprint", fingerprint);
             self.telemetry.event(event);
         }
-        self.refresh();
+        self.announce();
+    }
+
+    /// A request that completes has not crashed its upstream.
+    fn clear_suspect(&self, dispatch: &Dispatch) {
+        let now = Instant::now();
+        let was_suspect = {
+            let mut state = self.lock();
+            state.membership.clear_suspect(dispatch.fingerprint, now)
+        };
+        if was_suspect {
+            self.announce();
+        }
     }
 
     /// Tells the new owner of a given-up upstream that one of its inherited calls has ended.
--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -50,6 +50,8 @@
     pub(crate) urgent: Notify,
     /// A newer configuration is known to exist.
     pub(crate) behind: Notify,
+    /// Dispatchers to ask while no member is known.
+    pub(crate) seeds: Vec<SocketAddr>,
 }
 
 #[bon]
@@ -66,6 +68,7 @@
         upstreams: Arc<dyn Upstream>,
         telemetry: Telemetry,
         #[builder(default)] timing: membership::Timing,
+        #[builder(default)] seeds: Vec<SocketAddr>,
     ) -> Node {
         let own = member::Record {
             instance,
@@ -85,6 +88,7 @@
             changed: watch::Sender::new(0),
             urgent: Notify::new(),
             behind: Notify::new(),
+            seeds,
         }
     }
 }
@@ -97,9 +101,14 @@
     /// Recomputes what follows from members and configuration, and tells whom it concerns.
     pub(crate) fn refresh(&self) {
         let moves = self.lock().refresh(Instant::now());
+        self.announce();
+        self.tell(moves);
+    }
+
+    /// Wakes those who wait for a change of the view, and sends news to the neighbours.
+    pub(crate) fn announce(&self) {
         self.changed.send_modify(|generation| *generation += 1);
         self.urgent.notify_one();
-        self.tell(moves);
     }
 
     fn tell(&self, moves: Moves) {
@@ -269,7 +278,7 @@
         document: is_newer.then(|| state.document.clone()),
         drained: state.snapshot.drained.clone(),
         members: state.membership.members().cloned().collect(),
-        quarantine: state.membership.quarantine().collect(),
+        quarantine: state.membership.quarantine(),
     }
 }
 
--- a/crates/dispatcher/src/tasks.rs
+++ b/crates/dispatcher/src/tasks.rs
@@ -16,6 +16,7 @@
 use tokio::time::MissedTickBehavior;
 use wire::Reply;
 use wire::Request;
+use wire::member::Heartbeat;
 
 use crate::node::Node;
 use crate::owned::Owned;
@@ -54,9 +55,28 @@
         }
         let outgoing = due(&node, is_tick, &mut announced, &mut was_unfenced);
         for outgoing in outgoing {
-            exchanges.push(exchange(node.clone(), outgoing));
+            exchanges.push(exchange(node.clone(), outgoing.address, outgoing.heartbeat));
         }
+        if is_tick {
+            for (seed, heartbeat) in introductions(&node) {
+                exchanges.push(exchange(node.clone(), seed, heartbeat));
+            }
+        }
+    }
+}
+
+/// Heartbeats to the seeds while no other member has been heard from.
+fn introductions(node: &Node) -> Vec<(SocketAddr, Heartbeat)> {
+    let mut state = node.lock();
+    let own = state.membership.own().address;
+    let others = state.membership.members();
+    let is_alone = others.filter(|it| it.incarnation > 0).count() == 1;
+    if !is_alone {
+        return Vec::new();
     }
+    let heartbeat = state.membership.introduce(Instant::now());
+    let seeds = node.seeds.iter().filter(|it| **it != own);
+    seeds.map(|it| (*it, heartbeat.clone())).collect()
 }
 
 fn due(node: &Node, is_tick: bool, announced: &mut u64, was_unfenced: &mut bool) -> Vec<Outgoing> {
@@ -84,9 +104,9 @@
     outgoing
 }
 
-async fn exchange(node: Arc<Node>, outgoing: Outgoing) {
-    let request = Request::Heartbeat(Box::new(outgoing.heartbeat));
-    let asked = wire::peer::ask(node.peer.as_ref(), outgoing.address, request);
+async fn exchange(node: Arc<Node>, to: SocketAddr, heartbeat: Heartbeat) {
+    let request = Request::Heartbeat(Box::new(heartbeat));
+    let asked = wire::peer::ask(node.peer.as_ref(), to, request);
     let reply = tokio::time::timeout(HEARTBEAT_INTERVAL, asked).await;
     if let Ok(Ok(Reply::Heartbeat(acknowledgement))) = reply {
         node.acknowledged(*acknowledgement);
@@ -241,7 +261,7 @@
     };
     let mut exchanges: FuturesUnordered<_> = outgoing
         .into_iter()
-        .map(|it| exchange(node.clone(), it))
+        .map(|it| exchange(node.clone(), it.address, it.heartbeat))
         .collect();
     while exchanges.next().await.is_some() {}
 }
--- /dev/null
+++ b/crates/fakes/src/process.rs
@@ -0,0 +1,91 @@
+//! A process that can be killed and frozen.
+//!
+//! Everything that a process does to the outside passes through [`Process::pass`]. A frozen process
+//! is held there, so that what it had decided before the freeze happens after it, which is the worst
+//! moment. A killed process is held there for ever.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Running,
+    Frozen,
+    Dead,
+}
+
+/// One process.
+pub struct Process {
+    state: watch::Sender<State>,
+    tasks: Mutex<Vec<AbortHandle>>,
+}
+
+impl Default for Process {
+    fn default() -> Process {
+        Process {
+            state: watch::Sender::new(State::Running),
+            tasks: Mutex::default(),
+        }
+    }
+}
+
+impl Process {
+    /// Completes when the process runs; never, when it is dead.
+    pub async fn pass(&self) {
+        let mut state = self.state.subscribe();
+        // The sender lives as long as `self`.
+        let _ = state.wait_for(|it| *it == State::Running).await;
+    }
+
+    /// Whether the process has been killed.
+    #[must_use]
+    pub fn is_dead(&self) -> bool {
+        *self.state.borrow() == State::Dead
+    }
+
+    /// Completes when the process is killed.
+    pub async fn died(&self) {
+        let mut state = self.state.subscribe();
+        let _ = state.wait_for(|it| *it == State::Dead).await;
+    }
+
+    /// Runs a task of the process.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let handle = tokio::spawn(task).abort_handle();
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        tasks.retain(|it| !it.is_finished());
+        tasks.push(handle);
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        self.state.send_replace(State::Dead);
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in tasks.drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.change(State::Running, State::Frozen);
+    }
+
+    /// Wakes a frozen process.
+    pub fn thaw(&self) {
+        self.change(State::Frozen, State::Running);
+    }
+
+    fn change(&self, from: State, to: State) {
+        self.state.send_if_modified(|state| {
+            let is_changed = *state == from;
+            if is_changed {
+                *state = to;
+            }
+            is_changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/it/configuration.rs
@@ -0,0 +1,117 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+use std::time::Duration;
+
+use base::id;
+use fakes::platform::Faults;
+use wire::message::Action;
+use wire::message::Change;
+use wire::message::ChangeResult;
+use wire::message::Target;
+use wire::status::Status;
+
+use crate::fixture::TEXT;
+use crate::fixture::scenarios;
+use crate::fixture::seconds;
+use crate::fixture::wait;
+
+/// Time in which an accepted change is in force everywhere.
+const FORCE_TIME: Duration = Duration::from_secs(6);
+
+fn has(version: u64) -> impl Fn(&Status) -> bool {
+    move |it| it.config_version == version && it.gateway_version == Some(version)
+}
+
+fn apply(text: &str, expect: u64, token: u64) -> Change {
+    Change {
+        author: format!("operator-{token}"),
+        token: id::Token(token),
+        action: Action::Apply {
+            text: text.to_owned(),
+            expect,
+        },
+    }
+}
+
+scenarios! {
+    async fn a_change_is_in_force_everywhere_in_time(cluster) {
+        let start = tokio::time::Instant::now();
+        let result = cluster.apply(0, TEXT, 1).await;
+        assert_eq!(result, ChangeResult::Committed(2));
+        cluster.until("version 2", has(2)).await;
+        assert!(start.elapsed() < FORCE_TIME, "{:?}", start.elapsed());
+    }
+
+    async fn of_two_racing_operators_one_gets_a_conflict(cluster) {
+        let (first, second) = tokio::join!(
+            cluster.change_with(0, apply(TEXT, 1, 10)),
+            cluster.change_with(5, apply(TEXT, 1, 11)),
+        );
+        let results = [first.expect("a reply"), second.expect("a reply")];
+        assert!(results.contains(&ChangeResult::Committed(2)), "{results:?}");
+        let is_conflict = |it: &ChangeResult| matches!(it, ChangeResult::Conflict { version: 2, .. });
+        assert!(results.iter().any(is_conflict), "{results:?}");
+        cluster.until("version 2", has(2)).await;
+    }
+
+    async fn a_lost_commit_answer_is_resolved(cluster) {
+        cluster.store.set_faults(Faults { lose_answers: 1, ..Faults::default() });
+        let result = cluster.apply(0, TEXT, 1).await;
+        assert_eq!(result, ChangeResult::Committed(2));
+        cluster.until("version 2", has(2)).await;
+    }
+
+    async fn a_store_that_serves_old_reads_reverts_nothing(cluster) {
+        assert_eq!(cluster.apply(0, TEXT, 1).await, ChangeResult::Committed(2));
+        cluster.until("version 2", has(2)).await;
+        cluster.store.set_faults(Faults { stale_reads: true, ..Faults::default() });
+        for _ in 0..50 {
+            wait(Duration::from_millis(100)).await;
+            cluster.until("still version 2", has(2)).await;
+        }
+    }
+
+    async fn a_process_frozen_across_a_change_sends_nothing_by_the_old_one(cluster) {
+        cluster.instances[2].dispatcher.freeze();
+        cluster.instances[3].dispatcher.freeze();
+        let target = Target::Zone("b".parse().expect("a name"));
+        cluster.change(0, Action::Drain(target)).await;
+        wait(seconds(5)).await;
+        let before = cluster.fleet.stats("encoder-b").started;
+        cluster.instances[2].dispatcher.thaw();
+        cluster.instances[3].dispatcher.thaw();
+        for number in 0..50 {
+            let request = cluster.request("lookup", None, serde_json::json!(number));
+            cluster.submit(2 + number % 2, request);
+            wait(Duration::from_millis(50)).await;
+        }
+        cluster.until("version 2", has(2)).await;
+        assert_eq!(cluster.fleet.stats("encoder-b").started, before);
+    }
+
+    async fn an_instance_that_starts_during_an_outage_learns_it_from_members(cluster) {
+        assert_eq!(cluster.apply(0, TEXT, 1).await, ChangeResult::Committed(2));
+        cluster.until("version 2", has(2)).await;
+        cluster.kill(4);
+        wait(seconds(6)).await;
+        cluster.store.set_faults(Faults { outage: true, ..Faults::default() });
+        cluster.restart(4);
+        cluster.until("version 2", has(2)).await;
+    }
+
+    async fn a_change_with_faults_changes_nothing(cluster) {
+        let result = cluster.apply(0, "zones: [a, a]", 1).await;
+        assert!(matches!(result, ChangeResult::Faults(_)), "{result:?}");
+        wait(seconds(3)).await;
+        cluster.until("still version 1", has(1)).await;
+    }
+
+    async fn a_partitioned_member_catches_up_when_it_heals(cluster) {
+        cluster.partition(&[4, 5]);
+        wait(seconds(8)).await;
+        assert_eq!(cluster.apply(0, TEXT, 1).await, ChangeResult::Committed(2));
+        wait(seconds(3)).await;
+        cluster.net.heal();
+        cluster.until("version 2", has(2)).await;
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/it/fixture.rs
@@ -0,0 +1,122 @@
+//! The deployment that the scenarios share, and checks on outcomes.
+
+use std::time::Duration;
+
+use base::Executed;
+use pipeline::NotRunReason;
+use pipeline::Outcome;
+use serde_json::Value;
+use serde_json::json;
+
+pub(crate) const TEXT: &str = "
+zones: [a, b, c]
+services:
+  - name: llm
+    kind: engine
+    reports_load: true
+    cold_limit: 1
+    ceiling: 8
+    warm_window: 1s
+    typical: 500ms
+    upstreams:
+      - {name: llm-a, zone: a, address: 10.0.0.1:1}
+      - {name: llm-b, zone: b, address: 10.0.0.1:2}
+      - {name: llm-c, zone: c, address: 10.0.0.1:3}
+  - name: encoder
+    kind: plain
+    cold_limit: 2
+    ceiling: 16
+    warm_window: 1s
+    typical: 20ms
+    upstreams:
+      - {name: encoder-a, zone: a, address: 10.0.0.2:1}
+      - {name: encoder-b, zone: b, address: 10.0.0.2:2}
+      - {name: encoder-c, zone: c, address: 10.0.0.2:3}
+  - name: ledger
+    kind: plain
+    idempotent: false
+    cold_limit: 2
+    ceiling: 8
+    warm_window: 1s
+    typical: 40ms
+    upstreams:
+      - {name: ledger-a, zone: a, address: 10.0.0.3:1}
+      - {name: ledger-b, zone: b, address: 10.0.0.3:2}
+pipelines:
+  - name: chat
+    deadline: 7s
+    stages:
+      - {name: generate, service: llm}
+  - name: answer
+    deadline: 7s
+    stages:
+      - {name: encode, service: encoder}
+      - {name: generate, service: llm, needs: [encode]}
+  - name: lookup
+    deadline: 2s
+    stages:
+      - {name: encode, service: encoder}
+  - name: pay
+    deadline: 5s
+    stages:
+      - {name: charge, service: ledger}
+workspaces:
+  - {name: clerks, weight: 1, rate: 10000/s}
+";
+
+/// Defines scenarios: each starts the deployment with two instances in each of three zones.
+macro_rules! scenarios {
+    ($($(#[$doc:meta])* async fn $name:ident($cluster:ident) $body:block)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test(start_paused = true)]
+            async fn $name() {
+                #[allow(unused_mut, clippy::allow_attributes)]
+                let mut $cluster = fakes::Cluster::start(crate::fixture::TEXT, 2, 1).await;
+                $body
+            }
+        )*
+    };
+}
+
+pub(crate) use scenarios;
+
+pub(crate) fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+pub(crate) async fn wait(duration: Duration) {
+    tokio::time::sleep(duration).await;
+}
+
+/// The result of an outcome that must be a whole answer.
+#[track_caller]
+pub(crate) fn whole(outcome: Outcome) -> Value {
+    match outcome {
+        Outcome::Answered(answer) => answer.result,
+        other => panic!("expected a whole answer, got {other:?}"),
+    }
+}
+
+/// The reason of an outcome that must be a refusal.
+#[track_caller]
+pub(crate) fn not_run(outcome: Outcome) -> NotRunReason {
+    match outcome {
+        Outcome::NotRun(refusal) => refusal.reason(),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// What an outcome that must be a failure says about execution.
+#[track_caller]
+pub(crate) fn executed(outcome: Outcome) -> Executed {
+    match outcome {
+        Outcome::Failed(failed) => failed.executed,
+        other => panic!("expected a failure, got {other:?}"),
+    }
+}
+
+/// Input of a payment.
+pub(crate) fn payment() -> Value {
+    json!({"case": "4711", "cents": 2500})
+}
--- /dev/null
+++ b/crates/fakes/tests/it/main.rs
@@ -0,0 +1,11 @@
+//! Whole sessions of several instances under faults, on the paused clock.
+
+mod cold;
+mod configuration;
+mod fixture;
+mod once;
+mod poison;
+mod refusals;
+mod stops;
+mod streams;
+mod zones;
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -1,6 +1,7 @@
 //! State machine of one member.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use base::hash;
@@ -94,21 +95,35 @@
     }
 
     /// Quarantined fingerprints.
-    pub fn quarantine(&self) -> impl Iterator<Item = id::Fingerprint> {
-        self.rumors.quarantine.iter().copied()
+    #[must_use]
+    pub fn quarantine(&self) -> BTreeSet<id::Fingerprint> {
+        self.rumors.quarantine()
     }
 
-    /// Crashes in which `fingerprint` was running.
+    /// Whether `fingerprint` was running on an upstream that crashed, and has not completed since.
     #[must_use]
-    pub fn crashes(&self, fingerprint: id::Fingerprint) -> usize {
-        let crashes = self.rumors.crashes.iter();
-        crashes.filter(|it| it.fingerprint == fingerprint).count()
+    pub fn is_suspect(&self, fingerprint: id::Fingerprint) -> bool {
+        !self.rumors.crashes(fingerprint).is_empty()
     }
 
     /// Whether `fingerprint` is quarantined.
     #[must_use]
     pub fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
-        self.rumors.quarantine.contains(&fingerprint)
+        self.rumors.is_quarantined(fingerprint)
+    }
+
+    /// Notes that `fingerprint` has completed; returns whether it was a suspect.
+    pub fn clear_suspect(&mut self, fingerprint: id::Fingerprint, now: Instant) -> bool {
+        let crashes = self.rumors.crashes(fingerprint);
+        let was_suspect = !crashes.is_empty();
+        for crash in crashes {
+            let cleared = Crash {
+                is_cleared: true,
+                ..crash
+            };
+            self.learn(News::Crash(cleared), None, now);
+        }
+        was_suspect
     }
 
     /// Order-independent digest of everything that floods.
@@ -165,18 +180,13 @@
     }
 
     /// Takes a target out of service ahead of the table.
-    pub fn restrict(&mut self, restriction: Restriction) {
-        self.learn(News::Restriction(restriction), None);
+    pub fn restrict(&mut self, restriction: Restriction, now: Instant) {
+        self.learn(News::Restriction(restriction), None, now);
     }
 
     /// Records a crash in which a request was running.
-    pub fn crash(&mut self, crash: Crash) {
-        self.learn(News::Crash(crash), None);
-    }
-
-    /// Quarantines a request.
-    pub fn quarantine_add(&mut self, fingerprint: id::Fingerprint) {
-        self.learn(News::Quarantine(fingerprint), None);
+    pub fn crash(&mut self, crash: Crash, now: Instant) {
+        self.learn(News::Crash(crash), None, now);
     }
 
     /// Takes the platform's list of instances. Members that were listed and are no more are gone.
@@ -200,7 +210,7 @@
                 gateway: known.map_or(0, |it| it.gateway),
             };
             self.heard.entry(listed.instance.clone()).or_insert(now);
-            self.learn(News::Member(record), None);
+            self.learn(News::Member(record), None, now);
         }
         let is_listed = |instance: &id::Instance| {
             let mut listed = listing.instances.iter();
@@ -208,16 +218,17 @@
         };
         for gone in &previous.instances {
             if !is_listed(&gone.instance) {
-                self.declare_gone(&gone.instance);
+                self.declare_gone(&gone.instance, now);
             }
         }
     }
 
     /// Heartbeats that are due: to every neighbour, with its pending news.
     pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        self.rumors.expire(now);
         self.refresh_neighbours(now);
         self.suspect_silent(now);
-        self.bury_lost();
+        self.bury_lost(now);
         let neighbours = self.neighbours.clone();
         self.send_to(neighbours, now)
     }
@@ -235,11 +246,32 @@
         self.send_to(neighbours, now)
     }
 
+    /// A heartbeat for a process of which only the address is known. It introduces this member, and
+    /// its acknowledgement tells everything that the receiver knows.
+    pub fn introduce(&mut self, now: Instant) -> Heartbeat {
+        self.sequence += 1;
+        self.sent.insert(self.sequence, now);
+        Heartbeat {
+            from: self.own.instance.clone(),
+            incarnation: self.own.incarnation,
+            sequence: self.sequence,
+            members: self.digest(),
+            config_version: self.config_version,
+            news: vec![News::Member(self.own.clone())],
+        }
+    }
+
     /// Takes a heartbeat and returns its acknowledgement.
     pub fn receive(&mut self, heartbeat: Heartbeat, now: Instant) -> Heartbeat {
         let sequence = heartbeat.sequence;
         let from = heartbeat.from.clone();
+        let known = self.members.get(&from);
+        let is_new = known.is_none_or(|it| it.incarnation < heartbeat.incarnation);
         self.hear(heartbeat, now);
+        if is_new {
+            let all = self.everything();
+            self.pending.insert(from.clone(), all);
+        }
         self.compose(&from, sequence)
     }
 
@@ -262,9 +294,9 @@
         let from = heartbeat.from;
         self.heard.insert(from.clone(), now);
         for news in heartbeat.news {
-            self.learn(news, Some(&from));
+            self.learn(news, Some(&from), now);
         }
-        self.clear_suspicion(&from, heartbeat.incarnation);
+        self.clear_suspicion(&from, heartbeat.incarnation, now);
         self.correct_stale(&from, heartbeat.incarnation);
         if heartbeat.members == self.digest() {
             self.mismatches.remove(&from);
@@ -333,22 +365,21 @@
     }
 
     /// Takes a piece of news and passes it on if it is new.
-    fn learn(&mut self, news: News, from: Option<&id::Instance>) {
+    fn learn(&mut self, news: News, from: Option<&id::Instance>, now: Instant) {
         let is_new = match &news {
-            News::Member(record) => self.learn_member(record),
+            News::Member(record) => self.learn_member(record, now),
             News::Suspicion(suspicion) => self.learn_suspicion(suspicion),
             News::Restriction(restriction) => self.rumors.restrict(restriction),
-            News::Crash(crash) => self.rumors.crash(crash),
-            News::Quarantine(fingerprint) => self.rumors.quarantine(*fingerprint),
+            News::Crash(crash) => self.rumors.crash(crash, now),
         };
         if is_new {
             self.spread(&news, from);
         }
     }
 
-    fn learn_member(&mut self, record: &Record) -> bool {
+    fn learn_member(&mut self, record: &Record, now: Instant) -> bool {
         if record.instance == self.own.instance {
-            return self.defend(record);
+            return self.defend(record, now);
         }
         let is_new = match self.members.get(&record.instance) {
             Some(known) => record.supersedes(known),
@@ -361,7 +392,7 @@
     }
 
     /// Someone speaks of this member. A claim that it is gone starts a new incarnation.
-    fn defend(&mut self, record: &Record) -> bool {
+    fn defend(&mut self, record: &Record, now: Instant) -> bool {
         if record.incarnation < self.own.incarnation {
             return false;
         }
@@ -376,7 +407,7 @@
         }
         self.own.incarnation = record.incarnation + 1;
         // Evidence from before belongs to the lost incarnation.
-        self.fence.lapse(Instant::now());
+        self.fence.lapse(now);
         let own = self.own.clone();
         self.adopt(own.clone());
         self.spread(&News::Member(own), None);
@@ -427,22 +458,22 @@
         let silent = self.heard.iter().filter(|(_, at)| is_silent(at));
         let silent: Vec<id::Instance> = silent.map(|(it, _)| it.clone()).collect();
         for about in silent {
-            self.say(&about, true);
+            self.say(&about, true, now);
         }
     }
 
-    fn clear_suspicion(&mut self, about: &id::Instance, incarnation: u64) {
+    fn clear_suspicion(&mut self, about: &id::Instance, incarnation: u64, now: Instant) {
         let is_current = self
             .members
             .get(about)
             .is_some_and(|it| it.incarnation == incarnation);
         if is_current {
-            self.say(about, false);
+            self.say(about, false, now);
         }
     }
 
     /// Changes this member's word about `about`, if it differs from its last one.
-    fn say(&mut self, about: &id::Instance, is_silent: bool) {
+    fn say(&mut self, about: &id::Instance, is_silent: bool, now: Instant) {
         let key = (about.clone(), self.own.instance.clone());
         let said = self.suspicions.get(&key).is_some_and(|it| it.is_silent);
         let Some(record) = self.members.get(about) else {
@@ -459,12 +490,12 @@
             sequence: self.suspicion_sequence,
             is_silent,
         };
-        self.learn(News::Suspicion(suspicion), None);
+        self.learn(News::Suspicion(suspicion), None, now);
     }
 
     /// Declares members gone that more than half of their neighbours suspect.
-    fn bury_lost(&mut self) {
-        let suspects: std::collections::BTreeSet<id::Instance> = self
+    fn bury_lost(&mut self, now: Instant) {
+        let suspects: BTreeSet<id::Instance> = self
             .suspicions
             .values()
             .filter(|it| it.is_silent)
@@ -472,7 +503,7 @@
             .collect();
         for about in suspects {
             if self.is_lost(&about) {
-                self.declare_gone(&about);
+                self.declare_gone(&about, now);
             }
         }
     }
@@ -488,7 +519,7 @@
         votes > neighbours.len() / 2
     }
 
-    fn declare_gone(&mut self, about: &id::Instance) {
+    fn declare_gone(&mut self, about: &id::Instance, now: Instant) {
         let Some(record) = self.members.get(about) else {
             return;
         };
@@ -499,7 +530,7 @@
             state: State::Gone,
             ..record.clone()
         };
-        self.learn(News::Member(gone), None);
+        self.learn(News::Member(gone), None, now);
     }
 
     fn spread(&mut self, news: &News, except: Option<&id::Instance>) {
--- a/crates/membership/src/rumor.rs
+++ b/crates/membership/src/rumor.rs
@@ -1,23 +1,35 @@
-//! News other than membership that floods over the overlay: drains ahead of the table, crashes
-//! and quarantined requests.
+//! News other than membership that floods over the overlay: drains ahead of the table, and
+//! crashes, from which the quarantine follows.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use base::id;
+use tokio::time::Instant;
 use wire::member::Crash;
 use wire::member::News;
 use wire::member::Restriction;
 
-/// Crashes and quarantined fingerprints kept; the lowest are dropped beyond this.
-const KEPT_MAX: usize = 1024;
+/// Crashes kept; the oldest are dropped beyond this.
+const CRASHES_MAX: usize = 1024;
+/// Time after which a crash is forgotten, and with it a quarantine.
+const CRASH_TTL: Duration = Duration::from_secs(600);
+/// Crashes under a request after which it is quarantined.
+const CRASHES_BEFORE_QUARANTINE: usize = 2;
+
+#[derive(Debug)]
+struct CrashEntry {
+    fingerprint: id::Fingerprint,
+    is_cleared: bool,
+    learnt: Instant,
+}
 
 /// Monotone sets; merging one twice changes nothing.
 #[derive(Debug, Default)]
 pub(crate) struct Rumors {
     pub(crate) restrictions: BTreeMap<id::Token, Restriction>,
-    pub(crate) crashes: BTreeSet<Crash>,
-    pub(crate) quarantine: BTreeSet<id::Fingerprint>,
+    crashes: BTreeMap<id::Attempt, CrashEntry>,
     kept: BTreeSet<id::Token>,
 }
 
@@ -32,22 +44,57 @@
         true
     }
 
-    /// Merges a crash; returns whether it is new.
-    pub(crate) fn crash(&mut self, crash: &Crash) -> bool {
-        let is_new = self.crashes.insert(crash.clone());
-        if self.crashes.len() > KEPT_MAX {
-            self.crashes.pop_first();
-        }
+    /// Merges a crash; returns whether it told something new.
+    pub(crate) fn crash(&mut self, crash: &Crash, now: Instant) -> bool {
+        let Some(known) = self.crashes.get_mut(&crash.attempt) else {
+            let entry = CrashEntry {
+                fingerprint: crash.fingerprint,
+                is_cleared: crash.is_cleared,
+                learnt: now,
+            };
+            self.crashes.insert(crash.attempt, entry);
+            self.bound_crashes();
+            return true;
+        };
+        let is_new = crash.is_cleared && !known.is_cleared;
+        known.is_cleared |= crash.is_cleared;
         is_new
     }
 
-    /// Merges a quarantined fingerprint; returns whether it is new.
-    pub(crate) fn quarantine(&mut self, fingerprint: id::Fingerprint) -> bool {
-        let is_new = self.quarantine.insert(fingerprint);
-        if self.quarantine.len() > KEPT_MAX {
-            self.quarantine.pop_first();
+    fn bound_crashes(&mut self) {
+        if self.crashes.len() <= CRASHES_MAX {
+            return;
         }
-        is_new
+        let oldest = self.crashes.iter().min_by_key(|(_, it)| it.learnt);
+        if let Some(attempt) = oldest.map(|(attempt, _)| *attempt) {
+            self.crashes.remove(&attempt);
+        }
+    }
+
+    /// Forgets crashes of long ago.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.crashes
+            .retain(|_, it| now.duration_since(it.learnt) < CRASH_TTL);
+    }
+
+    /// Crashes under `fingerprint` since it last completed.
+    pub(crate) fn crashes(&self, fingerprint: id::Fingerprint) -> Vec<Crash> {
+        let entries = self.crashes.iter();
+        entries
+            .filter(|(_, it)| it.fingerprint == fingerprint && !it.is_cleared)
+            .map(|(attempt, it)| it.crash(*attempt))
+            .collect()
+    }
+
+    /// Whether `fingerprint` has crashed too many upstreams.
+    pub(crate) fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
+        self.crashes(fingerprint).len() >= CRASHES_BEFORE_QUARANTINE
+    }
+
+    /// Every quarantined fingerprint.
+    pub(crate) fn quarantine(&self) -> BTreeSet<id::Fingerprint> {
+        let suspects = self.crashes.values().map(|it| it.fingerprint);
+        suspects.filter(|it| self.is_quarantined(*it)).collect()
     }
 
     /// Drops restrictions that the configuration in force keeps, now and when they are heard again.
@@ -59,9 +106,9 @@
     /// Everything, for a neighbour that missed some of it.
     pub(crate) fn all(&self) -> impl Iterator<Item = News> {
         let restrictions = self.restrictions.values().cloned().map(News::Restriction);
-        let crashes = self.crashes.iter().cloned().map(News::Crash);
-        let quarantine = self.quarantine.iter().copied().map(News::Quarantine);
-        restrictions.chain(crashes).chain(quarantine)
+        let crashes = self.crashes.iter();
+        let crashes = crashes.map(|(attempt, it)| News::Crash(it.crash(*attempt)));
+        restrictions.chain(crashes)
     }
 
     /// Order-independent digest of the content.
@@ -70,12 +117,20 @@
         for restriction in self.restrictions.values() {
             digest ^= base::hash::of([&restriction.token.0.to_le_bytes()[..], b"restriction"]);
         }
-        for crash in &self.crashes {
-            digest ^= base::hash::of([&crash.attempt.0.to_le_bytes()[..], b"crash"]);
-        }
-        for fingerprint in &self.quarantine {
-            digest ^= base::hash::of([&fingerprint.0.to_le_bytes()[..], b"quarantine"]);
+        for (attempt, it) in &self.crashes {
+            let cleared = [u8::from(it.is_cleared)];
+            digest ^= base::hash::of([&attempt.0.to_le_bytes()[..], &cleared[..]]);
         }
         digest
     }
 }
+
+impl CrashEntry {
+    fn crash(&self, attempt: id::Attempt) -> Crash {
+        Crash {
+            fingerprint: self.fingerprint,
+            attempt,
+            is_cleared: self.is_cleared,
+        }
+    }
+}
--- a/crates/pipeline/src/attempt.rs
+++ b/crates/pipeline/src/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of one stage at one upstream.
 
+use std::sync::atomic::Ordering;
+
 use base::Executed;
 use base::id;
 use telemetry::timeline::Event;
@@ -27,6 +29,8 @@
     Refused(Refusal),
     /// It was sent, or may have been, and broke.
     Broken(Executed),
+    /// It was sent, and its upstream crashed.
+    Crashed,
 }
 
 impl Stage {
@@ -89,9 +93,13 @@
                     load,
                 } => {
                     self.runner.knowledge().note_load(&route.upstream, load);
-                    if cause == Cause::Connection {
+                    if matches!(cause, Cause::Connection | Cause::Crashed) {
                         self.runner.knowledge().avoid(&route.upstream);
                     }
+                    if cause == Cause::Crashed {
+                        self.crashes.fetch_add(1, Ordering::Relaxed);
+                        return Attempted::Crashed;
+                    }
                     return Attempted::Broken(executed);
                 }
             }
@@ -111,6 +119,7 @@
             upstream: route.upstream.clone(),
             priority: self.priority,
             budget: self.remaining(),
+            crashes: self.crashes.load(Ordering::Relaxed),
             config_version: self.view.snapshot.version,
             is_detached: !self.service.idempotent,
             body,
--- a/crates/pipeline/src/generate.rs
+++ b/crates/pipeline/src/generate.rs
@@ -68,6 +68,14 @@
                     return Ok(tokens.concat());
                 }
                 Attempted::Refused(refusal) => self.refused(&mut tries, refusal)?,
+                Attempted::Crashed => {
+                    if !self.may_retry_after_crash().await {
+                        self.charge(Cost::Failed);
+                        return Err(Error::Broken(Executed::Unknown, RETRY_AFTER_FAILURE));
+                    }
+                    self.charge(Cost::Retried);
+                    self.note_retry();
+                }
                 Attempted::Broken(executed) => {
                     if !self.may_retry() {
                         self.charge(Cost::Failed);
--- a/crates/pipeline/src/idempotent.rs
+++ b/crates/pipeline/src/idempotent.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use base::Executed;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use telemetry::timeline::Event;
@@ -70,6 +71,17 @@
                     }
                     verdict?;
                 }
+                Attempted::Crashed => {
+                    if !self.may_retry_after_crash().await {
+                        self.charge(Cost::Failed);
+                        return Err(Error::Broken(Executed::Unknown, RETRY_AFTER_FAILURE));
+                    }
+                    self.charge(Cost::Retried);
+                    self.note_retry();
+                    if !running.is_empty() {
+                        continue;
+                    }
+                }
                 Attempted::Broken(executed) => {
                     if !running.is_empty() {
                         self.charge(Cost::Retried);
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -450,6 +450,7 @@
             service: service.clone(),
             deadline: self.deadline - self.reserve(stage),
             sending: self.sending.clone(),
+            crashes: Arc::default(),
         };
         let mut is_replayed = false;
         let result = match (service.kind, service.idempotent) {
--- a/crates/pipeline/src/stage.rs
+++ b/crates/pipeline/src/stage.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::Executed;
@@ -23,6 +25,9 @@
 /// First pause after every upstream has refused; it doubles.
 const PAUSE_MIN: Duration = Duration::from_millis(40);
 const PAUSE_MAX: Duration = Duration::from_millis(400);
+/// Crashes under one stage after which it is given up; its owner quarantines it then.
+const CRASHES_MAX: u32 = 2;
+const CRASH_PAUSE: Duration = Duration::from_millis(100);
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
 /// Context of a running stage.
@@ -38,6 +43,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) deadline: Instant,
     pub(crate) sending: Sending,
+    /// Crashes under the attempts of this stage.
+    pub(crate) crashes: Arc<AtomicU32>,
 }
 
 /// Why a stage has no result.
@@ -152,6 +159,16 @@
         Error::Refused(reason, refusal.retry_after)
     }
 
+    /// Whether a stage whose upstream crashed may be tried again. The pause lets the news of the
+    /// crash reach every owner, so that no two of them take the request for harmless.
+    pub(crate) async fn may_retry_after_crash(&self) -> bool {
+        if self.crashes.load(Ordering::Relaxed) >= CRASHES_MAX || !self.may_retry() {
+            return false;
+        }
+        tokio::time::sleep(CRASH_PAUSE).await;
+        true
+    }
+
     /// Spends from the service's retry budget; returns whether another attempt may be made.
     pub(crate) fn may_retry(&self) -> bool {
         if !self.runner.options.is_retry_budgeted {
--- a/crates/pipeline/src/view.rs
+++ b/crates/pipeline/src/view.rs
@@ -80,7 +80,7 @@
         Some(View {
             snapshot,
             members: update.members,
-            quarantine: update.quarantine.into_iter().collect(),
+            quarantine: update.quarantine,
             digest: update.digest,
         })
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,6 +17,9 @@
 use crate::upstream::Flight;
 use crate::upstream::Upstream;
 
+pub use fakes::tokens::answer;
+use fakes::tokens::token;
+
 const BODY_MAX: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, Deserialize)]
@@ -32,21 +35,6 @@
     content: String,
 }
 
-/// The `idx`-th token of the answer to `prompt`.
-#[must_use]
-pub fn token(prompt: &str, idx: usize) -> String {
-    let hash = base::hash::of([prompt.as_bytes(), &idx.to_le_bytes()[..]]);
-    format!("w{:03} ", hash % 1000)
-}
-
-/// The whole answer to `prompt`.
-#[must_use]
-pub fn answer(prompt: &str, max_tokens: u32) -> String {
-    (0..max_tokens as usize)
-        .map(|idx| token(prompt, idx))
-        .collect()
-}
-
 pub(crate) struct Generate(pub(crate) Arc<Upstream>);
 
 #[salvo::async_trait]
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -17,6 +17,7 @@
 use cadence::Timed;
 use timeline::Event;
 use timeline::Recorder;
+use tokio::time::Instant;
 
 const METRIC_PREFIX: &str = "catkinvane";
 
@@ -55,6 +56,15 @@
         }
     }
 
+    /// Like [`Telemetry::quiet`], with event times counted from `epoch`.
+    #[must_use]
+    pub fn quiet_since(process: &str, epoch: Instant) -> Telemetry {
+        Telemetry {
+            recorder: Arc::new(Recorder::since(process, epoch)),
+            ..Telemetry::quiet(process)
+        }
+    }
+
     /// The logger.
     pub fn logger(&self) -> &slog::Logger {
         &self.logger
--- a/crates/telemetry/src/timeline.rs
+++ b/crates/telemetry/src/timeline.rs
@@ -172,6 +172,15 @@
         }
     }
 
+    pub(crate) fn since(process: &str, epoch: Instant) -> Recorder {
+        Recorder {
+            process: process.to_owned(),
+            epoch,
+            epoch_us: 0,
+            ring: Mutex::default(),
+        }
+    }
+
     /// Stamps `event` with the runtime's clock and keeps it.
     pub fn record(&self, mut event: Event) {
         event.at_us = self.epoch_us + self.epoch.elapsed().as_micros() as u64;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -33,6 +33,8 @@
     /// Time left until the stage's deadline when the message was sent.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub budget: Duration,
+    /// Crashes under earlier attempts of the request that the sender has seen.
+    pub crashes: u32,
     /// Configuration version that the sender has in force.
     pub config_version: u64,
     /// Whether a sent attempt runs on for [`LATE_GRACE`] after its deadline, and although the sender
@@ -136,6 +138,8 @@
 pub enum Cause {
     /// The connection broke before the whole answer.
     Connection,
+    /// The connection broke, and the upstream is down.
+    Crashed,
     /// The upstream answered with an error status.
     Status,
     /// The upstream is overloaded.
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -93,6 +93,8 @@
     pub fingerprint: id::Fingerprint,
     /// The attempt, which tells crashes apart.
     pub attempt: id::Attempt,
+    /// Whether the request has completed since, so that it is no suspect any more.
+    pub is_cleared: bool,
 }
 
 /// A piece of news that floods over the overlay.
@@ -106,8 +108,6 @@
     Restriction(Restriction),
     /// A request was running on an upstream that crashed.
     Crash(Crash),
-    /// A request that crashes upstreams.
-    Quarantine(id::Fingerprint),
 }
 
 /// Heartbeat, and its acknowledgement.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,5 +1,7 @@
 //! Requests and replies.
 
+use std::collections::BTreeSet;
+
 use base::id;
 use config::Document;
 use serde::Deserialize;
@@ -79,7 +81,7 @@
     /// Members that own upstreams, or may again.
     pub members: Vec<member::Record>,
     /// Quarantined fingerprints.
-    pub quarantine: Vec<id::Fingerprint>,
+    pub quarantine: BTreeSet<id::Fingerprint>,
 }
 
 /// A change that an operator asks for.
