Close the account of sent attempts, and make calm control cost constant

A request's deadline could pass while an attempt was on its way, or while its stage in the background was about to send one: the note "sent" was set only by the owner's reply. Ruled out: the claim (it was held rightly) and the frozen gateway of the schedule (a slow reply does the same). An attempt now counts as sent from its dispatch until its owner refuses it, and a request that is declared unsent cannot send any more.

When a fence opens again, what its owner held counts as cold.

Each heartbeat recomputed digest, overlay and poller rank.

--- a/crates/client/src/session.rs
+++ b/crates/client/src/session.rs
@@ -68,12 +68,26 @@
             token: id::Token::random(&mut rand::rng()),
             action,
         };
-        match self.ask_any(Request::Change(Box::new(change))).await? {
+        let request = Request::Change(Box::new(change));
+        match self.ask_any(request.clone()).await? {
+            Reply::Changed(ChangeResult::Spreading) => {
+                self.tell_all(request).await;
+                Ok(ChangeResult::Spreading)
+            }
             Reply::Changed(result) => Ok(result),
             _ => Err(Failure::Unreachable),
         }
     }
 
+    /// Tells every dispatcher of a drain that the table does not keep yet: the first one may be cut
+    /// off from the others. The token makes the repetition harmless.
+    async fn tell_all(&self, request: Request) {
+        for to in &self.settings.dispatchers {
+            // One that does not answer is named when the client waits for the drain.
+            let _ = self.ask(*to, request.clone(), STATUS_TIMEOUT).await;
+        }
+    }
+
     /// Members that have not left, as the first dispatcher that answers knows them.
     async fn members(&self) -> Result<Vec<member::Record>, Failure> {
         let Reply::Status(status) = self.ask_any(Request::Status).await? else {
--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -210,8 +210,7 @@
         let from = heartbeat.from.clone();
         let version = heartbeat.config_version;
         let answer = apply(&mut state.membership, heartbeat, Instant::now());
-        let address = state.membership.members().find(|it| it.instance == from);
-        let address = address.map(|it| it.address);
+        let address = state.membership.member(&from).map(|it| it.address);
         state.note_version(version, address);
         let is_behind = state.is_behind();
         let is_changed = state.membership.digest() != before;
@@ -248,7 +247,7 @@
         }
     }
 
-    async fn watch(&self, watch: Watch) -> View {
+    async fn watch(&self, watch: Watch) -> Reply {
         let is_new = self.lock().membership.set_gateway(watch.gateway);
         if is_new {
             self.urgent.notify_one();
@@ -261,8 +260,11 @@
                 state.gateway_version = Some(watch.config_version);
                 let is_same = state.view_digest() == watch.digest
                     && state.document.version == watch.config_version;
-                if !is_same || Instant::now() >= deadline {
-                    return view(&state, watch.config_version);
+                if !is_same {
+                    return Reply::View(Box::new(view(&state, watch.config_version)));
+                }
+                if Instant::now() >= deadline {
+                    return Reply::SameView;
                 }
             }
             let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
@@ -294,7 +296,7 @@
                     self.handover(&handover);
                     Reply::Done
                 }
-                Request::Watch(watch) => Reply::View(Box::new(self.watch(watch).await)),
+                Request::Watch(watch) => self.watch(watch).await,
                 Request::Document => {
                     let document = self.lock().document.clone();
                     Reply::Document((document.version > 0).then(|| Box::new(document)))
--- a/crates/dispatcher/src/state.rs
+++ b/crates/dispatcher/src/state.rs
@@ -38,6 +38,8 @@
     pub(crate) is_stopping: bool,
     /// Version of the configuration row that was read last.
     pub(crate) row_version: Option<u64>,
+    /// Whether this dispatcher polls the table for its zone, rather than hearing from others.
+    pub(crate) is_poller: bool,
     /// Own incarnation at the last refresh.
     incarnation: u64,
 }
@@ -66,6 +68,7 @@
             is_store_up: true,
             is_stopping: false,
             row_version: None,
+            is_poller: true,
             incarnation,
         }
     }
@@ -127,6 +130,7 @@
     /// Recomputes the snapshot in force and the ownership that follows from it.
     pub(crate) fn refresh(&mut self, now: Instant) -> Moves {
         self.forget_lost_ownership();
+        self.is_poller = self.polls();
         let before = self.snapshot.clone();
         self.snapshot = Arc::new(self.effective());
         self.apply_drains(&before, now);
@@ -272,8 +276,7 @@
         });
     }
 
-    /// Whether this dispatcher polls the table for its zone, rather than hearing from others.
-    pub(crate) fn is_poller(&self) -> bool {
+    fn polls(&self) -> bool {
         let own = self.membership.own();
         let weight = |it: &id::Instance| hash::of_strs([it.as_str(), "poller"]);
         let own_weight = weight(&own.instance);
--- a/crates/dispatcher/src/tasks.rs
+++ b/crates/dispatcher/src/tasks.rs
@@ -20,6 +20,7 @@
 
 use crate::node::Node;
 use crate::owned::Owned;
+use crate::state::State;
 use crate::upstream::Target;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -65,13 +66,18 @@
     }
 }
 
+/// Whether no other member has been heard from.
+fn is_alone(state: &State) -> bool {
+    let own = &state.membership.own().instance;
+    let mut members = state.membership.members();
+    !members.any(|it| it.instance != *own && it.incarnation > 0)
+}
+
 /// Heartbeats to the seeds while no other member has been heard from.
 fn introductions(node: &Node) -> Vec<(SocketAddr, Heartbeat)> {
     let mut state = node.lock();
     let own = state.membership.own().address;
-    let others = state.membership.members();
-    let is_alone = others.filter(|it| it.incarnation > 0).count() == 1;
-    if !is_alone {
+    if !is_alone(&state) {
         return Vec::new();
     }
     let heartbeat = state.membership.introduce(Instant::now());
@@ -96,6 +102,12 @@
     let is_unfenced = state.membership.is_unfenced(now);
     let opened = is_unfenced && !*was_unfenced;
     *was_unfenced = is_unfenced;
+    if opened {
+        // Behind a closed fence nothing was observed: the upstreams may have restarted unseen.
+        for owned in state.owned.values() {
+            owned.turn_cold(now);
+        }
+    }
     drop(state);
     // A member takes ownership only behind an open fence.
     if is_changed || opened {
@@ -119,7 +131,7 @@
     let mut interval = every(POLL_INTERVAL);
     loop {
         interval.tick().await;
-        if !node.lock().is_poller() {
+        if !node.lock().is_poller {
             continue;
         }
         node.poll_config().await;
@@ -146,7 +158,7 @@
         interval.tick().await;
         let is_needed = {
             let state = node.lock();
-            state.is_poller() || state.membership.members().count() == 1
+            state.is_poller || is_alone(&state)
         };
         if !is_needed {
             continue;
@@ -255,10 +267,17 @@
 pub async fn member_events(node: Arc<Node>) {
     let mut interval = every(HEARTBEAT_INTERVAL);
     let mut known: BTreeMap<id::Instance, (u64, SocketAddr, wire::member::State)> = BTreeMap::new();
+    let mut digest = 0;
     loop {
         interval.tick().await;
-        let members: Vec<wire::member::Record> =
-            node.lock().membership.members().cloned().collect();
+        let members: Vec<wire::member::Record> = {
+            let state = node.lock();
+            if state.membership.digest() == digest {
+                continue;
+            }
+            digest = state.membership.digest();
+            state.membership.members().cloned().collect()
+        };
         for member in members {
             let value = (member.incarnation, member.address, member.state);
             if known.insert(member.instance.clone(), value) == Some(value) {
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -37,6 +37,16 @@
 pub struct Net {
     endpoints: Mutex<BTreeMap<SocketAddr, Endpoint>>,
     cuts: Mutex<BTreeSet<(SocketAddr, SocketAddr)>>,
+    traffic: Mutex<Traffic>,
+}
+
+/// What went over the network, requests and replies, without that of the data path.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes of their frames.
+    pub bytes: u64,
 }
 
 impl Net {
@@ -58,6 +68,19 @@
         lock(&self.cuts).clear();
     }
 
+    /// Control traffic so far.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        *lock(&self.traffic)
+    }
+
+    fn count(&self, message: &impl serde::Serialize) {
+        let bytes = wire::codec::encode(message).map_or(0, |it| it.len());
+        let mut traffic = lock(&self.traffic);
+        traffic.messages += 1;
+        traffic.bytes += bytes as u64;
+    }
+
     fn is_cut(&self, a: SocketAddr, b: SocketAddr) -> bool {
         lock(&self.cuts).contains(&(a, b))
     }
@@ -88,6 +111,9 @@
 impl Link {
     async fn open(&self, to: SocketAddr, request: Request) -> Result<Replies, peer::Error> {
         self.process.pass().await;
+        if !matches!(request, Request::Dispatch(_)) {
+            self.net.count(&request);
+        }
         tokio::time::sleep(LATENCY).await;
         let Some((process, handler)) = self.net.endpoint(to) else {
             return Err(peer::Error::Unreachable);
@@ -149,6 +175,9 @@
             let Some(reply) = reply else {
                 return;
             };
+            if !matches!(reply, Reply::Dispatch(_)) {
+                self.net.count(&reply);
+            }
             tokio::time::sleep(LATENCY).await;
             self.server.pass().await;
             if self.net.is_cut(self.ends.0, self.ends.1) {
--- a/crates/fakes/src/schedule/step.rs
+++ b/crates/fakes/src/schedule/step.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 use wire::message::Action;
+use wire::message::ChangeResult;
 use wire::message::Target;
 
 use crate::cluster::Cluster;
@@ -190,9 +191,16 @@
         if self.drained.len() >= 2 {
             return;
         }
-        let action = Action::Drain(Target::Zone(zone.clone()));
-        let result = cluster.try_change(operator, action).await;
-        use wire::message::ChangeResult;
+        let change = wire::message::Change {
+            author: "operator".to_owned(),
+            token: id::Token::random(&mut cluster.rng),
+            action: Action::Drain(Target::Zone(zone.clone())),
+        };
+        let result = cluster.change_with(operator, change.clone()).await;
+        if result == Some(ChangeResult::Spreading) {
+            // As the operators' client does.
+            tell_all(cluster, &change).await;
+        }
         if let Some(ChangeResult::Committed(_) | ChangeResult::Spreading) = result {
             self.drained.push((zone, Instant::now()));
         }
@@ -239,6 +247,14 @@
     }
 }
 
+async fn tell_all(cluster: &Cluster, change: &wire::message::Change) {
+    for (idx, instance) in cluster.instances.iter().enumerate() {
+        if !instance.dispatcher.is_dead() && !instance.dispatcher.is_frozen() {
+            cluster.change_with(idx, change.clone()).await;
+        }
+    }
+}
+
 fn restart_if_dead(cluster: &mut Cluster, idx: usize) {
     let instance = &cluster.instances[idx];
     if instance.gateway.is_dead() || instance.dispatcher.is_dead() {
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -53,6 +53,8 @@
     pending: BTreeMap<id::Instance, Vec<News>>,
     mismatches: BTreeMap<id::Instance, u32>,
     neighbours: Vec<id::Instance>,
+    /// Digest of everything that floods, kept so that a calm tick costs the same at any size.
+    digest: u64,
 }
 
 impl Node {
@@ -75,7 +77,14 @@
             pending: BTreeMap::new(),
             mismatches: BTreeMap::new(),
             neighbours: Vec::new(),
+            digest: 0,
         }
+        .with_digest()
+    }
+
+    fn with_digest(mut self) -> Node {
+        self.refresh_digest();
+        self
     }
 
     /// This member's own record.
@@ -126,9 +135,19 @@
         was_suspect
     }
 
+    /// One member.
+    #[must_use]
+    pub fn member(&self, instance: &id::Instance) -> Option<&Record> {
+        self.members.get(instance)
+    }
+
     /// Order-independent digest of everything that floods.
     #[must_use]
     pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    fn refresh_digest(&mut self) {
         let members = self.members.values().fold(0u64, |digest, it| {
             let incarnation = it.incarnation.to_le_bytes();
             let state = [it.state as u8];
@@ -136,7 +155,7 @@
             let gateway = it.gateway.to_le_bytes();
             digest ^ hash::of([name, &incarnation[..], &state[..], &gateway[..]])
         });
-        members ^ self.rumors.digest()
+        self.digest = members ^ self.rumors.digest();
     }
 
     /// Whether this member may admit new work.
@@ -149,6 +168,7 @@
     pub fn set_config(&mut self, version: u64, includes: &[id::Token]) {
         self.config_version = version;
         self.rumors.settle(includes);
+        self.refresh_digest();
     }
 
     /// Notes the gateway that follows this member; returns whether it is a new one.
@@ -225,8 +245,10 @@
 
     /// Heartbeats that are due: to every neighbour, with its pending news.
     pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
-        self.rumors.expire(now);
-        self.refresh_neighbours(now);
+        if self.rumors.expire(now) {
+            self.refresh_digest();
+        }
+        self.watch_neighbours(now);
         self.suspect_silent(now);
         self.bury_lost(now);
         let neighbours = self.neighbours.clone();
@@ -373,6 +395,7 @@
             News::Crash(crash) => self.rumors.crash(crash, now),
         };
         if is_new {
+            self.refresh_digest();
             self.spread(&news, from);
         }
     }
@@ -419,6 +442,7 @@
         self.suspicions.retain(|(it, _), _| *it != about);
         self.members.insert(about, record);
         self.refresh_overlay();
+        self.refresh_digest();
     }
 
     fn learn_suspicion(&mut self, suspicion: &Suspicion) -> bool {
@@ -445,8 +469,7 @@
         self.pending.retain(|it, _| self.neighbours.contains(it));
     }
 
-    fn refresh_neighbours(&mut self, now: Instant) {
-        self.refresh_overlay();
+    fn watch_neighbours(&mut self, now: Instant) {
         for neighbour in &self.neighbours {
             self.heard.entry(neighbour.clone()).or_insert(now);
         }
--- a/crates/membership/src/rumor.rs
+++ b/crates/membership/src/rumor.rs
@@ -71,10 +71,12 @@
         }
     }
 
-    /// Forgets crashes of long ago.
-    pub(crate) fn expire(&mut self, now: Instant) {
+    /// Forgets crashes of long ago; returns whether there were any.
+    pub(crate) fn expire(&mut self, now: Instant) -> bool {
+        let before = self.crashes.len();
         self.crashes
             .retain(|_, it| now.duration_since(it.learnt) < CRASH_TTL);
+        self.crashes.len() != before
     }
 
     /// Crashes under `fingerprint` since it last completed.
--- a/crates/pipeline/src/attempt.rs
+++ b/crates/pipeline/src/attempt.rs
@@ -51,6 +51,9 @@
         body: Body,
         parts: Option<&mpsc::UnboundedSender<String>>,
     ) -> Attempted {
+        let Some(outstanding) = self.sending.begin() else {
+            return Attempted::Refused(request_closed());
+        };
         let attempt = id::Attempt::random(&mut self.runner.knowledge().rng);
         let request = Request::Dispatch(Box::new(self.message(attempt, route, body)));
         let event = Event::new(Kind::Dispatched)
@@ -64,10 +67,10 @@
             Ok(replies) => replies,
             Err(peer::Error::Unreachable) => {
                 self.runner.knowledge().avoid(&route.upstream);
+                outstanding.refused();
                 return Attempted::Refused(unreachable_owner());
             }
             Err(peer::Error::Lost | peer::Error::Protocol) => {
-                self.sending.mark();
                 return Attempted::Broken(Break::Unseen);
             }
         };
@@ -77,7 +80,7 @@
                 break;
             };
             match progress {
-                Progress::Sent => self.sending.mark(),
+                Progress::Sent => {}
                 Progress::Part(part) => {
                     if let Some(parts) = parts {
                         // The receiver outlives the attempt.
@@ -85,7 +88,10 @@
                     }
                     whole.push(part);
                 }
-                Progress::Refused(refusal) => return self.note_refusal(route, refusal),
+                Progress::Refused(refusal) => {
+                    outstanding.refused();
+                    return self.note_refusal(route, refusal);
+                }
                 Progress::Finished {
                     attempt: echoed,
                     load,
@@ -113,7 +119,6 @@
             }
         }
         // The owner was lost; it may have sent the attempt.
-        self.sending.mark();
         self.runner.knowledge().avoid(&route.upstream);
         Attempted::Broken(Break::Unseen)
     }
@@ -162,5 +167,14 @@
     }
 }
 
+/// The request has ended; a stage of it in the background sends nothing more.
+fn request_closed() -> Refusal {
+    Refusal {
+        reason: Reason::Stopping,
+        retry_after: RETRY_AFTER_OWNER,
+        load: None,
+    }
+}
+
 /// Time in which the members replace an owner that cannot be reached.
 const RETRY_AFTER_OWNER: std::time::Duration = std::time::Duration::from_secs(5);
--- a/crates/pipeline/src/generate.rs
+++ b/crates/pipeline/src/generate.rs
@@ -101,8 +101,6 @@
                     may_stall = false;
                     let has_other = self.service.upstreams.len() > 1;
                     if has_other {
-                        // The abandoned attempt may have been sent.
-                        self.sending.mark();
                         return Attempted::Broken(Break::Unseen);
                     }
                 }
--- a/crates/pipeline/src/life.rs
+++ b/crates/pipeline/src/life.rs
@@ -2,8 +2,9 @@
 
 use std::marker::PhantomData;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use base::Executed;
@@ -34,18 +35,77 @@
     state: PhantomData<S>,
 }
 
-/// Shared note whether anything of a request was sent.
+/// Shared account of what was sent of a request.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Sending(Arc<AtomicBool>);
+pub(crate) struct Sending(Arc<Mutex<Account>>);
+
+#[derive(Debug, Default)]
+struct Account {
+    /// Attempts whose owner has neither refused nor finished them.
+    outstanding: u32,
+    /// Whether any attempt was sent, or may have been.
+    is_sent: bool,
+    /// Whether the request was declared unsent, so that nothing may be sent any more.
+    is_closed: bool,
+}
+
+/// An attempt on its way. Unless its owner refuses it, it counts as sent, also when its future is
+/// dropped.
+#[derive(Debug)]
+pub(crate) struct Outstanding {
+    sending: Sending,
+    is_refused: bool,
+}
 
 impl Sending {
-    /// Notes that an attempt was sent, or may have been.
+    fn lock(&self) -> MutexGuard<'_, Account> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins an attempt; `None` when the request was declared unsent.
+    pub(crate) fn begin(&self) -> Option<Outstanding> {
+        let mut account = self.lock();
+        if account.is_closed {
+            return None;
+        }
+        account.outstanding += 1;
+        Some(Outstanding {
+            sending: self.clone(),
+            is_refused: false,
+        })
+    }
+
+    /// Notes that something was sent, or may have been, by this request or another one with its
+    /// key.
     pub(crate) fn mark(&self) {
-        self.0.store(true, Ordering::Release);
+        self.lock().is_sent = true;
+    }
+
+    /// Declares the request unsent, if it is; nothing can be sent afterwards.
+    fn close(&self) -> bool {
+        let mut account = self.lock();
+        account.is_closed = !account.is_sent && account.outstanding == 0;
+        account.is_closed
+    }
+
+    fn is_unsent(&self) -> bool {
+        let account = self.lock();
+        !account.is_sent && account.outstanding == 0
     }
+}
+
+impl Outstanding {
+    /// The owner refused the attempt: nothing was sent.
+    pub(crate) fn refused(mut self) {
+        self.is_refused = true;
+    }
+}
 
-    fn is_marked(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        let mut account = self.sending.lock();
+        account.outstanding -= 1;
+        account.is_sent |= !self.is_refused;
     }
 }
 
@@ -78,21 +138,21 @@
 }
 
 impl Life<Admitted> {
-    /// The note that attempts mark.
+    /// The account that attempts keep.
     pub(crate) fn sending(&self) -> Sending {
         self.sending.clone()
     }
 
-    /// Ends the work of the request; the caller holds no attempt any more.
+    /// Ends the work of the request. Attempts in the background may go on only if one was sent.
     pub(crate) fn close(self) -> Closed {
-        let is_sent = self.sending.is_marked();
-        if is_sent {
-            return Closed::Running(Life {
+        let is_unsent = self.sending.close();
+        if is_unsent {
+            return Closed::Unsent(Life {
                 sending: self.sending,
                 state: PhantomData,
             });
         }
-        Closed::Unsent(Life {
+        Closed::Running(Life {
             sending: self.sending,
             state: PhantomData,
         })
@@ -131,7 +191,7 @@
 
 impl NotRun {
     fn new(sending: &Sending, reason: NotRunReason, retry_after: Duration) -> NotRun {
-        invariant::check(Invariant::NotRunNeverSent, !sending.is_marked());
+        invariant::check(Invariant::NotRunNeverSent, sending.is_unsent());
         NotRun {
             reason,
             retry_after,
--- a/crates/pipeline/src/once.rs
+++ b/crates/pipeline/src/once.rs
@@ -138,7 +138,6 @@
                     }
                 }
                 Ok(Attempted::Broken(_)) | Err(_) => {
-                    self.sending.mark();
                     self.charge(Cost::Failed);
                     let give_up = Instant::now() + RECORD_PATIENCE;
                     let book = self.runner.book.clone();
--- a/crates/pipeline/src/view.rs
+++ b/crates/pipeline/src/view.rs
@@ -103,9 +103,13 @@
         });
         let asked = wire::peer::ask(peer.as_ref(), dispatcher, request);
         let reply = tokio::time::timeout(WATCH_TIMEOUT, asked).await;
-        let Ok(Ok(Reply::View(update))) = reply else {
-            tokio::time::sleep(FOLLOW_RETRY).await;
-            continue;
+        let update = match reply {
+            Ok(Ok(Reply::View(update))) => update,
+            Ok(Ok(Reply::SameView)) => continue,
+            _ => {
+                tokio::time::sleep(FOLLOW_RETRY).await;
+                continue;
+            }
         };
         let Some(updated) = current.updated(*update) else {
             tokio::time::sleep(FOLLOW_RETRY).await;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -46,6 +46,8 @@
     Done,
     /// The view.
     View(Box<View>),
+    /// The view has not changed.
+    SameView,
     /// The configuration document in force, if there is one.
     Document(Option<Box<Document>>),
     /// Result of a change.
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod load;
 mod process;
+mod slopes;
 mod soak;
 
 use std::process::ExitCode;
@@ -14,6 +15,7 @@
 
   demo   build and start a small deployment on loopback, and try it
   ci     formatter, linter and all tests
+  slopes cost of control by number of instances
   soak [--seed N] [--runs M]
          M random fault schedules from seed N on
   soak --seed N --trace
@@ -35,6 +37,7 @@
     match args.subcommand()?.as_deref() {
         Some("demo") => demo::run(),
         Some("ci") => ci::run(),
+        Some("slopes") => slopes::run(),
         Some("soak") => {
             let seed = args.opt_value_from_str("--seed")?;
             if args.contains("--trace") {
