Measure the policies, and mend early refusal, slow upstreams and fair shares

The expected time of an engine call was taken from its time a token, so queues took what could not be met. Calls that were given up taught nothing, since only whole answers were measured. Early refusal counted the whole queue ahead of it.

--- a/crates/dispatcher/src/dispatching.rs
+++ b/crates/dispatcher/src/dispatching.rs
@@ -201,6 +201,7 @@
         let finish = Finish {
             outcome: outcome(&ended),
             latency,
+            elapsed,
         };
         self.telemetry
             .time_ms("upstream.call", elapsed.as_millis() as u64);
--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -68,6 +68,7 @@
         upstreams: Arc<dyn Upstream>,
         telemetry: Telemetry,
         #[builder(default)] timing: membership::Timing,
+        #[builder(default)] queueing: limits::Queueing,
         #[builder(default)] seeds: Vec<SocketAddr>,
     ) -> Node {
         let own = member::Record {
@@ -84,7 +85,7 @@
             platform,
             upstreams,
             telemetry,
-            state: Mutex::new(State::new(own, timing, Instant::now())),
+            state: Mutex::new(State::new(own, timing, queueing, Instant::now())),
             changed: watch::Sender::new(0),
             urgent: Notify::new(),
             behind: Notify::new(),
--- a/crates/dispatcher/src/owned.rs
+++ b/crates/dispatcher/src/owned.rs
@@ -204,10 +204,10 @@
     /// The refusal time after which room is likely.
     pub(crate) fn retry_after(&self, now: Instant) -> Duration {
         let inner = self.lock();
-        let wait = inner
-            .gate
-            .expected_wait(config::model::Priority::Batch, now);
-        wait.max(RETRY_AFTER_MIN)
+        let limiter = &inner.gate.limiter;
+        let rounds = f64::from(inner.gate.queued()) / f64::from(limiter.limit());
+        let wait = limiter.expected(now).mul_f64(rounds);
+        wait.max(limiter.inherited_for(now)).max(RETRY_AFTER_MIN)
     }
 }
 
@@ -218,10 +218,7 @@
         while let Some(ticket) = self.gate.admit(now) {
             let is_taken = self.decide(ticket.id, Ok(()));
             if !is_taken {
-                let finish = Finish {
-                    outcome: limits::Outcome::Cancelled,
-                    latency: Duration::ZERO,
-                };
+                let finish = Finish::cancelled();
                 self.gate.finish(ticket.is_suspect, finish, now);
             }
         }
@@ -260,10 +257,7 @@
         // A permit may have been granted at the very moment of giving up.
         let was_granted = !was_queued && matches!(self.decision.try_recv(), Ok(Ok(())));
         if was_granted {
-            let finish = Finish {
-                outcome: limits::Outcome::Cancelled,
-                latency: Duration::ZERO,
-            };
+            let finish = Finish::cancelled();
             inner.gate.finish(self.is_suspect, finish, now);
         }
         inner.pump(now);
@@ -290,9 +284,6 @@
         if self.is_finished {
             return;
         }
-        self.end(Finish {
-            outcome: limits::Outcome::Cancelled,
-            latency: Duration::ZERO,
-        });
+        self.end(Finish::cancelled());
     }
 }
--- a/crates/dispatcher/src/state.rs
+++ b/crates/dispatcher/src/state.rs
@@ -42,6 +42,7 @@
     pub(crate) is_poller: bool,
     /// Own incarnation at the last refresh.
     incarnation: u64,
+    queueing: limits::Queueing,
 }
 
 /// What a change of ownership asks of the node.
@@ -53,7 +54,12 @@
 }
 
 impl State {
-    pub(crate) fn new(own: member::Record, timing: membership::Timing, now: Instant) -> State {
+    pub(crate) fn new(
+        own: member::Record,
+        timing: membership::Timing,
+        queueing: limits::Queueing,
+        now: Instant,
+    ) -> State {
         let empty = Arc::new(Snapshot::empty());
         let incarnation = own.incarnation;
         State {
@@ -70,6 +76,7 @@
             row_version: None,
             is_poller: true,
             incarnation,
+            queueing,
         }
     }
 
@@ -222,7 +229,7 @@
             owned.own_again(service.ceiling, longest, now);
             return;
         }
-        let mut gate = Gate::new(gate_settings(service), now);
+        let mut gate = Gate::new(gate_settings(service), self.queueing, now);
         // Whoever owned it before may have had this much in flight.
         gate.limiter.assume(service.ceiling, longest, now);
         let owned = Arc::new(Owned::new(upstream.clone(), gate));
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -60,6 +60,15 @@
     booted: Instant,
 }
 
+/// Policies of a deployment that measurements switch.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Policies {
+    /// Policies of the gateways.
+    pub options: Options,
+    /// Policies of the dispatchers.
+    pub queueing: limits::Queueing,
+}
+
 /// A deployment.
 pub struct Cluster {
     /// The platform.
@@ -72,7 +81,7 @@
     pub instances: Vec<Instance>,
     /// Source of every random choice.
     pub rng: SmallRng,
-    options: Options,
+    policies: Policies,
     epoch: Instant,
     starts: u64,
     retired: Vec<Telemetry>,
@@ -94,7 +103,7 @@
     ///
     /// Panics when the text has faults or the deployment does not start.
     pub async fn start(text: &str, per_zone: usize, seed: u64) -> Cluster {
-        Cluster::start_with(text, per_zone, seed, Options::default()).await
+        Cluster::start_with(text, per_zone, seed, Policies::default()).await
     }
 
     /// Like [`Cluster::start`], with other policies.
@@ -102,7 +111,7 @@
     /// # Panics
     ///
     /// Panics when the text has faults or the deployment does not start.
-    pub async fn start_with(text: &str, per_zone: usize, seed: u64, options: Options) -> Cluster {
+    pub async fn start_with(text: &str, per_zone: usize, seed: u64, policies: Policies) -> Cluster {
         let deployment = config::document::deployment(text).expect("the text has no faults");
         let mut cluster = Cluster {
             store: Arc::default(),
@@ -110,7 +119,7 @@
             fleet: Arc::new(Fleet::new(&deployment)),
             instances: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
-            options,
+            policies,
             epoch: Instant::now(),
             starts: 0,
             retired: Vec::new(),
@@ -169,6 +178,7 @@
             .platform(self.store.client(process.clone()))
             .upstreams(self.fleet.client(process.clone()))
             .telemetry(telemetry.clone())
+            .queueing(self.policies.queueing)
             .seeds(self.instances.iter().map(|it| it.address).collect())
             .build();
         let node = Arc::new(node);
@@ -206,7 +216,7 @@
             .zone(seat.zone.clone())
             .view(view.subscribe())
             .seed(id::Token::random(&mut self.rng).0)
-            .options(self.options)
+            .options(self.policies.options)
             .build();
         let follow = pipeline::follow(peer, seat.address, incarnation, view, telemetry.clone());
         process.spawn(follow);
@@ -384,6 +394,12 @@
         })
     }
 
+    /// Time since the deployment was made.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
     /// Merged events of all processes so far, with times since the start.
     #[must_use]
     pub fn timeline(&self) -> Vec<Event> {
--- a/crates/fakes/tests/it/main.rs
+++ b/crates/fakes/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod poison;
 mod refusals;
 mod schedules;
+mod session;
 mod stops;
 mod streams;
 mod zones;
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use base::id;
+use futures_util::StreamExt;
 use pipeline::Outcome;
 use pipeline::Recorded;
 use pipeline::Runner;
@@ -28,6 +29,8 @@
 
 /// Largest request body in bytes.
 const BODY_MAX: usize = 1024 * 1024;
+/// Most bytes of an oversized body that are read and thrown away.
+const DISCARD_MAX: usize = 16 * 1024 * 1024;
 const WORKSPACE_HEADER: &str = "x-workspace";
 const KEY_HEADER: &str = "idempotency-key";
 const DEADLINE_HEADER: &str = "x-deadline-ms";
@@ -188,6 +191,7 @@
     let length = request.headers().get("content-length");
     let length: Option<usize> = length.and_then(|it| it.to_str().ok()?.parse().ok());
     if length.is_some_and(|it| it > BODY_MAX) {
+        discard(request).await;
         return Err(BadRequest::BodyTooLarge);
     }
     let bytes = request
@@ -197,6 +201,20 @@
     serde_json::from_slice(bytes).map_err(|err| BadRequest::MalformedBody(err.to_string()))
 }
 
+/// Reads the rest of an oversized body, up to a limit: a caller that is still sending would not see
+/// the answer.
+async fn discard(request: &mut Request) {
+    let mut body = request.take_body();
+    let mut left = DISCARD_MAX;
+    while let Some(Ok(frame)) = body.next().await {
+        let length = frame.data_ref().map_or(0, |it| it.len());
+        left = left.saturating_sub(length);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// The failure of an outcome that is not an answer.
 pub(crate) fn answer(outcome: Outcome) -> Result<pipeline::Answer, Failure> {
     match outcome {
--- a/crates/limits/src/fair.rs
+++ b/crates/limits/src/fair.rs
@@ -16,6 +16,8 @@
 struct Share {
     /// Virtual start of the workspace's next ticket.
     start: u64,
+    /// Weight of the latest ticket.
+    weight: u32,
     tickets: BTreeMap<(Instant, u64), Ticket>,
 }
 
@@ -23,7 +25,7 @@
 #[derive(Debug, Default)]
 struct Class {
     clock: u64,
-    shares: BTreeMap<id::Workspace, Share>,
+    shares: BTreeMap<Option<id::Workspace>, Share>,
 }
 
 /// The queue.
@@ -46,25 +48,26 @@
         self.len == 0
     }
 
-    /// Number of queued tickets of `priority` and the classes before it.
+    /// Number of queued tickets that would be served before a new one of `workspace`.
     #[must_use]
-    pub fn len_up_to(&self, priority: Priority) -> usize {
-        let classes = self.classes.range(..=priority);
-        classes
-            .flat_map(|(_, class)| class.shares.values())
-            .map(|share| share.tickets.len())
-            .sum()
+    pub fn ahead(&self, priority: Priority, workspace: &id::Workspace, weight: u32) -> usize {
+        let before = self.classes.range(..priority);
+        let before: usize = before.map(|(_, class)| class.len()).sum();
+        let own = self.classes.get(&priority);
+        before + own.map_or(0, |class| class.ahead(workspace, weight))
     }
 
-    /// Adds a ticket.
-    pub fn push(&mut self, ticket: Ticket) {
+    /// Adds a ticket to its workspace's share, or to one share of all workspaces.
+    pub fn push(&mut self, ticket: Ticket, is_fair: bool) {
         let class = self.classes.entry(ticket.priority).or_default();
         let clock = class.clock;
-        let share = class.shares.entry(ticket.workspace.clone()).or_default();
+        let name = is_fair.then(|| ticket.workspace.clone());
+        let share = class.shares.entry(name).or_default();
         if share.tickets.is_empty() {
             // An idle workspace does not save up credit.
             share.start = share.start.max(clock);
         }
+        share.weight = ticket.weight.max(1);
         share.tickets.insert((ticket.deadline, ticket.id), ticket);
         self.len += 1;
     }
@@ -110,6 +113,29 @@
 }
 
 impl Class {
+    fn len(&self) -> usize {
+        self.shares.values().map(|it| it.tickets.len()).sum()
+    }
+
+    /// While the new ticket waits behind those of its own share, each other share is served in
+    /// proportion to its weight, as far as it has tickets.
+    fn ahead(&self, workspace: &id::Workspace, weight: u32) -> usize {
+        let common = self.shares.get(&None).map_or(0, |it| it.tickets.len());
+        let is_own = |name: &Option<id::Workspace>| name.as_ref() == Some(workspace);
+        let own = self.shares.iter().find(|(name, _)| is_own(name));
+        let own = own.map_or(0, |(_, share)| share.tickets.len());
+        let turns = own as f64 + 1.0;
+        let others = self.shares.iter();
+        let others = others.filter(|(name, _)| name.is_some() && !is_own(name));
+        let served_before: f64 = others
+            .map(|(_, share)| {
+                let proportional = turns * f64::from(share.weight) / f64::from(weight.max(1));
+                proportional.min(share.tickets.len() as f64)
+            })
+            .sum();
+        common + own + served_before.ceil() as usize
+    }
+
     fn pop(&mut self, is_eligible: &impl Fn(&Ticket) -> bool) -> Option<Ticket> {
         let first_of = |share: &Share| {
             let mut tickets = share.tickets.iter();
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -14,6 +14,8 @@
 
 /// Tickets that wait at one upstream; more are refused at once.
 const QUEUE_MAX: usize = 512;
+/// Time left that a call needs, over its expected time: one that ends just too late is all waste.
+const DEADLINE_MARGIN: f64 = 1.15;
 /// Longest wait for the calls of a previous owner to end.
 const TAKEOVER_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -66,44 +68,61 @@
     pub limiter: Limiter,
     queue: Queue,
     suspects_in_flight: u32,
-    refuses_early: bool,
+    queueing: Queueing,
+}
+
+/// Queueing policies that can be switched for measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Queueing {
+    /// Whether a ticket that cannot meet its deadline is refused or dropped at once.
+    pub refuses_early: bool,
+    /// Whether workspaces get weighted fair shares.
+    pub is_fair: bool,
+}
+
+impl Default for Queueing {
+    fn default() -> Queueing {
+        Queueing {
+            refuses_early: true,
+            is_fair: true,
+        }
+    }
 }
 
 impl Gate {
     /// The gate of an upstream that is taken to be cold.
     #[must_use]
-    pub fn new(settings: Settings, now: Instant) -> Gate {
+    pub fn new(settings: Settings, queueing: Queueing, now: Instant) -> Gate {
         Gate {
             limiter: Limiter::new(settings, now),
             queue: Queue::default(),
             suspects_in_flight: 0,
-            refuses_early: true,
+            queueing,
         }
     }
 
-    /// Switches early refusal off, for measurements against it.
-    #[must_use]
-    pub fn without_early_refusal(mut self) -> Gate {
-        self.refuses_early = false;
-        self
-    }
-
     /// Tickets that wait.
     #[must_use]
     pub fn queued(&self) -> u32 {
         self.queue.len() as u32
     }
 
-    /// Expected wait of a new ticket of `priority`.
+    /// Expected wait of a new ticket.
     #[must_use]
-    pub fn expected_wait(&self, priority: Priority, now: Instant) -> Duration {
-        let ahead = self.queue.len_up_to(priority) as f64;
+    pub fn expected_wait(
+        &self,
+        priority: Priority,
+        workspace: &id::Workspace,
+        weight: u32,
+        now: Instant,
+    ) -> Duration {
+        let ahead = self.queue.ahead(priority, workspace, weight) as f64;
         let limit = self.limiter.limit();
         if ahead == 0.0 && self.limiter.has_room(now) {
             return Duration::ZERO;
         }
         let rounds = (ahead + 1.0) / f64::from(limit);
-        self.limiter.expected().mul_f64(rounds)
+        self.limiter.expected(now).mul_f64(rounds)
     }
 
     /// Queues a ticket.
@@ -118,11 +137,12 @@
         if self.limiter.inherited_for(now) > TAKEOVER_PATIENCE {
             return Err(Refusal::TakingOver);
         }
-        let needed = self.expected_wait(ticket.priority, now) + self.limiter.expected();
-        if self.refuses_early && now + needed > ticket.deadline {
+        let wait = self.expected_wait(ticket.priority, &ticket.workspace, ticket.weight, now);
+        let needed = wait + self.needed(now);
+        if self.queueing.refuses_early && now + needed > ticket.deadline {
             return Err(Refusal::DeadlineTooShort);
         }
-        self.queue.push(ticket);
+        self.queue.push(ticket, self.queueing.is_fair);
         Ok(())
     }
 
@@ -154,10 +174,15 @@
         self.queue.remove(id).is_some()
     }
 
+    /// Time that a call must have left to be worth sending.
+    fn needed(&self, now: Instant) -> Duration {
+        self.limiter.expected(now).mul_f64(DEADLINE_MARGIN)
+    }
+
     /// Removes the tickets that can no longer meet their deadline.
     pub fn expire(&mut self, now: Instant) -> Vec<Ticket> {
-        let needed = match self.refuses_early {
-            true => self.limiter.expected(),
+        let needed = match self.queueing.refuses_early {
+            true => self.needed(now),
             false => Duration::ZERO,
         };
         self.queue.drain_if(|ticket| now + needed > ticket.deadline)
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub use fair::Queue;
 pub use gate::Gate;
+pub use gate::Queueing;
 pub use gate::Refusal;
 pub use gate::Settings;
 pub use gate::Ticket;
--- a/crates/limits/src/limiter.rs
+++ b/crates/limits/src/limiter.rs
@@ -19,6 +19,8 @@
 const COLD_RATIO: f64 = 8.0;
 /// Good answers for each call of the limit before a warming limit doubles.
 const GOOD_PER_SLOT: f64 = 4.0;
+/// Age of the measured call time after which one call may try it anew.
+const PROBE_AFTER: Duration = Duration::from_secs(3);
 /// Consecutive signs of coldness that return an upstream to cold.
 const COLD_SIGNS: u32 = 3;
 /// Factor of the limit after a slow answer.
@@ -61,8 +63,22 @@
 pub struct Finish {
     /// How it ended.
     pub outcome: Outcome,
-    /// Service time, for engines a token's.
+    /// Service time of one unit of work, for engines a token's; tells whether the upstream is slow.
     pub latency: Duration,
+    /// Time of the whole call; tells how long others wait.
+    pub elapsed: Duration,
+}
+
+impl Finish {
+    /// The end of a call that says nothing about its upstream.
+    #[must_use]
+    pub fn cancelled() -> Finish {
+        Finish {
+            outcome: Outcome::Cancelled,
+            latency: Duration::ZERO,
+            elapsed: Duration::ZERO,
+        }
+    }
 }
 
 /// A load report of the upstream. Reports lag, so they only ever lower what the owner assumes.
@@ -105,6 +121,8 @@
     window_good: u32,
     last_good: Instant,
     latency: Option<f64>,
+    elapsed: Option<f64>,
+    elapsed_at: Instant,
     baseline: Option<f64>,
     cold_signs: u32,
     paused_until: Option<Instant>,
@@ -126,6 +144,8 @@
             window_good: 0,
             last_good: now,
             latency: None,
+            elapsed: None,
+            elapsed_at: now,
             baseline: None,
             cold_signs: 0,
             paused_until: None,
@@ -189,15 +209,32 @@
         }
     }
 
-    /// Expected service time.
+    /// Expected time of one call. A measurement of long ago lets one call through, to see whether
+    /// a slow upstream has recovered.
     #[must_use]
-    pub fn expected(&self) -> Duration {
-        match self.latency {
+    pub fn expected(&self, now: Instant) -> Duration {
+        let is_stale = now.duration_since(self.elapsed_at) > PROBE_AFTER;
+        let may_probe = is_stale && self.in_flight == 0;
+        match self.elapsed.filter(|_| !may_probe) {
             Some(seconds) => Duration::from_secs_f64(seconds),
             None => self.settings.typical,
         }
     }
 
+    /// Takes the time of a call. One that was given up took at least so long.
+    fn note_elapsed(&mut self, finish: &Finish, now: Instant) {
+        let sample = finish.elapsed.as_secs_f64();
+        let tells = match finish.outcome {
+            Outcome::Good => true,
+            Outcome::Cancelled | Outcome::Failed => self.elapsed.is_some_and(|it| sample > it),
+            Outcome::Overloaded | Outcome::Disconnected => false,
+        };
+        if tells {
+            self.elapsed = Some(average(self.elapsed, sample));
+            self.elapsed_at = now;
+        }
+    }
+
     /// Counts a call that is about to be sent.
     pub fn start(&mut self) {
         self.in_flight += 1;
@@ -206,6 +243,7 @@
     /// Counts a call that has ended.
     pub fn finish(&mut self, finish: Finish, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.note_elapsed(&finish, now);
         match finish.outcome {
             Outcome::Cancelled => {}
             Outcome::Good => self.good(finish.latency.as_secs_f64(), now),
@@ -292,10 +330,7 @@
 
     fn good(&mut self, seconds: f64, now: Instant) {
         self.next_pause = PAUSE_MIN;
-        let latency = match self.latency {
-            Some(average) => average + LATENCY_ALPHA * (seconds - average),
-            None => seconds,
-        };
+        let latency = average(self.latency, seconds);
         self.latency = Some(latency);
         let idle = now.duration_since(self.last_good);
         self.last_good = now;
@@ -366,3 +401,11 @@
         self.window_good = 0;
     }
 }
+
+/// Moving average after one more sample.
+fn average(before: Option<f64>, sample: f64) -> f64 {
+    match before {
+        Some(average) => average + LATENCY_ALPHA * (sample - average),
+        None => sample,
+    }
+}
--- a/crates/pipeline/src/generate.rs
+++ b/crates/pipeline/src/generate.rs
@@ -37,7 +37,10 @@
         let run = self.generate(prompt, output);
         match tokio::time::timeout_at(self.deadline, run).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Deadline),
+            Err(_) => {
+                self.charge(Cost::Late);
+                Err(Error::Deadline)
+            }
         }
     }
 
--- a/crates/pipeline/src/idempotent.rs
+++ b/crates/pipeline/src/idempotent.rs
@@ -28,7 +28,10 @@
         let run = self.race(body);
         match tokio::time::timeout_at(self.deadline, run).await {
             Ok(result) => result,
-            Err(_) => Err(Error::Deadline),
+            Err(_) => {
+                self.charge(Cost::Late);
+                Err(Error::Deadline)
+            }
         }
     }
 
--- a/crates/pipeline/src/stage.rs
+++ b/crates/pipeline/src/stage.rs
@@ -232,4 +232,6 @@
     Hedged,
     /// It broke for good.
     Failed,
+    /// It was given up at its deadline.
+    Late,
 }
--- a/crates/xtask/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -14,6 +14,7 @@
 use eyre::WrapErr;
 use rustix::process::Signal;
 use serde_json::Value;
+use standin::control::Order;
 use standin::settings::Kind;
 use standin::upstream::Stats;
 
@@ -24,17 +25,21 @@
 const POLL: Duration = Duration::from_millis(100);
 
 /// One entry instance.
-pub(crate) struct Instance {
-    pub(crate) name: String,
-    pub(crate) gateway: SocketAddr,
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Its callers' address.
+    pub gateway: SocketAddr,
     dispatcher: SocketAddr,
     processes: Option<(Daemon, Daemon)>,
 }
 
 /// The deployment.
-pub(crate) struct Cluster {
-    pub(crate) instances: Vec<Instance>,
-    pub(crate) deployment: Deployment,
+pub struct Cluster {
+    /// Its entry instances, one in each zone.
+    pub instances: Vec<Instance>,
+    /// The configuration that [`Cluster::apply`] puts in force.
+    pub deployment: Deployment,
     dir: PathBuf,
     bin: PathBuf,
     control: SocketAddr,
@@ -43,7 +48,11 @@
 
 impl Cluster {
     /// Starts stand-ins for `example` and one instance in each of its zones.
-    pub(crate) async fn start(bin: &Path, dir: &Path, example: &Path) -> eyre::Result<Cluster> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start in time.
+    pub async fn start(bin: &Path, dir: &Path, example: &Path) -> eyre::Result<Cluster> {
         if dir.exists() {
             std::fs::remove_dir_all(dir)?;
         }
@@ -125,7 +134,11 @@
     }
 
     /// Starts both daemons of an instance.
-    pub(crate) fn start_instance(&mut self, idx: usize) -> eyre::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started.
+    pub fn start_instance(&mut self, idx: usize) -> eyre::Result<()> {
         let instance = &mut self.instances[idx];
         let start = |role: &str| {
             let name = format!("{role}-{}", instance.name);
@@ -138,7 +151,11 @@
     }
 
     /// Stops both daemons of an instance with SIGTERM; fails when one does not end by itself.
-    pub(crate) fn stop_instance(&mut self, idx: usize) -> eyre::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not end by itself.
+    pub fn stop_instance(&mut self, idx: usize) -> eyre::Result<()> {
         let Some((dispatcher, gateway)) = self.instances[idx].processes.take() else {
             return Ok(());
         };
@@ -152,8 +169,52 @@
         Ok(())
     }
 
+    /// Sends a signal to both daemons of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one has ended.
+    pub fn signal_instance(&self, idx: usize, signal: Signal) -> eyre::Result<()> {
+        let Some((dispatcher, gateway)) = &self.instances[idx].processes else {
+            return Ok(());
+        };
+        dispatcher.signal(signal)?;
+        gateway.signal(signal)
+    }
+
+    /// Ends both daemons of an instance with SIGKILL.
+    pub fn kill_instance(&mut self, idx: usize) {
+        self.instances[idx].processes = None;
+    }
+
+    /// Gives an order to the stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-ins refuse it.
+    pub async fn order(&self, order: &Order) -> eyre::Result<()> {
+        let url = format!("http://{}/order", self.control);
+        let response = reqwest::Client::new().post(url).json(order).send().await?;
+        let is_done = response.status().is_success();
+        eyre::ensure!(is_done, "the stand-in refused {order:?}");
+        Ok(())
+    }
+
+    /// Executions by idempotency key over the ledgers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-ins do not answer.
+    pub async fn executions(&self) -> eyre::Result<BTreeMap<String, u32>> {
+        Ok(executions(&self.stats().await?))
+    }
+
     /// Runs the operators' client and returns what it prints.
-    pub(crate) fn client(&self, args: &[&str]) -> eyre::Result<String> {
+    ///
+    /// # Errors
+    ///
+    /// Fails as the client does, with what it prints.
+    pub fn client(&self, args: &[&str]) -> eyre::Result<String> {
         let output = Command::new(self.bin.join("catkinvane"))
             .arg("--settings")
             .arg(self.dir.join("catkinvane.yaml"))
@@ -168,9 +229,19 @@
         Ok(String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
+    /// The relocated example.
+    #[must_use]
+    pub fn configuration(&self) -> PathBuf {
+        self.dir.join("configuration.yaml")
+    }
+
     /// Puts the relocated example in force.
-    pub(crate) fn apply(&self) -> eyre::Result<String> {
-        let path = self.dir.join("configuration.yaml");
+    ///
+    /// # Errors
+    ///
+    /// Fails as the client does.
+    pub fn apply(&self) -> eyre::Result<String> {
+        let path = self.configuration();
         self.client(&["apply", &path.display().to_string()])
     }
 
@@ -186,7 +257,11 @@
     }
 
     /// Waits until no upstream waits for the calls of an earlier owner.
-    pub(crate) async fn wait_for_upstreams(&self) -> eyre::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub async fn wait_for_upstreams(&self) -> eyre::Result<()> {
         let expected = self.deployment.upstreams().count();
         self.wait_until("upstreams", |statuses| {
             let free = statuses
@@ -217,12 +292,27 @@
     }
 
     /// What the upstreams have seen.
-    pub(crate) async fn stats(&self) -> eyre::Result<BTreeMap<String, Stats>> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stand-ins do not answer.
+    pub async fn stats(&self) -> eyre::Result<BTreeMap<String, Stats>> {
         let url = format!("http://{}/stats", self.control);
         Ok(reqwest::get(url).await?.json().await?)
     }
 }
 
+/// Executions by idempotency key over the ledgers.
+#[must_use]
+pub fn executions(stats: &BTreeMap<String, Stats>) -> BTreeMap<String, u32> {
+    let mut executions = BTreeMap::new();
+    let ledgers = stats.iter().filter(|(name, _)| name.starts_with("ledger"));
+    for (key, times) in ledgers.flat_map(|(_, it)| &it.executions) {
+        *executions.entry(key.clone()).or_default() += times;
+    }
+    executions
+}
+
 /// Moves every address of a configuration text to a free port.
 fn relocate(text: &str) -> eyre::Result<String> {
     let deployment = config::document::deployment(text).map_err(first_fault)?;
--- a/crates/xtask/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -19,15 +19,23 @@
 
 /// Counts of what callers saw.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Tally {
-    pub(crate) requests: u32,
-    pub(crate) whole: u32,
-    pub(crate) late: u32,
-    pub(crate) refused: u32,
-    pub(crate) failed: u32,
-    pub(crate) cut: u32,
-    pub(crate) wrong: u32,
-    pub(crate) problems: Vec<String>,
+pub struct Tally {
+    /// Requests that ended.
+    pub requests: u32,
+    /// Whole answers that belong to their request.
+    pub whole: u32,
+    /// Answers after the deadline.
+    pub late: u32,
+    /// Refusals before anything ran.
+    pub refused: u32,
+    /// Failures after something may have run.
+    pub failed: u32,
+    /// Answers that ended without their end.
+    pub cut: u32,
+    /// Answers to something else.
+    pub wrong: u32,
+    /// What refusals and failures said.
+    pub problems: Vec<String>,
 }
 
 /// What one request turned out to be.
@@ -40,7 +48,7 @@
 }
 
 /// A running load.
-pub(crate) struct Load {
+pub struct Load {
     is_over: Arc<AtomicBool>,
     tally: Arc<Mutex<Tally>>,
     gateways: Arc<Mutex<Vec<SocketAddr>>>,
@@ -49,7 +57,7 @@
 
 impl Load {
     /// Starts a load over `gateways`, one request every 40 ms.
-    pub(crate) fn start(gateways: Vec<SocketAddr>) -> Load {
+    pub fn start(gateways: Vec<SocketAddr>) -> Load {
         let is_over = Arc::new(AtomicBool::new(false));
         let tally = Arc::new(Mutex::new(Tally::default()));
         let gateways = Arc::new(Mutex::new(gateways));
@@ -63,12 +71,16 @@
     }
 
     /// Directs later requests to `gateways`, as the platform's balancer does.
-    pub(crate) fn direct(&self, gateways: Vec<SocketAddr>) {
+    pub fn direct(&self, gateways: Vec<SocketAddr>) {
         *lock(&self.gateways) = gateways;
     }
 
     /// Stops the load and waits for its last answers.
-    pub(crate) async fn finish(self) -> eyre::Result<Tally> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the load panicked.
+    pub async fn finish(self) -> eyre::Result<Tally> {
         self.is_over.store(true, Ordering::Relaxed);
         self.task.await?;
         Ok(lock(&self.tally).clone())
@@ -188,14 +200,21 @@
 }
 
 /// A chat answer as a client sees it.
-pub(crate) enum Chat {
+pub enum Chat {
+    /// The text of a stream that ended as it should.
     Whole(String),
+    /// An explicit error.
     Error(Value),
+    /// A stream without its end.
     Cut,
 }
 
 /// Streams a chat answer.
-pub(crate) async fn chat(
+///
+/// # Errors
+///
+/// Fails when the connection breaks.
+pub async fn chat(
     http: &reqwest::Client,
     gateway: SocketAddr,
     prompt: &str,
--- a/crates/xtask/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -15,19 +15,19 @@
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
 /// A daemon that is killed when it is dropped.
-pub(crate) struct Daemon {
-    pub(crate) name: String,
+pub struct Daemon {
+    /// Name of its log.
+    pub name: String,
     child: Child,
 }
 
 impl Daemon {
     /// Starts `program` with its log in `dir`.
-    pub(crate) fn start(
-        name: &str,
-        program: &Path,
-        settings: &Path,
-        dir: &Path,
-    ) -> eyre::Result<Daemon> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program or its log cannot be opened.
+    pub fn start(name: &str, program: &Path, settings: &Path, dir: &Path) -> eyre::Result<Daemon> {
         let log = File::create(dir.join(format!("{name}.log")))?;
         let child = Command::new(program)
             .arg("--settings")
@@ -42,14 +42,22 @@
     }
 
     /// Sends a signal.
-    pub(crate) fn signal(&self, signal: Signal) -> eyre::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
         let pid = Pid::from_child(&self.child);
         rustix::process::kill_process(pid, signal)?;
         Ok(())
     }
 
     /// Waits for the end of the process; `None` when it still runs after `timeout`.
-    pub(crate) fn wait(&mut self, timeout: Duration) -> eyre::Result<Option<ExitStatus>> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be waited for.
+    pub fn wait(&mut self, timeout: Duration) -> eyre::Result<Option<ExitStatus>> {
         let deadline = Instant::now() + timeout;
         loop {
             if let Some(status) = self.child.try_wait()? {
--- a/crates/xtask/src/ci.rs
+++ b/crates/xtask/src/ci.rs
@@ -17,6 +17,8 @@
         "--deny",
         "warnings",
     ])?;
+    // Tests with real processes start these.
+    cargo(&["build", "--workspace", "--bins", "--locked"])?;
     let known_red = known_red()?;
     let mut test = vec!["test", "--workspace", "--locked", "--"];
     for name in &known_red {
--- a/crates/xtask/src/demo.rs
+++ b/crates/xtask/src/demo.rs
@@ -8,12 +8,12 @@
 use serde_json::Value;
 use serde_json::json;
 use standin::upstream::Stats;
-
-use crate::cluster::Cluster;
-use crate::load;
-use crate::load::Chat;
-use crate::load::Load;
-use crate::load::Tally;
+use testbed::Cluster;
+use testbed::cluster::executions;
+use testbed::load;
+use testbed::load::Chat;
+use testbed::load::Load;
+use testbed::load::Tally;
 
 const EXAMPLE: &str = "examples/office.yaml";
 const DIR: &str = "target/demo";
@@ -148,16 +148,6 @@
     Ok(started.map(|it| it.started).sum())
 }
 
-/// Executions by idempotency key over the non-idempotent upstreams.
-fn executions(stats: &BTreeMap<String, Stats>) -> BTreeMap<String, u32> {
-    let mut executions = BTreeMap::new();
-    let ledgers = stats.iter().filter(|(name, _)| name.starts_with("ledger"));
-    for (key, times) in ledgers.flat_map(|(_, it)| &it.executions) {
-        *executions.entry(key.clone()).or_default() += times;
-    }
-    executions
-}
-
 fn print_timeline(events: &[Value]) {
     let traced = events
         .iter()
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,10 +1,8 @@
 //! Chores: the demonstration and the checks of CI.
 
 mod ci;
-mod cluster;
 mod demo;
-mod load;
-mod process;
+mod measure;
 mod slopes;
 mod soak;
 
@@ -15,6 +13,9 @@
 
   demo   build and start a small deployment on loopback, and try it
   ci     formatter, linter and all tests
+  measure SCENARIO
+         policies against simpler ones: calm, burst, slow-upstream, zone-drain,
+         zone-loss, store-outage, flood
   slopes cost of control by number of instances
   soak [--seed N] [--runs M]
          M random fault schedules from seed N on
@@ -38,6 +39,7 @@
         Some("demo") => demo::run(),
         Some("ci") => ci::run(),
         Some("slopes") => slopes::run(),
+        Some("measure") => measure::run(args.free_from_str()?),
         Some("soak") => {
             let seed = args.opt_value_from_str("--seed")?;
             if args.contains("--trace") {
