Check the checks by mutation, and split the two large files

Cause: a check that cannot fail proves nothing. Fifteen mechanisms were broken one at a time on a scratch copy. Five went unnoticed by the scenarios: a new owner that assumes nothing in flight, older documents adopted, attempts on their way not counted as sent, no leave at a stop, and a replaced owner that keeps its state; the open fence was seen by golden files only.

Ruled out: that the mechanisms are idle. Each now has a scenario that fails without it and passes with it. Older documents were adopted unseen because a panic in a task of a fake process was lost: scenarios and schedules now fail on any panic or violated invariant, and the stale read is served after pollers have seen the new row. Two expectations of new tests were wrong and are as strict now: an isolated instance may answer "unknown" for a request that was on its way, but must send nothing.

--- a/crates/fakes/src/process.rs
+++ b/crates/fakes/src/process.rs
@@ -4,14 +4,25 @@
 //! is held there, so that what it had decided before the freeze happens after it, which is the worst
 //! moment. A killed process is held there for ever.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use futures_util::FutureExt;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+static PANICS: AtomicU64 = AtomicU64::new(0);
+
+/// Tasks of any process that have panicked, as they do on a violated program invariant.
+#[must_use]
+pub fn panics() -> u64 {
+    PANICS.load(Ordering::Relaxed) + base::invariant::violations()
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Running,
@@ -70,7 +81,12 @@
 
     /// Runs a task of the process.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let handle = tokio::spawn(task).abort_handle();
+        let watched = async {
+            if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+                PANICS.fetch_add(1, Ordering::Relaxed);
+            }
+        };
+        let handle = tokio::spawn(watched).abort_handle();
         let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
         tasks.retain(|it| !it.is_finished());
         tasks.push(handle);
--- a/crates/fakes/src/schedule/check.rs
+++ b/crates/fakes/src/schedule/check.rs
@@ -43,6 +43,9 @@
     /// A request that never ended although its gateway lives.
     #[strum(to_string = "a request never ended at gateway {0}")]
     NeverEnded(usize),
+    /// Tasks panicked, as they do on a violated program invariant.
+    #[strum(to_string = "{0} panics")]
+    Panics(u64),
     /// Upstreams were given more than they bear.
     #[strum(to_string = "{0} overruns after {1} silent changes to cold")]
     Overruns(u32, u32),
@@ -67,6 +70,10 @@
     drains(cluster, faults, &mut report);
     versions(cluster, &mut report);
     healed(cluster, &mut report).await;
+    let panics = crate::process::panics();
+    if panics > 0 {
+        report.violations.push(Violation::Panics(panics));
+    }
     report
 }
 
--- a/crates/fakes/tests/it/cold.rs
+++ b/crates/fakes/tests/it/cold.rs
@@ -4,6 +4,7 @@
 
 use fakes::Cluster;
 use fakes::platform::Faults as StoreFaults;
+use fakes::upstream::Faults;
 use serde_json::json;
 
 use crate::fixture::scenarios;
@@ -67,6 +68,66 @@
         assert_eq!(cluster.fleet.overruns(), 0);
     }
 
+    async fn calls_of_a_lost_owner_keep_their_room(cluster) {
+        // Calls of 8 s, which go on when their owner dies, fill both cold ledgers.
+        for name in ["ledger-a", "ledger-b"] {
+            let slow = Faults { slow_factor: 400, ..Faults::default() };
+            cluster.fleet.set_faults(name, slow);
+        }
+        for number in 0..4 {
+            let request = cluster.request("pay", Some(&format!("slow-{number}")), json!(number));
+            cluster.submit(4, request);
+        }
+        wait(Duration::from_millis(100)).await;
+        for idx in 0..4 {
+            if cluster.instances[idx].node.in_flight() > 0 {
+                cluster.instances[idx].dispatcher.kill();
+            }
+        }
+        for number in 0..100 {
+            let request = cluster.request("pay", Some(&format!("more-{number}")), json!(number));
+            cluster.submit(4 + number % 2, request);
+            wait(Duration::from_millis(80)).await;
+        }
+        assert_eq!(cluster.fleet.overruns(), 0);
+    }
+
+    async fn an_owner_that_was_replaced_counts_the_calls_of_its_successor(cluster) {
+        cluster.partition(&[0]);
+        wait(seconds(8)).await;
+        // The new owners wait for calls of the old one until the longest call has ended.
+        wait(seconds(18)).await;
+        for name in ["ledger-a", "ledger-b"] {
+            let slow = Faults { slow_factor: 400, ..Faults::default() };
+            cluster.fleet.set_faults(name, slow);
+        }
+        for number in 0..4 {
+            let request = cluster.request("pay", Some(&format!("slow-{number}")), json!(number));
+            cluster.submit(4, request);
+        }
+        wait(Duration::from_millis(100)).await;
+        cluster.net.heal();
+        for number in 0..60 {
+            let request = cluster.request("pay", Some(&format!("more-{number}")), json!(number));
+            cluster.submit(number % 6, request);
+            wait(Duration::from_millis(80)).await;
+        }
+        assert_eq!(cluster.fleet.overruns(), 0);
+    }
+
+    async fn an_isolated_owner_sends_nothing_behind_its_fence(cluster) {
+        cluster.partition(&[0]);
+        wait(seconds(3)).await;
+        let before = cluster.fleet.started();
+        for number in 0..20 {
+            let request = cluster.request("lookup", None, json!(number));
+            let outcome = cluster.submit(0, request).await.expect("the task ends");
+            let is_answered = matches!(outcome, pipeline::Outcome::Answered(_));
+            assert!(!is_answered, "{outcome:?}");
+        }
+        assert_eq!(cluster.fleet.started(), before);
+    }
+
     async fn kills_during_a_store_outage(cluster) {
         flood(&mut cluster, 100, Duration::from_millis(20)).await;
         cluster.store.set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
--- a/crates/fakes/tests/it/configuration.rs
+++ b/crates/fakes/tests/it/configuration.rs
@@ -64,6 +64,8 @@
     async fn a_store_that_serves_old_reads_reverts_nothing(cluster) {
         assert_eq!(cluster.apply(0, TEXT, 1).await, ChangeResult::Committed(2));
         cluster.until("version 2", has(2)).await;
+        // Every poller has read the new row by now; the old one is served for a while longer.
+        wait(Duration::from_millis(1100)).await;
         cluster.store.set_faults(Faults { stale_reads: true, ..Faults::default() });
         for _ in 0..50 {
             wait(Duration::from_millis(100)).await;
--- a/crates/fakes/tests/it/refusals.rs
+++ b/crates/fakes/tests/it/refusals.rs
@@ -50,6 +50,35 @@
         assert_eq!(cluster.fleet.started(), before);
     }
 
+    async fn a_payment_on_its_way_to_a_frozen_owner_is_not_called_not_run(cluster) {
+        for idx in 0..4 {
+            cluster.instances[idx].dispatcher.freeze();
+        }
+        let mut request = cluster.request("pay", Some("k"), payment());
+        request.deadline = Some(seconds(1));
+        let outcome = cluster.submit(4, request).await.expect("the task ends");
+        let is_not_run = matches!(outcome, Outcome::NotRun(_));
+        for idx in 0..4 {
+            cluster.instances[idx].dispatcher.thaw();
+        }
+        wait(seconds(10)).await;
+        let times = cluster.fleet.executions().get("k").copied().unwrap_or(0);
+        assert!(!is_not_run || times == 0, "refused as not run, and run {times} times");
+        assert!(times <= 1);
+    }
+
+    async fn a_request_whose_gateway_did_not_hear_that_it_was_sent_is_not_called_not_run(cluster) {
+        let before = cluster.fleet.started();
+        let mut request = cluster.request("lookup", None, json!(1));
+        request.deadline = Some(seconds(1));
+        let running = cluster.submit(4, request);
+        wait(Duration::from_millis(2)).await;
+        cluster.instances[4].gateway.freeze();
+        let outcome = running.await.expect("the task ends");
+        assert!(cluster.fleet.started() > before);
+        assert!(!matches!(outcome, Outcome::NotRun(_)), "{outcome:?}");
+    }
+
     async fn every_refusal_of_an_overload_is_true(cluster) {
         let mut running = Vec::new();
         for number in 0..400 {
--- a/crates/fakes/tests/it/stops.rs
+++ b/crates/fakes/tests/it/stops.rs
@@ -8,6 +8,15 @@
 use crate::fixture::wait;
 use crate::fixture::whole;
 
+/// The instance that owns `name`.
+fn owner_of(cluster: &fakes::Cluster, name: &str) -> usize {
+    let owns = |idx: &usize| {
+        let status = cluster.instances[*idx].node.status();
+        status.upstreams.iter().any(|it| it.name.as_str() == name)
+    };
+    (0..cluster.instances.len()).find(owns).expect("an owner")
+}
+
 scenarios! {
     async fn instances_stop_one_after_the_other_under_load(cluster) {
         let mut running = Vec::new();
@@ -36,6 +45,17 @@
         assert_eq!(cluster.fleet.overruns(), 0);
     }
 
+    async fn a_stopping_instance_gives_its_upstreams_up_at_once(cluster) {
+        let request = cluster.request("chat", None, json!("long"));
+        let running = cluster.submit(0, request);
+        wait(Duration::from_millis(20)).await;
+        let owner = owner_of(&cluster, "encoder-a");
+        cluster.instances[owner].node.begin_stop();
+        wait(Duration::from_millis(500)).await;
+        assert_ne!(owner_of(&cluster, "encoder-a"), owner);
+        whole(running.await.expect("the task ends"));
+    }
+
     async fn a_stopping_instance_answers_what_it_has(cluster) {
         let mut running = Vec::new();
         for number in 0..6 {
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -1,5 +1,8 @@
 //! State machine of one member.
 
+mod detect;
+mod exchange;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -20,11 +23,6 @@
 use crate::overlay;
 use crate::rumor::Rumors;
 
-/// Consecutive heartbeats with a foreign digest after which everything is sent.
-const MISMATCHES_BEFORE_SYNC: u32 = 3;
-/// Heartbeats whose send time is kept while an acknowledgement may still come.
-const SENT_KEPT: usize = 8;
-
 /// A heartbeat to send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing {
@@ -243,149 +241,6 @@
         }
     }
 
-    /// Heartbeats that are due: to every neighbour, with its pending news.
-    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
-        if self.rumors.expire(now) {
-            self.refresh_digest();
-        }
-        self.watch_neighbours(now);
-        self.suspect_silent(now);
-        self.bury_lost(now);
-        let neighbours = self.neighbours.clone();
-        self.send_to(neighbours, now)
-    }
-
-    /// Heartbeats with news that cannot wait for the next tick.
-    pub fn flush(&mut self, now: Instant) -> Vec<Outgoing> {
-        let with_news = |it: &&id::Instance| self.pending.get(*it).is_some_and(|it| !it.is_empty());
-        let receivers = self.neighbours.iter().filter(with_news).cloned().collect();
-        self.send_to(receivers, now)
-    }
-
-    /// Heartbeats to all neighbours outside the tick, to announce a configuration version.
-    pub fn announce(&mut self, now: Instant) -> Vec<Outgoing> {
-        let neighbours = self.neighbours.clone();
-        self.send_to(neighbours, now)
-    }
-
-    /// A heartbeat for a process of which only the address is known. It introduces this member, and
-    /// its acknowledgement tells everything that the receiver knows.
-    pub fn introduce(&mut self, now: Instant) -> Heartbeat {
-        self.sequence += 1;
-        self.sent.insert(self.sequence, now);
-        Heartbeat {
-            from: self.own.instance.clone(),
-            incarnation: self.own.incarnation,
-            sequence: self.sequence,
-            members: self.digest(),
-            config_version: self.config_version,
-            news: vec![News::Member(self.own.clone())],
-        }
-    }
-
-    /// Takes a heartbeat and returns its acknowledgement.
-    pub fn receive(&mut self, heartbeat: Heartbeat, now: Instant) -> Heartbeat {
-        let sequence = heartbeat.sequence;
-        let from = heartbeat.from.clone();
-        let known = self.members.get(&from);
-        let is_new = known.is_none_or(|it| it.incarnation < heartbeat.incarnation);
-        self.hear(heartbeat, now);
-        if is_new {
-            let all = self.everything();
-            self.pending.insert(from.clone(), all);
-        }
-        self.compose(&from, sequence)
-    }
-
-    /// Takes the acknowledgement of a heartbeat.
-    pub fn acknowledged(&mut self, heartbeat: Heartbeat, now: Instant) {
-        let from = heartbeat.from.clone();
-        let incarnation = self.own.incarnation;
-        let sent = self.sent.get(&heartbeat.sequence).copied();
-        self.hear(heartbeat, now);
-        // The news may have told that this member was replaced; then nothing vouches for it.
-        if self.own.incarnation != incarnation {
-            return;
-        }
-        if let Some(sent) = sent {
-            self.fence.acknowledge(&from, sent);
-        }
-    }
-
-    fn hear(&mut self, heartbeat: Heartbeat, now: Instant) {
-        let from = heartbeat.from;
-        self.heard.insert(from.clone(), now);
-        for news in heartbeat.news {
-            self.learn(news, Some(&from), now);
-        }
-        self.clear_suspicion(&from, heartbeat.incarnation, now);
-        self.correct_stale(&from, heartbeat.incarnation);
-        if heartbeat.members == self.digest() {
-            self.mismatches.remove(&from);
-            return;
-        }
-        let mismatches = self.mismatches.entry(from.clone()).or_default();
-        *mismatches += 1;
-        if *mismatches >= MISMATCHES_BEFORE_SYNC {
-            self.mismatches.remove(&from);
-            let all = self.everything();
-            self.pending.insert(from, all);
-        }
-    }
-
-    /// Tells a sender that it was declared lost, so that it comes back as a new incarnation.
-    fn correct_stale(&mut self, from: &id::Instance, incarnation: u64) {
-        let Some(known) = self.members.get(from) else {
-            return;
-        };
-        let is_stale = known.incarnation > incarnation || known.state >= State::Lost;
-        if is_stale {
-            let news = News::Member(known.clone());
-            self.queue(from.clone(), &news);
-        }
-    }
-
-    fn everything(&self) -> Vec<News> {
-        let members = self.members.values().cloned().map(News::Member);
-        members.chain(self.rumors.all()).collect()
-    }
-
-    fn compose(&mut self, to: &id::Instance, sequence: u64) -> Heartbeat {
-        Heartbeat {
-            from: self.own.instance.clone(),
-            incarnation: self.own.incarnation,
-            sequence,
-            members: self.digest(),
-            config_version: self.config_version,
-            news: self.pending.remove(to).unwrap_or_default(),
-        }
-    }
-
-    fn send_to(&mut self, receivers: Vec<id::Instance>, now: Instant) -> Vec<Outgoing> {
-        if receivers.is_empty() {
-            return Vec::new();
-        }
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.sent.insert(sequence, now);
-        while self.sent.len() > SENT_KEPT {
-            self.sent.pop_first();
-        }
-        let mut outgoing = Vec::with_capacity(receivers.len());
-        for to in receivers {
-            let Some(address) = self.members.get(&to).map(|it| it.address) else {
-                continue;
-            };
-            let heartbeat = self.compose(&to, sequence);
-            outgoing.push(Outgoing {
-                to,
-                address,
-                heartbeat,
-            });
-        }
-        outgoing
-    }
-
     /// Takes a piece of news and passes it on if it is new.
     fn learn(&mut self, news: News, from: Option<&id::Instance>, now: Instant) {
         let is_new = match &news {
@@ -445,23 +300,6 @@
         self.refresh_digest();
     }
 
-    fn learn_suspicion(&mut self, suspicion: &Suspicion) -> bool {
-        let known = self.members.get(&suspicion.about);
-        if known.is_none_or(|it| it.incarnation != suspicion.incarnation) {
-            return false;
-        }
-        let key = (suspicion.about.clone(), suspicion.by.clone());
-        if self
-            .suspicions
-            .get(&key)
-            .is_some_and(|it| it.sequence >= suspicion.sequence)
-        {
-            return false;
-        }
-        self.suspicions.insert(key, suspicion.clone());
-        true
-    }
-
     fn refresh_overlay(&mut self) {
         let present = self.members.values().filter(|it| it.state != State::Gone);
         let instances = present.map(|it| &it.instance);
@@ -469,93 +307,6 @@
         self.pending.retain(|it, _| self.neighbours.contains(it));
     }
 
-    fn watch_neighbours(&mut self, now: Instant) {
-        for neighbour in &self.neighbours {
-            self.heard.entry(neighbour.clone()).or_insert(now);
-        }
-        self.heard.retain(|it, _| self.neighbours.contains(it));
-    }
-
-    fn suspect_silent(&mut self, now: Instant) {
-        let is_silent = |at: &Instant| now.duration_since(*at) >= self.timing.suspect;
-        let silent = self.heard.iter().filter(|(_, at)| is_silent(at));
-        let silent: Vec<id::Instance> = silent.map(|(it, _)| it.clone()).collect();
-        for about in silent {
-            self.say(&about, true, now);
-        }
-    }
-
-    fn clear_suspicion(&mut self, about: &id::Instance, incarnation: u64, now: Instant) {
-        let is_current = self
-            .members
-            .get(about)
-            .is_some_and(|it| it.incarnation == incarnation);
-        if is_current {
-            self.say(about, false, now);
-        }
-    }
-
-    /// Changes this member's word about `about`, if it differs from its last one.
-    fn say(&mut self, about: &id::Instance, is_silent: bool, now: Instant) {
-        let key = (about.clone(), self.own.instance.clone());
-        let said = self.suspicions.get(&key).is_some_and(|it| it.is_silent);
-        let Some(record) = self.members.get(about) else {
-            return;
-        };
-        if said == is_silent || record.state >= State::Lost {
-            return;
-        }
-        self.suspicion_sequence += 1;
-        let suspicion = Suspicion {
-            about: about.clone(),
-            incarnation: record.incarnation,
-            by: self.own.instance.clone(),
-            sequence: self.suspicion_sequence,
-            is_silent,
-        };
-        self.learn(News::Suspicion(suspicion), None, now);
-    }
-
-    /// Declares members lost that more than half of their neighbours suspect.
-    fn bury_lost(&mut self, now: Instant) {
-        let suspects: BTreeSet<id::Instance> = self
-            .suspicions
-            .values()
-            .filter(|it| it.is_silent)
-            .map(|it| it.about.clone())
-            .collect();
-        for about in suspects {
-            if self.is_lost(&about) {
-                self.declare(&about, State::Lost, now);
-            }
-        }
-    }
-
-    fn is_lost(&self, about: &id::Instance) -> bool {
-        let present = self.members.values().filter(|it| it.state != State::Gone);
-        let neighbours = overlay::neighbours(about, present.map(|it| &it.instance));
-        let is_silent_to = |by: &&id::Instance| {
-            let key = (about.clone(), (*by).clone());
-            self.suspicions.get(&key).is_some_and(|it| it.is_silent)
-        };
-        let votes = neighbours.iter().filter(is_silent_to).count();
-        votes > neighbours.len() / 2
-    }
-
-    fn declare(&mut self, about: &id::Instance, state: State, now: Instant) {
-        let Some(record) = self.members.get(about) else {
-            return;
-        };
-        if record.state >= state || *about == self.own.instance {
-            return;
-        }
-        let declared = Record {
-            state,
-            ..record.clone()
-        };
-        self.learn(News::Member(declared), None, now);
-    }
-
     fn spread(&mut self, news: &News, except: Option<&id::Instance>) {
         for neighbour in self.neighbours.clone() {
             if Some(&neighbour) != except {
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -14,7 +14,9 @@
 mod outcome;
 mod route;
 mod run;
+mod shape;
 mod stage;
+mod stages;
 mod view;
 
 pub use life::NotRun;
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -15,24 +15,19 @@
 use claims::book::Found;
 use claims::row::Name;
 use config::model;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use serde_json::Value;
-use serde_json::json;
 use telemetry::Telemetry;
 use telemetry::timeline::Event;
 use telemetry::timeline::Kind;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use wire::dispatch::Body;
 use wire::peer::Peer;
 
-use crate::generate::Prompt;
+use crate::life::Admitted;
 use crate::life::Closed;
 use crate::life::Life;
 use crate::life::Received;
-use crate::life::Sending;
 use crate::outcome::Answer;
 use crate::outcome::FailedReason;
 use crate::outcome::NotRunReason;
@@ -40,19 +35,18 @@
 use crate::outcome::Recorded;
 use crate::route::Knowledge;
 use crate::route::Options;
+use crate::shape;
 use crate::stage;
 use crate::stage::Cost;
-use crate::stage::Stage;
+use crate::stages::Course;
+use crate::stages::Stages;
 use crate::view::View;
 
-const DEFAULT_MAX_TOKENS: u32 = 256;
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_secs(1);
 const RETRY_AFTER_MISTAKE: Duration = Duration::from_secs(60);
 const RETRY_AFTER_QUARANTINE: Duration = Duration::from_secs(600);
 const RETRY_AFTER_RATE: Duration = Duration::from_secs(1);
 const RETRY_AFTER_DEADLINE: Duration = Duration::from_secs(1);
-/// Largest part of a later stage's time, over its typical time, that is kept back for it.
-const RESERVE_FACTOR: f64 = 2.0;
 
 /// A caller's request.
 #[derive(Clone, Debug)]
@@ -104,22 +98,6 @@
     }
 }
 
-/// Result of one stage, and how it came about.
-struct Done {
-    idx: usize,
-    result: Result<Value, stage::Error>,
-    is_replayed: bool,
-}
-
-/// What is known of a running request.
-struct Course {
-    results: BTreeMap<id::Stage, Value>,
-    is_replayed: bool,
-    /// Non-idempotent stages that have not completed.
-    once_left: usize,
-    has_once: bool,
-}
-
 #[bon]
 impl Runner {
     /// A runner that follows `view`.
@@ -259,11 +237,11 @@
             .min(request.deadline.unwrap_or(pipeline.deadline));
         let deadline = Instant::now() + deadline;
         let life = life.admit();
-        let has_once = has_once(&view, &pipeline);
+        let has_once = shape::has_once(&view, &pipeline);
         let mut course = Course {
             results: BTreeMap::new(),
             is_replayed: false,
-            once_left: count_once(&view, &pipeline),
+            once_left: shape::once_stages(&view, &pipeline).count(),
             has_once,
         };
         let stages = Stages {
@@ -310,14 +288,14 @@
             .workspaces
             .get(&request.workspace)
             .ok_or((NotRunReason::UnknownWorkspace, RETRY_AFTER_MISTAKE))?;
-        if request.key.is_none() && has_once(view, pipeline) {
+        if request.key.is_none() && shape::has_once(view, pipeline) {
             return Err((NotRunReason::MissingKey, RETRY_AFTER_MISTAKE));
         }
-        if view.quarantine.contains(&fingerprint(request)) {
+        if view.quarantine.contains(&shape::fingerprint(request)) {
             return Err((NotRunReason::Quarantined, RETRY_AFTER_QUARANTINE));
         }
         let deadline = request.deadline.unwrap_or(pipeline.deadline);
-        if deadline < typical_time(view, pipeline) {
+        if deadline < shape::typical_time(view, pipeline) {
             return Err((NotRunReason::DeadlineTooShort, RETRY_AFTER_DEADLINE));
         }
         if !self.takes_rate(workspace) {
@@ -354,7 +332,7 @@
             return Ok(Recorded::NotRun);
         };
         let mut recorded = Recorded::NotRun;
-        for stage in once_stages(&view, model) {
+        for stage in shape::once_stages(&view, model) {
             let name = Name {
                 workspace: workspace.clone(),
                 pipeline: pipeline.clone(),
@@ -372,198 +350,8 @@
     }
 }
 
-/// The running stages of one request.
-struct Stages<'a> {
-    runner: &'a Arc<Runner>,
-    view: &'a Arc<View>,
-    pipeline: &'a model::Pipeline,
-    request: &'a Request,
-    deadline: Instant,
-    sending: Sending,
-    output: Option<mpsc::Sender<String>>,
-}
-
-impl Stages<'_> {
-    /// Runs every stage as soon as those it needs are done; gives the last one's result.
-    async fn run(&self, course: &mut Course) -> Result<Value, stage::Error> {
-        let mut running = FuturesUnordered::new();
-        let mut started = vec![false; self.pipeline.stages.len()];
-        loop {
-            for (idx, stage) in self.pipeline.stages.iter().enumerate() {
-                let is_ready = stage.needs.iter().all(|it| course.results.contains_key(it));
-                if !started[idx] && is_ready {
-                    started[idx] = true;
-                    let needs = needed(stage, &course.results);
-                    running.push(self.stage(idx, stage, needs));
-                }
-            }
-            let done = tokio::select! {
-                biased;
-                Some(done) = running.next() => done,
-                () = self.abandoned() => return Err(stage::Error::Deadline),
-                // Stages are in topological order, so one is always running.
-                else => return Err(stage::Error::Deadline),
-            };
-            let stage = &self.pipeline.stages[done.idx];
-            let result = done.result?;
-            course.is_replayed |= done.is_replayed;
-            if is_once(self.view, stage) {
-                course.once_left -= 1;
-            }
-            if done.idx + 1 == self.pipeline.stages.len() {
-                return Ok(result);
-            }
-            course.results.insert(stage.name.clone(), result);
-        }
-    }
-
-    /// Completes when a streaming caller has gone.
-    async fn abandoned(&self) {
-        match &self.output {
-            Some(output) => output.closed().await,
-            None => std::future::pending().await,
-        }
-    }
-
-    async fn stage(&self, idx: usize, stage: &model::Stage, needs: Value) -> Done {
-        let service = self.view.snapshot.deployment.services.get(&stage.service);
-        let Some(service) = service.cloned() else {
-            // The configuration check rejects stages without a service.
-            let result = Err(stage::Error::Refused(
-                NotRunReason::NoUpstream,
-                RETRY_AFTER_MISTAKE,
-            ));
-            return Done {
-                idx,
-                result,
-                is_replayed: false,
-            };
-        };
-        let running = Stage {
-            runner: self.runner.clone(),
-            view: self.view.clone(),
-            trace: self.request.trace,
-            fingerprint: fingerprint(self.request),
-            workspace: self.request.workspace.clone(),
-            priority: self.pipeline.priority,
-            name: stage.name.clone(),
-            service: service.clone(),
-            deadline: self.deadline - self.reserve(stage),
-            sending: self.sending.clone(),
-            crashes: Arc::default(),
-        };
-        let mut is_replayed = false;
-        let result = match (service.kind, service.idempotent) {
-            (model::Kind::Plain, true) => running
-                .run_idempotent(self.plain_body(needs))
-                .await
-                .map(|text| parse(&text)),
-            (model::Kind::Plain, false) => {
-                let execution = self.once(running, needs).await;
-                is_replayed = execution.as_ref().is_ok_and(|it| it.is_replayed);
-                execution.map(|it| parse(&it.answer))
-            }
-            (model::Kind::Engine, _) => {
-                let is_last = idx + 1 == self.pipeline.stages.len();
-                let output = self.output.as_ref().filter(|_| is_last);
-                let text = running.run_generate(self.prompt(&needs), output).await;
-                text.map(Value::String)
-            }
-        };
-        Done {
-            idx,
-            result,
-            is_replayed,
-        }
-    }
-
-    /// A non-idempotent stage runs on when its request is given up, so that its answer is recorded.
-    async fn once(
-        &self,
-        running: Stage,
-        needs: Value,
-    ) -> Result<crate::once::Execution, stage::Error> {
-        let Some(key) = self.request.key.clone() else {
-            return Err(stage::Error::Refused(
-                NotRunReason::MissingKey,
-                RETRY_AFTER_MISTAKE,
-            ));
-        };
-        let name = Name {
-            workspace: self.request.workspace.clone(),
-            pipeline: self.pipeline.name.clone(),
-            key,
-            stage: running.name.clone(),
-        };
-        let digest = base::hash::of_strs([self.request.input.to_string().as_str()]);
-        let body = self.plain_body(needs);
-        let (sender, receiver) = tokio::sync::oneshot::channel();
-        let sending = running.sending.clone();
-        self.runner.in_background(async move {
-            let execution = running.run_once(name, digest, body).await;
-            // A request that was given up does not take the result; it is recorded.
-            let _ = sender.send(execution);
-        });
-        receiver.await.unwrap_or_else(|_| {
-            // The task panicked; whether it sent anything is not known.
-            sending.mark();
-            Err(stage::Error::Broken(
-                Executed::Unknown,
-                RETRY_AFTER_DEADLINE,
-            ))
-        })
-    }
-
-    fn plain_body(&self, needs: Value) -> Body {
-        let key = self.request.key.as_ref().map(id::Key::as_str);
-        let body = json!({
-            "workspace": self.request.workspace.as_str(),
-            "input": self.request.input,
-            "results": needs,
-            "key": key,
-        });
-        Body::Plain(body.to_string())
-    }
-
-    fn prompt(&self, needs: &Value) -> Prompt {
-        let text = match &self.request.input {
-            Value::String(text) => text.clone(),
-            other => other.to_string(),
-        };
-        let has_needs = needs.as_object().is_some_and(|it| !it.is_empty());
-        let text = match has_needs {
-            true => format!("{text}\n\n{needs}"),
-            false => text,
-        };
-        Prompt {
-            text,
-            max_tokens: self.request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-        }
-    }
-
-    /// Time that the stages after `stage` need.
-    fn reserve(&self, stage: &model::Stage) -> Duration {
-        let followers = self.pipeline.stages.iter();
-        let followers = followers.filter(|it| it.needs.contains(&stage.name));
-        followers
-            .map(|it| self.reserved_for(it) + self.reserve(it))
-            .max()
-            .unwrap_or_default()
-    }
-
-    fn reserved_for(&self, stage: &model::Stage) -> Duration {
-        let services = &self.view.snapshot.deployment.services;
-        let Some(service) = services.get(&stage.service) else {
-            return Duration::ZERO;
-        };
-        let measured = self.runner.knowledge().latencies.p95(&service.name);
-        let most = service.typical.mul_f64(RESERVE_FACTOR);
-        measured.unwrap_or(service.typical).min(most)
-    }
-}
-
 /// Turns a stage's failure into what the caller learns.
-fn conclude(life: Life<crate::life::Admitted>, err: stage::Error, course: &Course) -> Outcome {
+fn conclude(life: Life<Admitted>, err: stage::Error, course: &Course) -> Outcome {
     if let stage::Error::Broken(..) = err {
         life.sending().mark();
     }
@@ -597,64 +385,6 @@
     }
 }
 
-fn fingerprint(request: &Request) -> id::Fingerprint {
-    let body = request.input.to_string();
-    id::Fingerprint(base::hash::of_strs([
-        request.workspace.as_str(),
-        request.pipeline.as_str(),
-        body.as_str(),
-    ]))
-}
-
-fn needed(stage: &model::Stage, results: &BTreeMap<id::Stage, Value>) -> Value {
-    let mut needs = serde_json::Map::new();
-    for need in &stage.needs {
-        if let Some(result) = results.get(need) {
-            needs.insert(need.to_string(), result.clone());
-        }
-    }
-    Value::Object(needs)
-}
-
-fn parse(text: &str) -> Value {
-    serde_json::from_str(text).unwrap_or_else(|_| Value::String(text.to_owned()))
-}
-
-fn is_once(view: &View, stage: &model::Stage) -> bool {
-    let services = &view.snapshot.deployment.services;
-    services
-        .get(&stage.service)
-        .is_some_and(|it| !it.idempotent)
-}
-
-fn once_stages<'a>(
-    view: &View,
-    pipeline: &'a model::Pipeline,
-) -> impl Iterator<Item = &'a model::Stage> {
-    pipeline.stages.iter().filter(move |it| is_once(view, it))
-}
-
-fn has_once(view: &View, pipeline: &model::Pipeline) -> bool {
-    once_stages(view, pipeline).next().is_some()
-}
-
-fn count_once(view: &View, pipeline: &model::Pipeline) -> usize {
-    once_stages(view, pipeline).count()
-}
-
-/// Typical time of the pipeline's longest path.
-fn typical_time(view: &View, pipeline: &model::Pipeline) -> Duration {
-    let services = &view.snapshot.deployment.services;
-    let mut ends: BTreeMap<&id::Stage, Duration> = BTreeMap::new();
-    for stage in &pipeline.stages {
-        let starts = stage.needs.iter().filter_map(|it| ends.get(it));
-        let start = starts.max().copied().unwrap_or_default();
-        let typical = services.get(&stage.service).map(|it| it.typical);
-        ends.insert(&stage.name, start + typical.unwrap_or_default());
-    }
-    ends.values().max().copied().unwrap_or_default()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -19,6 +19,7 @@
 use standin::upstream::Stats;
 
 use crate::process::Daemon;
+use crate::process::Usage;
 
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
@@ -34,6 +35,15 @@
     processes: Option<(Daemon, Daemon)>,
 }
 
+/// Usage by role.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoleUsage {
+    /// All gateways.
+    pub gateways: Usage,
+    /// All dispatchers.
+    pub dispatchers: Usage,
+}
+
 /// The deployment.
 pub struct Cluster {
     /// Its entry instances, one in each zone.
@@ -187,6 +197,20 @@
         self.instances[idx].processes = None;
     }
 
+    /// What the running daemons have used, by role.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one has ended.
+    pub fn usage(&self) -> eyre::Result<RoleUsage> {
+        let mut usage = RoleUsage::default();
+        for (dispatcher, gateway) in self.instances.iter().filter_map(|it| it.processes.as_ref()) {
+            usage.dispatchers.add(dispatcher.usage()?);
+            usage.gateways.add(gateway.usage()?);
+        }
+        Ok(usage)
+    }
+
     /// Gives an order to the stand-ins.
     ///
     /// # Errors
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -14,6 +14,30 @@
 
 const WAIT_POLL: Duration = Duration::from_millis(20);
 
+/// Fields of `/proc/PID/stat`, counted from the one after the name.
+const STAT_UTIME: usize = 11;
+const STAT_STIME: usize = 12;
+const STAT_RSS_PAGES: usize = 21;
+const TICKS_PER_SECOND: f64 = 100.0;
+const PAGE_BYTES: f64 = 4096.0;
+
+/// What one or several processes have used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time of all of them, in seconds.
+    pub cpu_seconds: f64,
+    /// Resident memory of the largest one, in MiB.
+    pub largest_mb: f64,
+}
+
+impl Usage {
+    /// Adds another process.
+    pub fn add(&mut self, other: Usage) {
+        self.cpu_seconds += other.cpu_seconds;
+        self.largest_mb = self.largest_mb.max(other.largest_mb);
+    }
+}
+
 /// A daemon that is killed when it is dropped.
 pub struct Daemon {
     /// Name of its log.
@@ -52,6 +76,26 @@
         Ok(())
     }
 
+    /// Processor time and memory so far.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn usage(&self) -> eyre::Result<Usage> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        // The second field, in parentheses, may hold spaces.
+        let fields = stat.rsplit(") ").next().unwrap_or_default();
+        let fields: Vec<f64> = fields
+            .split_whitespace()
+            .map(|it| it.parse().unwrap_or_default())
+            .collect();
+        let field = |idx: usize| fields.get(idx).copied().unwrap_or_default();
+        Ok(Usage {
+            cpu_seconds: (field(STAT_UTIME) + field(STAT_STIME)) / TICKS_PER_SECOND,
+            largest_mb: field(STAT_RSS_PAGES) * PAGE_BYTES / (1024.0 * 1024.0),
+        })
+    }
+
     /// Waits for the end of the process; `None` when it still runs after `timeout`.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/xtask/src/bench.rs
@@ -0,0 +1,152 @@
+//! What the two processes add to a stage, and what a request costs them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::OptionExt;
+use serde_json::json;
+use testbed::Cluster;
+use testbed::process::Usage;
+use tokio::task::JoinSet;
+
+const EXAMPLE: &str = "examples/office.yaml";
+const DIR: &str = "target/bench";
+const PIPELINE: &str = "docket-lookup";
+/// Workspaces in turn, since each one has a rate limit.
+const WORKSPACES: [&str; 3] = ["clerks", "litigants", "counters"];
+const SEQUENTIAL: usize = 300;
+/// Requests a second of the first step; the others are twice, four and eight times as many.
+const BASE_RATE: u32 = 50;
+const STEP_TIME: Duration = Duration::from_secs(5);
+const WARM_UP: Duration = Duration::from_secs(15);
+
+/// Builds the release binaries and prints the measurements.
+pub(crate) fn run() -> eyre::Result<()> {
+    let build = Command::new("cargo")
+        .args(["build", "--locked", "--release", "--workspace", "--bins"])
+        .status()?;
+    eyre::ensure!(build.success(), "the build failed");
+    tokio::runtime::Runtime::new()?.block_on(bench())
+}
+
+async fn bench() -> eyre::Result<()> {
+    let cluster = Cluster::start(
+        Path::new("target/release"),
+        Path::new(DIR),
+        Path::new(EXAMPLE),
+    );
+    let cluster = cluster.await?;
+    cluster.apply()?;
+    cluster.wait_for_upstreams().await?;
+    let http = reqwest::Client::new();
+    step(&cluster, &http, BASE_RATE, WARM_UP).await?;
+
+    let direct = direct(&cluster, &http).await?;
+    let through = through(&cluster, &http).await?;
+    println!(
+        "sequential calls, release build: p50 direct {direct:?}, through both processes {through:?}"
+    );
+    println!(
+        "added {:?}, ratio {:.3}",
+        through.saturating_sub(direct),
+        through.as_secs_f64() / direct.as_secs_f64()
+    );
+    println!("rate/s whole% p50ms p95ms gateway_ms/req dispatcher_ms/req gateway_MB dispatcher_MB");
+    for factor in [1, 2, 4, 8] {
+        step(&cluster, &http, BASE_RATE * factor, STEP_TIME).await?;
+    }
+    Ok(())
+}
+
+async fn direct(cluster: &Cluster, http: &reqwest::Client) -> eyre::Result<Duration> {
+    let upstreams = cluster.deployment.upstreams();
+    let mut dockets = upstreams.filter(|(service, _)| service.name.as_str() == "docket");
+    let (_, upstream) = dockets.next().ok_or_eyre("the example has a docket")?;
+    let url = format!("http://{}/run", upstream.address);
+    let mut times = Vec::new();
+    for number in 0..SEQUENTIAL {
+        let start = Instant::now();
+        let body = json!({"input": number, "key": null});
+        http.post(&url).json(&body).send().await?.bytes().await?;
+        times.push(start.elapsed());
+    }
+    Ok(quantile(&mut times, 0.5))
+}
+
+async fn through(cluster: &Cluster, http: &reqwest::Client) -> eyre::Result<Duration> {
+    let mut times = Vec::new();
+    for number in 0..SEQUENTIAL {
+        let start = Instant::now();
+        let response = call(http, cluster.instances[0].gateway, number).await?;
+        eyre::ensure!(response, "a call was not answered");
+        times.push(start.elapsed());
+    }
+    Ok(quantile(&mut times, 0.5))
+}
+
+async fn call(http: &reqwest::Client, gateway: SocketAddr, number: usize) -> eyre::Result<bool> {
+    let response = http
+        .post(format!("http://{gateway}/v1/pipelines/{PIPELINE}"))
+        .header("x-workspace", WORKSPACES[number % WORKSPACES.len()])
+        .json(&json!({"input": number}))
+        .send()
+        .await?;
+    let is_whole = response.status().is_success();
+    response.bytes().await?;
+    Ok(is_whole)
+}
+
+/// Sends `rate` requests a second to one gateway and prints what they cost all processes.
+async fn step(
+    cluster: &Cluster,
+    http: &reqwest::Client,
+    rate: u32,
+    time: Duration,
+) -> eyre::Result<()> {
+    let before = cluster.usage()?;
+    let count = (time.as_secs_f64() * f64::from(rate)) as usize;
+    let gateway = cluster.instances[0].gateway;
+    let mut interval = tokio::time::interval(Duration::from_secs(1) / rate);
+    let mut calls = JoinSet::new();
+    for number in 0..count {
+        interval.tick().await;
+        let http = http.clone();
+        calls.spawn(async move {
+            let start = Instant::now();
+            let is_whole = call(&http, gateway, number).await.unwrap_or(false);
+            (is_whole, start.elapsed())
+        });
+    }
+    let calls = calls.join_all().await;
+    let after = cluster.usage()?;
+    let whole = calls.iter().filter(|(is_whole, _)| *is_whole).count();
+    let mut times: Vec<Duration> = calls.into_iter().map(|(_, time)| time).collect();
+    let cost = |before: &Usage, after: &Usage| {
+        (after.cpu_seconds - before.cpu_seconds) * 1000.0 / count as f64
+    };
+    println!(
+        "{:6} {:6.2} {:5.1} {:5.1} {:14.3} {:17.3} {:10.1} {:13.1}",
+        rate,
+        100.0 * whole as f64 / count as f64,
+        millis(quantile(&mut times, 0.5)),
+        millis(quantile(&mut times, 0.95)),
+        cost(&before.gateways, &after.gateways),
+        cost(&before.dispatchers, &after.dispatchers),
+        after.gateways.largest_mb,
+        after.dispatchers.largest_mb,
+    );
+    Ok(())
+}
+
+fn quantile(times: &mut [Duration], share: f64) -> Duration {
+    times.sort_unstable();
+    let idx = (times.len() as f64 * share) as usize;
+    times.get(idx).copied().unwrap_or_default()
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1000.0
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores: the demonstration and the checks of CI.
 
+mod bench;
 mod ci;
 mod demo;
 mod measure;
@@ -16,6 +17,7 @@
   measure SCENARIO
          policies against simpler ones: calm, burst, slow-upstream, zone-drain,
          zone-loss, store-outage, flood
+  bench  what the processes add to a stage, and what a request costs them
   slopes cost of control by number of instances
   soak [--seed N] [--runs M]
          M random fault schedules from seed N on
@@ -38,6 +40,7 @@
     match args.subcommand()?.as_deref() {
         Some("demo") => demo::run(),
         Some("ci") => ci::run(),
+        Some("bench") => bench::run(),
         Some("slopes") => slopes::run(),
         Some("measure") => measure::run(args.free_from_str()?),
         Some("soak") => {
