--- a/crates/claims/src/batch.rs
+++ b/crates/claims/src/batch.rs
@@ -11,6 +11,7 @@
 use table::Op;
 use table::Platform;
 use table::Row;
+use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -37,17 +38,30 @@
     done: oneshot::Sender<Outcome>,
 }
 
-/// Handle to the gathering task; cheap to clone.
+/// Writes that are gathered; cheap to clone.
 #[derive(Clone)]
 pub struct Batch {
+    platform: Arc<dyn Platform>,
     jobs: mpsc::Sender<Job>,
+    queue: Arc<Mutex<mpsc::Receiver<Job>>>,
 }
 
 impl Batch {
-    /// Creates a handle and the task that serves it; the caller supervises the task.
-    pub fn new(platform: Arc<dyn Platform>) -> (Batch, impl Future<Output = ()> + Send) {
+    /// A batch whose writes go out while [`Batch::serve`] runs.
+    #[must_use]
+    pub fn new(platform: Arc<dyn Platform>) -> Batch {
         let (jobs, queue) = mpsc::channel(QUEUE);
-        (Batch { jobs }, serve(platform, queue))
+        Batch {
+            platform,
+            jobs,
+            queue: Arc::new(Mutex::new(queue)),
+        }
+    }
+
+    /// Gathers and commits writes until it is dropped. A supervisor may start it again.
+    pub async fn serve(self) {
+        let mut queue = self.queue.lock().await;
+        serve(self.platform.clone(), &mut queue).await;
     }
 
     /// Writes `op` with others.
@@ -64,7 +78,7 @@
     }
 }
 
-async fn serve(platform: Arc<dyn Platform>, mut queue: mpsc::Receiver<Job>) {
+async fn serve(platform: Arc<dyn Platform>, queue: &mut mpsc::Receiver<Job>) {
     // Transactions overlap, so a slow one does not hold the next batch up.
     let mut commits = tokio::task::JoinSet::new();
     while let Some(first) = queue.recv().await {
--- a/crates/dispatcher/src/bin/catkinvane-dispatcher.rs
+++ b/crates/dispatcher/src/bin/catkinvane-dispatcher.rs
@@ -1,6 +1,5 @@
 //! The dispatcher daemon.
 
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -9,7 +8,6 @@
 use config::settings;
 use dispatcher::Node;
 use dispatcher::tasks;
-use eyre::WrapErr;
 use supervisor::Restart;
 use supervisor::Supervisor;
 use telemetry::Telemetry;
@@ -32,30 +30,7 @@
 const LINGER: Duration = Duration::from_millis(1500);
 
 fn main() -> eyre::Result<()> {
-    let mut args = pico_args::Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
-    }
-    let is_check = args.contains("--check");
-    let path: PathBuf = args.value_from_str("--settings")?;
-    let text = std::fs::read_to_string(&path).wrap_err_with(|| path.display().to_string())?;
-    let settings = match settings::dispatcher(&text) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in &faults {
-                eprintln!("{}:{fault}", path.display());
-            }
-            eyre::bail!("{} faults in {}", faults.len(), path.display());
-        }
-    };
-    if is_check {
-        return Ok(());
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(serve(settings))
+    supervisor::daemon::run(HELP, settings::dispatcher, serve)
 }
 
 async fn serve(settings: settings::Dispatcher) -> eyre::Result<()> {
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -87,6 +87,12 @@
     retired: Vec<Telemetry>,
 }
 
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.net.close();
+    }
+}
+
 /// What an instance is made of.
 #[derive(Clone)]
 struct Seat {
@@ -202,8 +208,8 @@
     ) -> Arc<Runner> {
         let peer = self.net.peer(seat.address, process.clone());
         let platform = self.store.client(process.clone());
-        let (batch, batch_task) = Batch::new(platform.clone());
-        process.spawn(batch_task);
+        let batch = Batch::new(platform.clone());
+        process.spawn(batch.clone().serve());
         let holder = Holder {
             instance: seat.name.clone(),
             incarnation,
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -63,6 +63,11 @@
         cuts.insert((b, a));
     }
 
+    /// Takes every server off. Servers hold the network, so it would never be freed otherwise.
+    pub fn close(&self) {
+        lock(&self.endpoints).clear();
+    }
+
     /// Heals every cut.
     pub fn heal(&self) {
         lock(&self.cuts).clear();
--- a/crates/gateway/src/bin/catkinvane-gateway.rs
+++ b/crates/gateway/src/bin/catkinvane-gateway.rs
@@ -1,6 +1,6 @@
 //! The gateway daemon.
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -11,7 +11,6 @@
 use claims::batch::Batch;
 use claims::row::Holder;
 use config::settings;
-use eyre::WrapErr;
 use gateway::Gateway;
 use pipeline::Runner;
 use pipeline::View;
@@ -33,34 +32,13 @@
   --check          check the settings and exit
 ";
 
+/// Interval at which events are passed on to the dispatcher.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between telling the balancer and closing the listener.
 const LINGER: Duration = Duration::from_secs(1);
 
 fn main() -> eyre::Result<()> {
-    let mut args = pico_args::Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
-    }
-    let is_check = args.contains("--check");
-    let path: PathBuf = args.value_from_str("--settings")?;
-    let text = std::fs::read_to_string(&path).wrap_err_with(|| path.display().to_string())?;
-    let settings = match settings::gateway(&text) {
-        Ok(settings) => settings,
-        Err(faults) => {
-            for fault in &faults {
-                eprintln!("{}:{fault}", path.display());
-            }
-            eyre::bail!("{} faults in {}", faults.len(), path.display());
-        }
-    };
-    if is_check {
-        return Ok(());
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(serve(settings))
+    supervisor::daemon::run(HELP, settings::gateway, serve)
 }
 
 async fn serve(settings: settings::Gateway) -> eyre::Result<()> {
@@ -69,13 +47,12 @@
     let keys = wire::keys::load(&common.tls)?;
     let peer: Arc<dyn Peer> = Arc::new(wire::quic::Client::new(&keys, settings.dispatcher)?);
     let platform = Arc::new(table::http::Client::new(common.platform)?);
-    let (batch, batch_task) = Batch::new(platform.clone());
-    let batch_task = tokio::spawn(batch_task);
+    let batch = Batch::new(platform.clone());
     let holder = holder(common.instance.clone());
     let view = watch::Sender::new(Arc::new(View::empty()));
     let runner = Runner::builder()
         .peer(peer.clone())
-        .book(Book::new(platform, batch, holder.clone()))
+        .book(Book::new(platform, batch.clone(), holder.clone()))
         .telemetry(telemetry.clone())
         .zone(common.zone.clone())
         .view(view.subscribe())
@@ -96,13 +73,18 @@
     let serving = tokio::spawn(server.try_serve(service));
 
     let mut supervisor = Supervisor::new(telemetry.clone());
-    let follow = (peer, settings.dispatcher, view, telemetry.clone());
+    let follow = (peer.clone(), settings.dispatcher, view, telemetry.clone());
     let incarnation = holder.incarnation;
     supervisor.spawn("follow", Restart::Always, move || {
         let (peer, dispatcher, view, telemetry) = follow.clone();
         pipeline::follow(peer, dispatcher, incarnation, view, telemetry)
     });
-    let reporter = follow_timeline(telemetry.clone(), settings.dispatcher, common)?;
+    supervisor.spawn("claims", Restart::Always, move || batch.clone().serve());
+    let reporter = Reporter {
+        telemetry: telemetry.clone(),
+        dispatcher: settings.dispatcher,
+        peer: peer.clone(),
+    };
     supervisor.spawn("timeline", Restart::Always, move || reporter.clone().run());
 
     let signals = supervisor::signals()?;
@@ -120,7 +102,6 @@
         }
     };
     supervisor.run(stop).await?;
-    batch_task.abort();
     telemetry.event(Event::new(Kind::Stopped));
     Ok(())
 }
@@ -137,27 +118,14 @@
 #[derive(Clone)]
 struct Reporter {
     telemetry: Telemetry,
-    dispatcher: std::net::SocketAddr,
+    dispatcher: SocketAddr,
     peer: Arc<dyn Peer>,
 }
 
-fn follow_timeline(
-    telemetry: Telemetry,
-    dispatcher: std::net::SocketAddr,
-    common: &settings::Common,
-) -> eyre::Result<Reporter> {
-    let keys = wire::keys::load(&common.tls)?;
-    Ok(Reporter {
-        telemetry,
-        dispatcher,
-        peer: Arc::new(wire::quic::Client::new(&keys, dispatcher)?),
-    })
-}
-
 impl Reporter {
     async fn run(self) {
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            tokio::time::sleep(REPORT_INTERVAL).await;
             let events = self.telemetry.recorder().take_unsent();
             if events.is_empty() {
                 continue;
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -47,4 +47,6 @@
     pub warm_limit: u32,
     /// Whole answers after which it is warm.
     pub warm_after: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing: bool,
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -1,6 +1,7 @@
 //! State that engines and plain services share: load, warmth, faults and counts.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -14,11 +15,13 @@
 use salvo::Request;
 use salvo::Response;
 use salvo::Router;
+use salvo::http::StatusCode;
 use salvo::writing::Json;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::json;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::engine::Generate;
 use crate::fault;
@@ -28,6 +31,8 @@
 
 /// A body with this text crashes the upstream that runs it.
 pub const POISON: &str = "poison-pill";
+/// Lag of load reports.
+const REPORT_LAG: Duration = Duration::from_millis(500);
 /// Time for which an upstream that fell over refuses everything.
 const FALLEN: Duration = Duration::from_secs(2);
 const RESTART_POLL: Duration = Duration::from_millis(50);
@@ -56,9 +61,62 @@
     in_flight: u32,
     epoch: u64,
     answered_since_cold: u32,
-    fallen_until: Option<tokio::time::Instant>,
+    fallen_until: Option<Instant>,
     faults: fault::Upstream,
     stats: Stats,
+    orders: Orders,
+    /// Load at each change, for reports that lag.
+    history: VecDeque<(Instant, u32)>,
+}
+
+/// Orders that an upstream has taken.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Highest fencing number seen.
+    pub fence: u64,
+    /// Wanted state of the latest order, such as model, adapter, version and role.
+    pub state: BTreeMap<String, String>,
+    /// Orders refused for an old fencing number.
+    pub refused: u64,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Order {
+    fence: u64,
+    set: BTreeMap<String, String>,
+}
+
+impl Inner {
+    fn note_load(&mut self) {
+        let now = Instant::now();
+        self.history.push_back((now, self.in_flight));
+        while self.history.len() > 1 && now - self.history[1].0 > REPORT_LAG {
+            self.history.pop_front();
+        }
+    }
+
+    /// Load as it was a lag ago.
+    fn lagging_load(&self) -> u32 {
+        let past = self
+            .history
+            .iter()
+            .rev()
+            .find(|(at, _)| at.elapsed() >= REPORT_LAG);
+        past.map_or(0, |(_, in_flight)| *in_flight)
+    }
+
+    /// Takes an order; returns whether it was not refused.
+    fn order(&mut self, order: Order, checks_fencing: bool) -> bool {
+        if checks_fencing && order.fence < self.orders.fence {
+            self.orders.refused += 1;
+            return false;
+        }
+        self.orders.fence = self.orders.fence.max(order.fence);
+        self.orders.state.extend(order.set);
+        true
+    }
 }
 
 /// One upstream.
@@ -108,7 +166,7 @@
     /// Begins a call; `None` when the upstream cannot bear it.
     pub fn begin(self: &Arc<Upstream>, key: Option<&str>) -> Option<Flight> {
         let mut inner = self.lock();
-        let now = tokio::time::Instant::now();
+        let now = Instant::now();
         if inner.fallen_until.is_some_and(|until| now < until) {
             return None;
         }
@@ -125,6 +183,7 @@
             return None;
         }
         inner.in_flight = in_flight;
+        inner.note_load();
         inner.stats.started += 1;
         inner.stats.max_in_flight = inner.stats.max_in_flight.max(in_flight);
         if is_cold {
@@ -204,7 +263,13 @@
     }
 
     fn router(self: &Arc<Upstream>) -> Router {
-        let router = Router::new().push(Router::with_path("load").get(Load(self.clone())));
+        let router = Router::new()
+            .push(Router::with_path("load").get(Load(self.clone())))
+            .push(
+                Router::with_path("orders")
+                    .post(TakeOrder(self.clone()))
+                    .get(ShowOrders(self.clone())),
+            );
         match self.settings.kind {
             Kind::Engine => {
                 router.push(Router::with_path("v1/chat/completions").post(Generate(self.clone())))
@@ -227,6 +292,7 @@
     fn drop(&mut self) {
         let mut inner = self.upstream.lock();
         inner.in_flight = inner.in_flight.saturating_sub(1);
+        inner.note_load();
     }
 }
 
@@ -243,13 +309,54 @@
     ) {
         let inner = self.0.lock();
         response.render(Json(json!({
-            "in_flight": inner.in_flight,
+            "in_flight": inner.lagging_load(),
             "epoch": inner.epoch,
-            "age_ms": 0,
+            "age_ms": REPORT_LAG.as_millis() as u64,
         })));
     }
 }
 
+struct TakeOrder(Arc<Upstream>);
+
+#[salvo::async_trait]
+impl Handler for TakeOrder {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let payload = request.payload().await.ok();
+        let order = payload.and_then(|it| serde_json::from_slice::<Order>(it).ok());
+        let Some(order) = order else {
+            response.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let checks_fencing = self.0.settings.checks_fencing;
+        let is_taken = self.0.lock().order(order, checks_fencing);
+        response.status_code(match is_taken {
+            true => StatusCode::NO_CONTENT,
+            false => StatusCode::CONFLICT,
+        });
+    }
+}
+
+struct ShowOrders(Arc<Upstream>);
+
+#[salvo::async_trait]
+impl Handler for ShowOrders {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        response.render(Json(self.0.lock().orders.clone()));
+    }
+}
+
 /// The attempt id to echo.
 pub(crate) fn echo(upstream: &Upstream, request: &Request, response: &mut Response) {
     let header = request.headers().get("x-attempt-id").cloned();
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -3,6 +3,8 @@
 //! A supervisor owns its tasks. A task that ends although it should run is restarted after a
 //! delay; too many restarts within a window end the supervisor, which its parent observes.
 
+pub mod daemon;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::time::Duration;
--- a/crates/testbed/src/cluster.rs
+++ b/crates/testbed/src/cluster.rs
@@ -1,11 +1,14 @@
 //! A small deployment of real processes on loopback.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -354,10 +357,17 @@
     fault.map_or_else(|| eyre::eyre!("unknown fault"), eyre::Report::new)
 }
 
-/// An address that was free a moment ago.
+/// An address that was free a moment ago and was not given out before: the kernel may offer a port
+/// again as soon as it is closed.
 fn free_address() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?)
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        if given.insert(address.port()) {
+            return Ok(address);
+        }
+    }
 }
 
 fn standin_settings(
@@ -406,5 +416,6 @@
         cold_limit: service.cold_limit,
         warm_limit: service.ceiling,
         warm_after: 4,
+        checks_fencing: service.checks_fencing,
     }
 }
--- a/crates/testbed/tests/it/main.rs
+++ b/crates/testbed/tests/it/main.rs
@@ -29,8 +29,12 @@
     let cluster = cluster.expect("the deployment starts; build the binaries first");
     cluster.apply().expect("the example is accepted");
     cluster
-        .wait_for_upstreams()
-        .await
-        .expect("upstreams are ready");
+}
+
+/// Like [`start`], and waits until no upstream waits for the calls of an unknown earlier owner.
+async fn start_ready(name: &str) -> Cluster {
+    let cluster = start(name).await;
+    let ready = cluster.wait_for_upstreams().await;
+    ready.expect("upstreams are ready");
     cluster
 }
--- a/crates/testbed/tests/it/operators.rs
+++ b/crates/testbed/tests/it/operators.rs
@@ -38,3 +38,28 @@
 fn path(cluster: &testbed::Cluster) -> String {
     cluster.configuration().display().to_string()
 }
+
+#[tokio::test]
+async fn a_stand_in_refuses_old_orders_only_if_it_checks_fencing() {
+    let _turn = turn().lock().await;
+    let cluster = start("orders").await;
+    let http = reqwest::Client::new();
+    let mut upstreams = cluster.deployment.upstreams();
+    let engine = upstreams
+        .find(|(it, _)| it.checks_fencing)
+        .expect("an engine that checks");
+    let plain = upstreams
+        .find(|(it, _)| !it.checks_fencing)
+        .expect("one that does not");
+    for ((_, upstream), expected) in [(engine, 409), (plain, 204)] {
+        let url = format!("http://{}/orders", upstream.address);
+        let order = |fence: u64, model: &str| {
+            let body = serde_json::json!({"fence": fence, "set": {"model": model}});
+            http.post(&url).json(&body).send()
+        };
+        let new = order(2, "new").await.expect("an answer");
+        assert_eq!(new.status().as_u16(), 204);
+        let old = order(1, "old").await.expect("an answer");
+        assert_eq!(old.status().as_u16(), expected);
+    }
+}
--- a/crates/testbed/tests/it/signals.rs
+++ b/crates/testbed/tests/it/signals.rs
@@ -8,13 +8,13 @@
 use standin::fault;
 use testbed::load::Load;
 
-use crate::start;
+use crate::start_ready;
 use crate::turn;
 
 #[tokio::test]
 async fn no_payment_runs_twice_through_kills_and_freezes() {
     let _turn = turn().lock().await;
-    let mut cluster = start("signals").await;
+    let mut cluster = start_ready("signals").await;
     let gateways: Vec<_> = cluster.instances.iter().map(|it| it.gateway).collect();
     let load = Load::start(gateways.clone());
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -48,7 +48,7 @@
 #[tokio::test]
 async fn a_terminated_instance_cuts_no_stream() {
     let _turn = turn().lock().await;
-    let mut cluster = start("terminate").await;
+    let mut cluster = start_ready("terminate").await;
     let http = reqwest::Client::new();
     let gateway = cluster.instances[0].gateway;
     let chat = tokio::spawn(async move { testbed::load::chat(&http, gateway, "long", 100).await });
@@ -64,7 +64,7 @@
 #[tokio::test]
 async fn an_outcome_can_be_asked_for() {
     let _turn = turn().lock().await;
-    let cluster = start("outcomes").await;
+    let cluster = start_ready("outcomes").await;
     let http = reqwest::Client::new();
     let gateway = cluster.instances[0].gateway;
     let outcome = |key: &str| {
