--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -5,8 +5,8 @@
 //! afterwards. This crate knows the table and nothing of upstreams.
 
 pub mod batch;
-pub mod book;
+pub mod registry;
 pub mod row;
 
-pub use book::Book;
+pub use registry::Registry;
 pub use row::Claim;
--- a/crates/claims/src/book.rs
+++ b/crates/claims/src/registry.rs
@@ -61,17 +61,17 @@
 
 /// The claims of one gateway; cheap to clone.
 #[derive(Clone)]
-pub struct Book {
+pub struct Registry {
     platform: Arc<dyn Platform>,
     batch: Batch,
     holder: Holder,
 }
 
-impl Book {
+impl Registry {
     /// Claims on `platform` on behalf of `holder`.
     #[must_use]
-    pub fn new(platform: Arc<dyn Platform>, batch: Batch, holder: Holder) -> Book {
-        Book {
+    pub fn new(platform: Arc<dyn Platform>, batch: Batch, holder: Holder) -> Registry {
+        Registry {
             platform,
             batch,
             holder,
@@ -262,8 +262,8 @@
     }
 
     fn release_later(&self, name: Name, token: id::Token) {
-        let book = self.clone();
-        tokio::spawn(async move { book.delete_own(name, token).await });
+        let registry = self.clone();
+        tokio::spawn(async move { registry.delete_own(name, token).await });
     }
 
     /// Deletes the row if it belongs to `token` and still runs.
--- a/crates/dispatcher/src/dispatching.rs
+++ b/crates/dispatcher/src/dispatching.rs
@@ -47,7 +47,7 @@
 }
 
 /// What a dispatch needs once it may be sent.
-struct Flight<'a> {
+struct InFlight<'a> {
     owned: &'a Owned,
     dispatch: &'a Dispatch,
     target: Target,
@@ -82,7 +82,7 @@
         if replies.send(progress(Progress::Sent)).await.is_err() {
             return;
         }
-        let flight = Flight {
+        let flight = InFlight {
             owned: &owned,
             dispatch: &dispatch,
             target,
@@ -92,7 +92,7 @@
             },
             replies: &replies,
         };
-        self.fly(flight, permit).await;
+        self.run_call(flight, permit).await;
         self.hand_over_rest(&owned);
     }
 
@@ -183,7 +183,7 @@
         let _ = replies.send(progress(Progress::Refused(refusal))).await;
     }
 
-    async fn fly(&self, flight: Flight<'_>, permit: Permit<'_>) {
+    async fn run_call(&self, flight: InFlight<'_>, permit: Permit<'_>) {
         let dispatch = flight.dispatch;
         let sent = Event::new(Kind::Sent)
             .trace(dispatch.trace)
@@ -216,7 +216,7 @@
     }
 
     /// Makes the call. An answer that is not waited for is handed back.
-    async fn call(&self, flight: &Flight<'_>, pieces: &mut u32) -> (Ended, Option<Answer>) {
+    async fn call(&self, flight: &InFlight<'_>, pieces: &mut u32) -> (Ended, Option<Answer>) {
         let dispatch = flight.dispatch;
         let call = Call {
             attempt: dispatch.attempt,
@@ -252,7 +252,7 @@
     }
 
     /// Moves the pieces of an answer to the asker.
-    async fn pump(&self, flight: &Flight<'_>, mut answer: Answer, pieces: &mut u32) -> Ended {
+    async fn pump(&self, flight: &InFlight<'_>, mut answer: Answer, pieces: &mut u32) -> Ended {
         let dispatch = flight.dispatch;
         invariant::check(
             Invariant::AnswerMatchesAttempt,
@@ -282,7 +282,7 @@
     }
 
     /// Tells the asker how the call ended and keeps the evidence of a crash.
-    async fn conclude(&self, flight: &Flight<'_>, ended: Ended) {
+    async fn conclude(&self, flight: &InFlight<'_>, ended: Ended) {
         let dispatch = flight.dispatch;
         let load = flight.owned.load();
         let (kind, last) = match ended {
@@ -332,12 +332,12 @@
     }
 
     /// A cut connection to an upstream that still listens is not a crash.
-    async fn is_down(&self, flight: &Flight<'_>) -> bool {
+    async fn is_down(&self, flight: &InFlight<'_>) -> bool {
         !self.upstreams.probe(flight.target).await
     }
 
     /// Counts a crash against the request that was running.
-    fn note_crash(&self, flight: &Flight<'_>) {
+    fn note_crash(&self, flight: &InFlight<'_>) {
         let fingerprint = flight.dispatch.fingerprint;
         let crash = Crash {
             fingerprint,
--- a/crates/fakes/src/cluster.rs
+++ b/crates/fakes/src/cluster.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base::id;
-use claims::Book;
+use claims::Registry;
 use claims::batch::Batch;
 use claims::row::Holder;
 use dispatcher::Node;
@@ -95,7 +95,7 @@
 
 /// What an instance is made of.
 #[derive(Clone)]
-struct Seat {
+struct Spec {
     name: id::Instance,
     zone: id::Zone,
     address: SocketAddr,
@@ -130,12 +130,12 @@
             starts: 0,
             retired: Vec::new(),
         };
-        let seats = seats(&deployment.zones, per_zone);
+        let specs = specs(&deployment.zones, per_zone);
         cluster.store.set_listing(Listing {
-            instances: seats.iter().map(listed).collect(),
+            instances: specs.iter().map(listed).collect(),
         });
-        for seat in seats {
-            let instance = cluster.boot(seat);
+        for spec in specs {
+            let instance = cluster.boot(spec);
             cluster.instances.push(instance);
         }
         cluster.settle().await;
@@ -145,20 +145,20 @@
         cluster
     }
 
-    /// Starts both processes of a seat.
-    fn boot(&mut self, seat: Seat) -> Instance {
+    /// Starts both processes of a spec.
+    fn boot(&mut self, spec: Spec) -> Instance {
         self.starts += 1;
         let incarnation = self.starts;
         let dispatcher = Arc::new(Process::default());
         let gateway = Arc::new(Process::default());
-        let of_node = Telemetry::quiet_since(&format!("dispatcher@{}", seat.name), self.epoch);
-        let of_gateway = Telemetry::quiet_since(&format!("gateway@{}", seat.name), self.epoch);
-        let node = self.node(&seat, incarnation, &dispatcher, &of_node);
-        let runner = self.runner(&seat, incarnation, &gateway, &of_gateway);
+        let of_node = Telemetry::quiet_since(&format!("dispatcher@{}", spec.name), self.epoch);
+        let of_gateway = Telemetry::quiet_since(&format!("gateway@{}", spec.name), self.epoch);
+        let node = self.node(&spec, incarnation, &dispatcher, &of_node);
+        let runner = self.runner(&spec, incarnation, &gateway, &of_gateway);
         Instance {
-            name: seat.name,
-            zone: seat.zone,
-            address: seat.address,
+            name: spec.name,
+            zone: spec.zone,
+            address: spec.address,
             gateway,
             dispatcher,
             node,
@@ -170,17 +170,17 @@
 
     fn node(
         &self,
-        seat: &Seat,
+        spec: &Spec,
         incarnation: u64,
         process: &Arc<Process>,
         telemetry: &Telemetry,
     ) -> Arc<Node> {
         let node = Node::builder()
-            .instance(seat.name.clone())
-            .zone(seat.zone.clone())
-            .address(seat.address)
+            .instance(spec.name.clone())
+            .zone(spec.zone.clone())
+            .address(spec.address)
             .incarnation(incarnation)
-            .peer(self.net.peer(seat.address, process.clone()))
+            .peer(self.net.peer(spec.address, process.clone()))
             .platform(self.store.client(process.clone()))
             .upstreams(self.fleet.client(process.clone()))
             .telemetry(telemetry.clone())
@@ -188,7 +188,7 @@
             .seeds(self.instances.iter().map(|it| it.address).collect())
             .build();
         let node = Arc::new(node);
-        self.net.listen(seat.address, process.clone(), node.clone());
+        self.net.listen(spec.address, process.clone(), node.clone());
         process.spawn(tasks::heartbeats(node.clone()));
         process.spawn(tasks::configuration(node.clone()));
         process.spawn(tasks::fetches(node.clone()));
@@ -201,30 +201,30 @@
 
     fn runner(
         &mut self,
-        seat: &Seat,
+        spec: &Spec,
         incarnation: u64,
         process: &Arc<Process>,
         telemetry: &Telemetry,
     ) -> Arc<Runner> {
-        let peer = self.net.peer(seat.address, process.clone());
+        let peer = self.net.peer(spec.address, process.clone());
         let platform = self.store.client(process.clone());
         let batch = Batch::new(platform.clone());
         process.spawn(batch.clone().serve());
         let holder = Holder {
-            instance: seat.name.clone(),
+            instance: spec.name.clone(),
             incarnation,
         };
         let view = watch::Sender::new(Arc::new(View::empty()));
         let runner = Runner::builder()
             .peer(peer.clone())
-            .book(Book::new(platform, batch, holder))
+            .registry(Registry::new(platform, batch, holder))
             .telemetry(telemetry.clone())
-            .zone(seat.zone.clone())
+            .zone(spec.zone.clone())
             .view(view.subscribe())
             .seed(id::Token::random(&mut self.rng).0)
             .options(self.policies.options)
             .build();
-        let follow = pipeline::follow(peer, seat.address, incarnation, view, telemetry.clone());
+        let follow = pipeline::follow(peer, spec.address, incarnation, view, telemetry.clone());
         process.spawn(follow);
         Arc::new(runner)
     }
@@ -343,12 +343,12 @@
     pub fn restart(&mut self, idx: usize) {
         let old = &mut self.instances[idx];
         self.retired.append(&mut old.telemetries);
-        let seat = Seat {
+        let spec = Spec {
             name: old.name.clone(),
             zone: old.zone.clone(),
             address: old.address,
         };
-        self.instances[idx] = self.boot(seat);
+        self.instances[idx] = self.boot(spec);
     }
 
     /// Stops an instance gracefully: no new requests, then both processes end.
@@ -415,26 +415,26 @@
     }
 }
 
-fn seats(zones: &[id::Zone], per_zone: usize) -> Vec<Seat> {
-    let mut seats = Vec::new();
+fn specs(zones: &[id::Zone], per_zone: usize) -> Vec<Spec> {
+    let mut specs = Vec::new();
     for zone in zones {
         for number in 0..per_zone {
-            let port = 7001 + seats.len() as u16;
-            seats.push(Seat {
+            let port = 7001 + specs.len() as u16;
+            specs.push(Spec {
                 name: format!("{zone}-{number}").parse().expect("a name"),
                 zone: zone.clone(),
                 address: SocketAddr::from(([127, 0, 0, 1], port)),
             });
         }
     }
-    seats
+    specs
 }
 
-fn listed(seat: &Seat) -> Listed {
+fn listed(spec: &Spec) -> Listed {
     Listed {
-        instance: seat.name.clone(),
-        zone: seat.zone.clone(),
-        address: seat.address,
+        instance: spec.name.clone(),
+        zone: spec.zone.clone(),
+        address: spec.address,
         is_leaving: false,
     }
 }
--- a/crates/gateway/src/bin/catkinvane-gateway.rs
+++ b/crates/gateway/src/bin/catkinvane-gateway.rs
@@ -7,7 +7,7 @@
 use std::time::UNIX_EPOCH;
 
 use base::id;
-use claims::Book;
+use claims::Registry;
 use claims::batch::Batch;
 use claims::row::Holder;
 use config::settings;
@@ -52,7 +52,7 @@
     let view = watch::Sender::new(Arc::new(View::empty()));
     let runner = Runner::builder()
         .peer(peer.clone())
-        .book(Book::new(platform, batch.clone(), holder.clone()))
+        .registry(Registry::new(platform, batch.clone(), holder.clone()))
         .telemetry(telemetry.clone())
         .zone(common.zone.clone())
         .view(view.subscribe())
--- a/crates/gateway/src/chat.rs
+++ b/crates/gateway/src/chat.rs
@@ -2,6 +2,8 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use base::id;
 use futures_util::StreamExt;
@@ -105,10 +107,17 @@
     }
 }
 
+/// Seconds since the Unix epoch, which model clients expect in every answer.
+fn created() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_secs()
+}
+
 fn completion(trace: id::Trace, model: &id::Pipeline, result: &Value) -> Value {
     json!({
         "id": format!("chatcmpl-{trace}"),
         "object": "chat.completion",
+        "created": created(),
         "model": model.as_str(),
         "choices": [{
             "index": 0,
@@ -122,6 +131,7 @@
     let data = json!({
         "id": format!("chatcmpl-{trace}"),
         "object": "chat.completion.chunk",
+        "created": created(),
         "model": model.as_str(),
         "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
     });
--- a/crates/membership/src/node/detect.rs
+++ b/crates/membership/src/node/detect.rs
@@ -78,7 +78,7 @@
     }
 
     /// Declares members lost that more than half of their neighbours suspect.
-    pub(super) fn bury_lost(&mut self, now: Instant) {
+    pub(super) fn declare_lost(&mut self, now: Instant) {
         let suspects: BTreeSet<id::Instance> = self
             .suspicions
             .values()
--- a/crates/membership/src/node/exchange.rs
+++ b/crates/membership/src/node/exchange.rs
@@ -22,7 +22,7 @@
         }
         self.watch_neighbours(now);
         self.suspect_silent(now);
-        self.bury_lost(now);
+        self.declare_lost(now);
         let neighbours = self.neighbours.clone();
         self.send_to(neighbours, now)
     }
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Deadlines and stage budgets, choice of upstream, retries and hedges, resumed streams and
 //! at-most-once stages live here. The crate meets the outside only through [`wire::peer::Peer`] and
-//! [`claims::Book`]; it knows no HTTP.
+//! [`claims::Registry`]; it knows no HTTP.
 
 mod attempt;
 mod budget;
--- a/crates/pipeline/src/once.rs
+++ b/crates/pipeline/src/once.rs
@@ -7,9 +7,9 @@
 use base::id;
 use base::invariant;
 use base::invariant::Invariant;
-use claims::book;
-use claims::book::Found;
-use claims::book::Held;
+use claims::registry;
+use claims::registry::Found;
+use claims::registry::Held;
 use claims::row::Name;
 use telemetry::timeline::Event;
 use telemetry::timeline::Kind;
@@ -53,8 +53,8 @@
         let token = id::Token::random(&mut self.runner.knowledge().rng);
         let claim_by = Instant::now() + self.remaining().mul_f64(CLAIM_SHARE);
         loop {
-            let book = &self.runner.book;
-            let claimed = book.claim(name.clone(), digest, token, claim_by).await;
+            let registry = &self.runner.registry;
+            let claimed = registry.claim(name.clone(), digest, token, claim_by).await;
             let found = claimed.map_err(|failure| {
                 self.note_claim_failure(failure);
                 Error::Refused(NotRunReason::StoreDown, RETRY_AFTER_STORE)
@@ -84,7 +84,7 @@
         }
     }
 
-    fn note_claim_failure(&self, failure: book::Failure) {
+    fn note_claim_failure(&self, failure: registry::Failure) {
         let event = Event::new(Kind::Refused)
             .trace(self.trace)
             .with("stage", &self.name)
@@ -140,9 +140,9 @@
                 Ok(Attempted::Broken(_)) | Err(_) => {
                     self.charge(Cost::Failed);
                     let give_up = Instant::now() + RECORD_PATIENCE;
-                    let book = self.runner.book.clone();
+                    let registry = self.runner.registry.clone();
                     self.runner.in_background(async move {
-                        book.record_unknown(held, give_up).await;
+                        registry.record_unknown(held, give_up).await;
                     });
                     return Err(unknown());
                 }
@@ -153,10 +153,10 @@
     /// Records an answer. A slow store does not hold the caller up: the answer is whole already.
     async fn record(&self, held: Held, answer: String) {
         let give_up = Instant::now() + RECORD_PATIENCE;
-        let book = self.runner.book.clone();
+        let registry = self.runner.registry.clone();
         let telemetry = self.runner.telemetry.clone();
         self.runner.in_background(async move {
-            if !book.record(held, answer, give_up).await {
+            if !registry.record(held, answer, give_up).await {
                 telemetry.count("claims.unrecorded", 1);
             }
         });
@@ -164,7 +164,7 @@
 
     /// Releases the claim of a stage that was never sent.
     fn release(&self, held: Held, err: Error) -> Error {
-        self.runner.book.release(held);
+        self.runner.registry.release(held);
         err
     }
 }
--- a/crates/pipeline/src/run.rs
+++ b/crates/pipeline/src/run.rs
@@ -11,8 +11,8 @@
 use base::id;
 use base::rate::Bucket;
 use bon::bon;
-use claims::Book;
-use claims::book::Found;
+use claims::Registry;
+use claims::registry::Found;
 use claims::row::Name;
 use config::model;
 use serde_json::Value;
@@ -38,7 +38,7 @@
 use crate::shape;
 use crate::stage;
 use crate::stage::Cost;
-use crate::stages::Course;
+use crate::stages::Progress;
 use crate::stages::Stages;
 use crate::view::View;
 
@@ -70,7 +70,7 @@
 /// Runs requests on one instance.
 pub struct Runner {
     pub(crate) peer: Arc<dyn Peer>,
-    pub(crate) book: Book,
+    pub(crate) registry: Registry,
     pub(crate) telemetry: Telemetry,
     pub(crate) zone: id::Zone,
     pub(crate) options: Options,
@@ -104,7 +104,7 @@
     #[builder]
     pub fn new(
         peer: Arc<dyn Peer>,
-        book: Book,
+        registry: Registry,
         telemetry: Telemetry,
         zone: id::Zone,
         view: watch::Receiver<Arc<View>>,
@@ -113,7 +113,7 @@
     ) -> Runner {
         Runner {
             peer,
-            book,
+            registry,
             telemetry,
             zone,
             options,
@@ -238,7 +238,7 @@
         let deadline = Instant::now() + deadline;
         let life = life.admit();
         let has_once = shape::has_once(&view, &pipeline);
-        let mut course = Course {
+        let mut progress = Progress {
             results: BTreeMap::new(),
             is_replayed: false,
             once_left: shape::once_stages(&view, &pipeline).count(),
@@ -253,7 +253,7 @@
             sending: life.sending(),
             output,
         };
-        let run = stages.run(&mut course);
+        let run = stages.run(&mut progress);
         let ended = match tokio::time::timeout_at(deadline, run).await {
             Ok(ended) => ended,
             Err(_) => Err(stage::Error::Deadline),
@@ -261,9 +261,9 @@
         match ended {
             Ok(result) => Outcome::Answered(Answer {
                 result,
-                is_replayed: course.is_replayed,
+                is_replayed: progress.is_replayed,
             }),
-            Err(err) => conclude(life, err, &course),
+            Err(err) => conclude(life, err, &progress),
         }
     }
 
@@ -339,7 +339,7 @@
                 key: key.clone(),
                 stage: stage.name.clone(),
             };
-            recorded = match self.book.look(&name).await? {
+            recorded = match self.registry.look(&name).await? {
                 None => recorded,
                 Some(Found::Answered(answer)) => Recorded::Answered(answer),
                 Some(Found::Running(holder)) if view.is_live(&holder) => Recorded::Running,
@@ -351,11 +351,11 @@
 }
 
 /// Turns a stage's failure into what the caller learns.
-fn conclude(life: Life<Admitted>, err: stage::Error, course: &Course) -> Outcome {
+fn conclude(life: Life<Admitted>, err: stage::Error, progress: &Progress) -> Outcome {
     if let stage::Error::Broken(..) = err {
         life.sending().mark();
     }
-    let is_done = course.has_once && course.once_left == 0;
+    let is_done = progress.has_once && progress.once_left == 0;
     let executed = if is_done {
         Executed::Yes
     } else {
@@ -374,7 +374,7 @@
                 stage::Error::Refused(reason, retry_after) => {
                     (FailedReason::StageRefused(reason), retry_after)
                 }
-                stage::Error::Broken(_, retry_after) if course.has_once && !is_done => {
+                stage::Error::Broken(_, retry_after) if progress.has_once && !is_done => {
                     (FailedReason::OutcomeUnknown, retry_after)
                 }
                 stage::Error::Broken(_, retry_after) => (FailedReason::StageFailed, retry_after),
--- a/crates/pipeline/src/stages.rs
+++ b/crates/pipeline/src/stages.rs
@@ -41,7 +41,7 @@
 }
 
 /// What is known of a running request.
-pub(crate) struct Course {
+pub(crate) struct Progress {
     pub(crate) results: BTreeMap<id::Stage, Value>,
     pub(crate) is_replayed: bool,
     /// Non-idempotent stages that have not completed.
@@ -62,15 +62,18 @@
 
 impl Stages<'_> {
     /// Runs every stage as soon as those it needs are done; gives the last one's result.
-    pub(crate) async fn run(&self, course: &mut Course) -> Result<Value, stage::Error> {
+    pub(crate) async fn run(&self, progress: &mut Progress) -> Result<Value, stage::Error> {
         let mut running = FuturesUnordered::new();
         let mut started = vec![false; self.pipeline.stages.len()];
         loop {
             for (idx, stage) in self.pipeline.stages.iter().enumerate() {
-                let is_ready = stage.needs.iter().all(|it| course.results.contains_key(it));
+                let is_ready = stage
+                    .needs
+                    .iter()
+                    .all(|it| progress.results.contains_key(it));
                 if !started[idx] && is_ready {
                     started[idx] = true;
-                    let needs = needed(stage, &course.results);
+                    let needs = needed(stage, &progress.results);
                     running.push(self.stage(idx, stage, needs));
                 }
             }
@@ -83,14 +86,14 @@
             };
             let stage = &self.pipeline.stages[done.idx];
             let result = done.result?;
-            course.is_replayed |= done.is_replayed;
+            progress.is_replayed |= done.is_replayed;
             if shape::is_once(self.view, stage) {
-                course.once_left -= 1;
+                progress.once_left -= 1;
             }
             if done.idx + 1 == self.pipeline.stages.len() {
                 return Ok(result);
             }
-            course.results.insert(stage.name.clone(), result);
+            progress.results.insert(stage.name.clone(), result);
         }
     }
 
--- a/crates/xtask/src/slopes.rs
+++ b/crates/xtask/src/slopes.rs
@@ -12,8 +12,8 @@
 use wire::status::Status;
 
 /// Instances of each run.
-const SIZES: [usize; 5] = [7, 14, 28, 56, 112];
-const ZONES: usize = 7;
+const SIZES: [usize; 5] = [8, 16, 32, 64, 128];
+const ZONES: usize = 8;
 /// Upstreams for each instance, as in 600 before 350.
 const UPSTREAMS_PER_INSTANCE: f64 = 600.0 / 350.0;
 const CALM: Duration = Duration::from_secs(60);
