Compare whole answers, and drop invariants that nothing could violate

Cause: read as a newcomer, `many_callers_at_once_get_their_own_answers` only counted words, so another caller's answer would have passed, although docs/TESTING.md names it as a proof. Two program invariants proved nothing: `StreamContiguous` was never checked, and `ClaimBeforeSend` compared a value that its caller had just chosen; that only a claimed stage is sent is carried by the type of `Held`. `Executed::and` had no caller.

Change: the test compares each answer token by token with the one that its own prompt must give; the dead code is gone.

Ruled out: that answers were wrong all along.

Conclusion: the check can fail now, and nothing was loosened.

--- a/crates/base/src/executed.rs
+++ b/crates/base/src/executed.rs
@@ -17,15 +17,3 @@
     /// At least one upstream may have run the request.
     Unknown,
 }
-
-impl Executed {
-    /// Combines the outcomes of two parts of one request; the less certain one wins.
-    #[must_use]
-    pub fn and(self, other: Executed) -> Executed {
-        match (self, other) {
-            (Executed::No, Executed::No) => Executed::No,
-            (Executed::Yes, Executed::Yes) => Executed::Yes,
-            _ => Executed::Unknown,
-        }
-    }
-}
--- a/crates/base/src/invariant.rs
+++ b/crates/base/src/invariant.rs
@@ -18,10 +18,6 @@
     NotRunNeverSent,
     /// The configuration version in force never decreases.
     ConfigNeverReverts,
-    /// Only a claimed attempt of a non-idempotent stage is sent.
-    ClaimBeforeSend,
-    /// A stream delivers its pieces in order and without gaps.
-    StreamContiguous,
 }
 
 static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
--- a/crates/fakes/tests/it/streams.rs
+++ b/crates/fakes/tests/it/streams.rs
@@ -85,10 +85,12 @@
         }
         for (input, running) in running {
             let result = whole(running.await.expect("the task ends"));
-            let prefix = input.as_str().expect("a text").to_owned();
-            let text = result.as_str().expect("a text");
-            let is_own = (0..cluster.instances.len()).any(|_| text.split(' ').count() == 21);
-            assert!(is_own, "{prefix}: {text}");
+            let prompt = input.as_str().expect("a text");
+            let is_own = ["encoder-a", "encoder-b", "encoder-c"].iter().any(|by| {
+                let encoded = json!({"encode": {"by": by, "input": prompt, "key": null}});
+                result == expected(&format!("{prompt}\n\n{encoded}"))
+            });
+            assert!(is_own, "{prompt}: {result}");
         }
     }
 
--- a/crates/pipeline/src/once.rs
+++ b/crates/pipeline/src/once.rs
@@ -5,8 +5,6 @@
 
 use base::Executed;
 use base::id;
-use base::invariant;
-use base::invariant::Invariant;
 use claims::registry;
 use claims::registry::Found;
 use claims::registry::Held;
@@ -109,7 +107,6 @@
             .trace(self.trace)
             .with("stage", &self.name);
         self.runner.telemetry.event(event);
-        invariant::check(Invariant::ClaimBeforeSend, !self.service.idempotent);
         let start = Instant::now();
         let mut tries = Tries::new();
         loop {
