--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,22 @@
+//! What operators and the service registry say: routes, services, workspaces, upstreams, members.
+//!
+//! [`Catalog`] is one version of the operators' configuration, [`View`] everything that a request
+//! is decided from. Both are immutable values; this crate performs no I/O and reads no clock.
+
+mod model;
+mod view;
+
+pub use model::Catalog;
+pub use model::Engine;
+pub use model::Kind;
+pub use model::Limits;
+pub use model::Pool;
+pub use model::Route;
+pub use model::Service;
+pub use model::Step;
+pub use model::Target;
+pub use model::Workspace;
+pub use view::Member;
+pub use view::Phase;
+pub use view::Upstream;
+pub use view::View;
--- /dev/null
+++ b/crates/forwarding/src/health.rs
@@ -0,0 +1,113 @@
+//! What this instance has seen of one upstream: failures, silence and speed.
+//!
+//! Health calls may pass while requests fail, so only the outcome of requests counts.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// First pause after a failure to connect; a crashed upstream is back after some seconds.
+const PAUSE_MIN: Duration = Duration::from_millis(500);
+/// Longest pause, so that an upstream that is back is found within its clients' deadlines.
+const PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Weight of the newest outcome and time.
+const SAMPLE_WEIGHT: f64 = 0.25;
+/// Half-life of the memory of failures.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// An upstream with a request unanswered for this multiple of its usual time is taken for silent.
+const SILENCE_FACTOR: f64 = 5.0;
+/// Shortest time that counts as silence.
+const SILENCE_MIN: Duration = Duration::from_millis(600);
+
+/// What is known of one upstream.
+#[derive(Debug, Default)]
+pub struct Health {
+    /// Requests sent and not ended.
+    pub in_flight: u32,
+    pause: Option<Duration>,
+    paused_until: Option<Instant>,
+    failure_rate: f64,
+    sampled: Option<Instant>,
+    answer_time: Option<f64>,
+    /// Sending times of requests without a first byte of an answer.
+    unanswered: Vec<(u64, Instant)>,
+}
+
+impl Health {
+    /// Notes a send.
+    pub fn sent(&mut self, send: u64, now: Instant) {
+        self.in_flight += 1;
+        self.unanswered.push((send, now));
+    }
+
+    /// Notes the first byte of an answer.
+    pub fn answered(&mut self, send: u64, is_failure: bool, now: Instant) {
+        if let Some(idx) = self.unanswered.iter().position(|it| it.0 == send) {
+            let (_, sent) = self.unanswered.swap_remove(idx);
+            let took = now.saturating_duration_since(sent).as_secs_f64();
+            let before = self.answer_time.unwrap_or(took);
+            self.answer_time = Some(before + SAMPLE_WEIGHT * (took - before));
+        }
+        if !is_failure {
+            self.pause = None;
+            self.paused_until = None;
+        }
+        self.sample(is_failure, now);
+    }
+
+    /// Notes that a send broke, or got no answer in time.
+    pub fn broke(&mut self, send: u64, now: Instant) {
+        self.unanswered.retain(|it| it.0 != send);
+        self.sample(true, now);
+    }
+
+    /// Notes the end of a send, whatever came before.
+    pub fn ended(&mut self, send: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.unanswered.retain(|it| it.0 != send);
+    }
+
+    /// Notes that no connection could be made, or that another upstream has the address.
+    pub fn unreachable(&mut self, now: Instant) {
+        let pause = self.pause.map_or(PAUSE_MIN, |it| (it * 2).min(PAUSE_MAX));
+        self.pause = Some(pause);
+        self.paused_until = Some(now + pause);
+        self.sample(true, now);
+    }
+
+    /// Whether requests should go elsewhere for now.
+    #[must_use]
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|it| it > now) || self.is_silent(now)
+    }
+
+    /// Share of recent requests that failed.
+    #[must_use]
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let Some(sampled) = self.sampled else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(sampled).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Average time to the first byte of an answer, once there was one.
+    #[must_use]
+    pub fn answer_time(&self) -> Option<Duration> {
+        self.answer_time.map(Duration::from_secs_f64)
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        let usual = self.answer_time.unwrap_or_default() * SILENCE_FACTOR;
+        let limit = Duration::from_secs_f64(usual).max(SILENCE_MIN);
+        let oldest = self.unanswered.iter().map(|it| it.1).min();
+        oldest.is_some_and(|it| now.saturating_duration_since(it) > limit)
+    }
+
+    fn sample(&mut self, is_failure: bool, now: Instant) {
+        let before = self.failure_rate(now);
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        self.failure_rate = before + SAMPLE_WEIGHT * (sample - before);
+        self.sampled = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions about one request that is passed through to an upstream, and the limits that bind
+//! them.
+//!
+//! Each module is a state machine over a given time: nothing here performs I/O.
+
+pub mod choice;
+pub mod cold;
+pub mod health;
+pub mod life;
+pub mod poison;
+pub mod retry;
--- /dev/null
+++ b/crates/node/src/beliefs.rs
@@ -0,0 +1,195 @@
+//! The view that requests are decided from, kept up to date from mirrored rows.
+//!
+//! A registration that is deleted while the store is away may only have lapsed: its upstream is back
+//! within two seconds of the store's return, if it lives. Such upstreams stay in use for that time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::id;
+use catalog::View;
+use mirror::Row;
+use mirror::Table;
+use platform::rows;
+use platform::rows::OperatorKey;
+use tokio::time::Instant;
+
+/// Time after the store's return within which live upstreams are registered again.
+const LAPSE_HOLD: Duration = Duration::from_millis(2_100);
+
+/// What one row changed.
+#[derive(Clone, Debug, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Change {
+    /// A configuration came into force.
+    Configured(u64),
+    /// A row cannot be used; what was known before stays.
+    Unreadable(String),
+    /// An upstream was registered or changed.
+    Upstream(id::Upstream),
+    /// An upstream is gone.
+    UpstreamGone(id::Upstream),
+    /// A registration was deleted while the store was away.
+    UpstreamLapsed(id::Upstream),
+    /// A zone's upstreams get nothing.
+    Evacuated(id::Zone),
+    /// A zone is in use again.
+    Returned(id::Zone),
+    /// An instance of this system came or changed.
+    Member(id::Instance),
+    /// An instance of this system left.
+    MemberGone(id::Instance),
+}
+
+/// Beliefs and what they rest on.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    view: View,
+    lapsed: BTreeMap<id::Upstream, Instant>,
+    /// When the store answered again after it did not.
+    store_returned: Option<Instant>,
+    is_store_away: bool,
+}
+
+impl Beliefs {
+    /// The view.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::new(self.view.clone())
+    }
+
+    /// The store gave no answer; returns whether that is news.
+    pub fn store_lost(&mut self) -> bool {
+        let is_news = !self.is_store_away;
+        self.is_store_away = true;
+        is_news
+    }
+
+    /// The store answered; returns whether that is news.
+    pub fn store_answered(&mut self, now: Instant) -> bool {
+        if !self.is_store_away {
+            return false;
+        }
+        self.is_store_away = false;
+        self.store_returned = Some(now);
+        // The hold counts from the return, not from when the deletion was first seen.
+        for until in self.lapsed.values_mut() {
+            *until = now + LAPSE_HOLD;
+        }
+        true
+    }
+
+    /// Takes in rows that were news.
+    pub fn apply(&mut self, news: &[Row], now: Instant) -> Vec<Change> {
+        let changes = news.iter().filter_map(|it| self.apply_row(it, now));
+        changes.collect()
+    }
+
+    /// When a lapsed upstream is next taken for gone.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.lapsed.values().min().copied()
+    }
+
+    /// Drops the lapsed upstreams that were not registered again in time.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        if self.is_store_away {
+            return Vec::new();
+        }
+        let expired = self.lapsed.iter().filter(|(_, until)| **until <= now);
+        let expired: Vec<id::Upstream> = expired.map(|(name, _)| name.clone()).collect();
+        for name in &expired {
+            self.lapsed.remove(name);
+            self.view.upstreams.remove(name);
+        }
+        expired.into_iter().map(Change::UpstreamGone).collect()
+    }
+
+    fn apply_row(&mut self, row: &Row, now: Instant) -> Option<Change> {
+        self.view.version = self.view.version.max(row.version);
+        match row.table {
+            Table::Operators => self.apply_operator(row),
+            Table::Upstreams => self.apply_upstream(row, now),
+            Table::Members => self.apply_member(row),
+        }
+    }
+
+    fn apply_operator(&mut self, row: &Row) -> Option<Change> {
+        match rows::operator_key(&row.key) {
+            OperatorKey::Config => self.apply_config(row),
+            OperatorKey::Evacuation(zone) if row.value.is_some() => {
+                self.view.evacuated.insert(zone.clone());
+                Some(Change::Evacuated(zone))
+            }
+            OperatorKey::Evacuation(zone) => {
+                self.view.evacuated.remove(&zone);
+                Some(Change::Returned(zone))
+            }
+            OperatorKey::Other => None,
+        }
+    }
+
+    fn apply_config(&mut self, row: &Row) -> Option<Change> {
+        let value = row.value.as_deref()?;
+        let catalog = match rows::config(value) {
+            Ok(catalog) => catalog,
+            Err(err) => return Some(Change::Unreadable(format!("{}: {err}", row.key))),
+        };
+        let version = catalog.version;
+        let known = self.view.catalog.as_ref().map(|it| it.version);
+        if known.is_some_and(|it| it >= version) {
+            return None;
+        }
+        self.view.catalog = Some(Arc::new(catalog));
+        Some(Change::Configured(version))
+    }
+
+    fn apply_upstream(&mut self, row: &Row, now: Instant) -> Option<Change> {
+        let name: id::Upstream = row.key.parse().ok()?;
+        let Some(value) = row.value.as_deref() else {
+            return self.apply_deregistration(name, now);
+        };
+        let upstream = match rows::upstream(&row.key, row.version, value, now) {
+            Ok(upstream) => upstream,
+            Err(err) => {
+                // A registration that cannot be read names no upstream to use.
+                self.view.upstreams.remove(&name);
+                return Some(Change::Unreadable(format!("{}: {err}", row.key)));
+            }
+        };
+        self.lapsed.remove(&name);
+        self.view.upstreams.insert(name.clone(), Arc::new(upstream));
+        Some(Change::Upstream(name))
+    }
+
+    fn apply_deregistration(&mut self, name: id::Upstream, now: Instant) -> Option<Change> {
+        if !self.view.upstreams.contains_key(&name) {
+            return None;
+        }
+        let held_until = self.store_returned.map(|it| it + LAPSE_HOLD);
+        let held_until = held_until.filter(|it| *it > now);
+        if !self.is_store_away && held_until.is_none() {
+            self.view.upstreams.remove(&name);
+            return Some(Change::UpstreamGone(name));
+        }
+        let until = held_until.unwrap_or(now + LAPSE_HOLD);
+        self.lapsed.insert(name.clone(), until);
+        Some(Change::UpstreamLapsed(name))
+    }
+
+    fn apply_member(&mut self, row: &Row) -> Option<Change> {
+        let name = rows::member_name(&row.key)?;
+        let Some(value) = row.value.as_deref() else {
+            self.view.members.remove(&name);
+            return Some(Change::MemberGone(name));
+        };
+        match rows::member(name.clone(), value) {
+            Ok(member) => {
+                self.view.members.insert(name.clone(), Arc::new(member));
+                Some(Change::Member(name))
+            }
+            Err(err) => Some(Change::Unreadable(format!("{}: {err}", row.key))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/channel.rs
@@ -0,0 +1,257 @@
+//! HTTP/1.1 connections to upstreams.
+//!
+//! The product tells apart a request of which no byte was sent from one whose outcome is unknown,
+//! and forwards paths without normalising them. Neither can be had from a client that hides its
+//! connections, so requests run on bare `hyper` connections, kept in this pool.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// A new connection is given up after this time; between zones it takes 6 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Sent bytes that stay unacknowledged for this long end the connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle connections kept for one upstream.
+const IDLE_MAX: usize = 8;
+/// Idle connections are dropped after this time even where an upstream states a longer one: a kept
+/// connection may have gone silent.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Idle time where an upstream states none, which it does for less than a second.
+const IDLE_UNSTATED: Duration = Duration::from_millis(250);
+/// Part of an upstream's stated idle time within which a connection is used again.
+const KEEP_ALIVE_PART: f64 = 0.5;
+
+/// Why a request could not be sent, or got no answer.
+#[derive(Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Error {
+    /// No connection could be made.
+    Connect,
+    /// This instance's share of the upstream's connections is in use.
+    TooMany,
+    /// The connection had ended before any byte of the request was sent.
+    Unsent,
+    /// The connection broke after that.
+    Lost,
+}
+
+impl std::error::Error for Error {}
+
+struct Idle {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    since: Instant,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct Connections {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+    open: HashMap<SocketAddr, usize>,
+}
+
+/// Kept connections; cheap to clone.
+#[derive(Clone, Default)]
+pub struct Pool {
+    connections: Arc<Mutex<Connections>>,
+}
+
+/// A connection that serves one request. Dropping it closes the connection.
+pub struct Channel {
+    sender: Option<http1::SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+    address: SocketAddr,
+    pool: Pool,
+    /// Whether the connection has served a request before.
+    pub is_kept: bool,
+}
+
+impl Pool {
+    /// A connection to `address`: one idle for at most `idle_max`, or a new one while this
+    /// instance has fewer than `open_max`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be made.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        idle_max: Duration,
+        open_max: usize,
+    ) -> Result<Channel, Error> {
+        if let Some(channel) = self.take_idle(address, idle_max) {
+            return Ok(channel);
+        }
+        self.count_open(address, open_max)?;
+        let guard = OpenGuard {
+            pool: self.clone(),
+            address,
+        };
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| Error::Connect)?
+            .map_err(|_| Error::Connect)?;
+        configure(&stream).map_err(|_| Error::Connect)?;
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await.map_err(|_| Error::Connect)?;
+        let task = tokio::spawn(async move {
+            let _guard = guard;
+            // Errors reach the request through its sender.
+            let _ = connection.await;
+        });
+        Ok(Channel {
+            sender: Some(sender),
+            task: task.abort_handle(),
+            address,
+            pool: self.clone(),
+            is_kept: false,
+        })
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn expire(&self) {
+        let now = Instant::now();
+        let mut connections = self.lock();
+        for idle in connections.idle.values_mut() {
+            idle.retain(|it| {
+                let is_kept = it.until > now && !it.sender.is_closed();
+                if !is_kept {
+                    it.task.abort();
+                }
+                is_kept
+            });
+        }
+        connections.idle.retain(|_, it| !it.is_empty());
+    }
+
+    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<Channel> {
+        let now = Instant::now();
+        let mut connections = self.lock();
+        let idle = connections.idle.get_mut(&address)?;
+        while let Some(kept) = idle.pop() {
+            let is_fresh = now.saturating_duration_since(kept.since) <= idle_max;
+            if is_fresh && kept.until > now && kept.sender.is_ready() {
+                return Some(Channel {
+                    sender: Some(kept.sender),
+                    task: kept.task,
+                    address,
+                    pool: self.clone(),
+                    is_kept: true,
+                });
+            }
+            kept.task.abort();
+        }
+        None
+    }
+
+    fn count_open(&self, address: SocketAddr, open_max: usize) -> Result<(), Error> {
+        let mut connections = self.lock();
+        let open = connections.open.entry(address).or_default();
+        if *open >= open_max {
+            return Err(Error::TooMany);
+        }
+        *open += 1;
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Connections> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct OpenGuard {
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut connections = self.pool.lock();
+        if let Some(open) = connections.open.get_mut(&self.address) {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                connections.open.remove(&self.address);
+            }
+        }
+    }
+}
+
+impl Channel {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether any byte can have been sent.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let sender = self.sender.as_mut().ok_or(Error::Unsent)?;
+        sender.ready().await.map_err(|_| Error::Unsent)?;
+        sender.try_send_request(request).await.map_err(|mut err| {
+            if err.take_message().is_some() {
+                return Error::Unsent;
+            }
+            Error::Lost
+        })
+    }
+
+    /// Keeps the connection for another request after a whole answer.
+    pub async fn keep(mut self, stated: Option<Duration>) {
+        let Some(mut sender) = self.sender.take() else {
+            return;
+        };
+        // The connection is free once its task has seen the end of the body.
+        let is_ready = tokio::time::timeout(Duration::from_millis(20), sender.ready()).await;
+        if !matches!(is_ready, Ok(Ok(()))) {
+            self.task.abort();
+            return;
+        }
+        let now = Instant::now();
+        let stated = stated.map_or(IDLE_UNSTATED, |it| it.mul_f64(KEEP_ALIVE_PART));
+        let mut connections = self.pool.lock();
+        let idle = connections.idle.entry(self.address).or_default();
+        if idle.len() >= IDLE_MAX {
+            self.task.abort();
+            return;
+        }
+        idle.push(Idle {
+            sender,
+            task: self.task.clone(),
+            since: now,
+            until: now + stated.min(IDLE_TIMEOUT),
+        });
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        if self.sender.is_some() {
+            self.task.abort();
+        }
+    }
+}
+
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/crates/node/src/limits.rs
@@ -0,0 +1,130 @@
+//! Limits and evidence that all requests of this instance share.
+
+use std::collections::BTreeMap;
+
+use base::id;
+use catalog::Upstream;
+use catalog::View;
+use forwarding::choice::Candidate;
+use forwarding::cold;
+use forwarding::cold::Gate;
+use forwarding::health::Health;
+use forwarding::poison::Quarantine;
+use forwarding::retry;
+use forwarding::retry::Budget;
+use platform::settings::Bounds;
+use tokio::time::Instant;
+
+/// Limits and evidence.
+#[derive(Debug)]
+pub struct Limits {
+    bounds: Bounds,
+    budgets: BTreeMap<id::Service, Budget>,
+    gates: BTreeMap<id::Upstream, Gate>,
+    health: BTreeMap<id::Upstream, Health>,
+    /// Requests that crashed upstreams.
+    pub quarantine: Quarantine,
+    sends: u64,
+}
+
+impl Limits {
+    /// Limits under `bounds`, with no evidence.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Limits {
+        Limits {
+            bounds,
+            budgets: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            health: BTreeMap::new(),
+            quarantine: Quarantine::default(),
+            sends: 0,
+        }
+    }
+
+    /// Takes over changed bounds; budgets in use keep theirs until they are next created.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        if bounds != self.bounds {
+            self.bounds = bounds;
+            self.budgets.clear();
+        }
+    }
+
+    /// Notes a client's request for a service.
+    pub fn request(&mut self, service: &id::Service, now: Instant) {
+        self.budget(service).request(now);
+    }
+
+    /// Takes one repeated send to a service.
+    pub fn take_retry(&mut self, service: &id::Service, members: usize, now: Instant) -> bool {
+        self.budget(service).take(members, now)
+    }
+
+    /// What is known of an upstream.
+    pub fn health(&mut self, upstream: &id::Upstream) -> &mut Health {
+        self.health.entry(upstream.clone()).or_default()
+    }
+
+    /// Notes that a request is about to be sent; returns the number of the send.
+    pub fn sent(&mut self, upstream: &id::Upstream, now: Instant) -> u64 {
+        self.sends += 1;
+        let send = self.sends;
+        self.gates.entry(upstream.clone()).or_default().sent(now);
+        self.health(upstream).sent(send, now);
+        send
+    }
+
+    /// Whether the cold limit allows a request to an upstream now.
+    #[must_use]
+    pub fn is_open(&self, view: &View, upstream: &Upstream, now: Instant) -> bool {
+        let catalog = view.catalog.as_ref();
+        let service = catalog.and_then(|it| it.services.get(&upstream.service));
+        let Some(service) = service.filter(|it| it.cold_per_second > 0.0) else {
+            return true;
+        };
+        let bound = service.cold_per_second * self.bounds.cold_overshoot + self.bounds.cold_extra;
+        let members = view.members.len();
+        let gate = self.gates.get(&upstream.name);
+        gate.is_none_or(|it| it.is_open(cold::Bound(bound), members, now))
+    }
+
+    /// An upstream as a candidate; `zone` is the one that is best for the request.
+    pub fn candidate<'a>(
+        &mut self,
+        view: &View,
+        upstream: &'a Upstream,
+        zone: Option<&id::Zone>,
+        now: Instant,
+    ) -> Candidate<'a> {
+        let is_open = self.is_open(view, upstream, now);
+        let health = self.health(&upstream.name);
+        Candidate {
+            name: &upstream.name,
+            is_near: zone.is_none_or(|it| *it == upstream.zone),
+            is_paused: health.is_paused(now),
+            is_open,
+            in_flight: health.in_flight,
+            slots: upstream.slots,
+            failure_rate: health.failure_rate(now),
+            answer_time: health.answer_time(),
+        }
+    }
+
+    /// Forgets upstreams that are no longer registered.
+    pub fn retain(&mut self, view: &View) {
+        let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
+        self.gates.retain(|name, _| is_known(name));
+        self.health
+            .retain(|name, it| is_known(name) || it.in_flight > 0);
+    }
+
+    fn budget(&mut self, service: &id::Service) -> &mut Budget {
+        let bound = retry::Bound {
+            ratio: self.bounds.retry_ratio,
+            extra: self.bounds.retry_extra,
+            window: self.bounds.retry_window,
+        };
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(bound))
+    }
+}
--- /dev/null
+++ b/crates/node/src/owner.rs
@@ -0,0 +1,279 @@
+//! Drives the planner of this instance: sends its calls and reports their outcomes.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base::id;
+use catalog::View;
+use platform::steps;
+use stages::Call;
+use stages::Handle;
+use stages::Outcome;
+use stages::Plan;
+use stages::PlanId;
+use stages::Planner;
+use stages::Prepared;
+use stages::Refusal;
+use stages::Replica;
+use telemetry::Telemetry;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Results that are no longer needed are freed together, at most this late.
+const FREE_DELAY: Duration = Duration::from_millis(25);
+/// The driver looks at its queue at least this often.
+const IDLE_WAIT: Duration = Duration::from_secs(5);
+
+type Answer = Result<Prepared, Refusal>;
+
+#[derive(Default)]
+struct State {
+    planner: Planner,
+    waiters: HashMap<PlanId, oneshot::Sender<Answer>>,
+    addresses: BTreeMap<id::Upstream, SocketAddr>,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+    client: steps::Client,
+    telemetry: Telemetry,
+}
+
+/// Owner of step services; cheap to clone.
+#[derive(Clone)]
+pub struct Owner {
+    shared: Arc<Shared>,
+}
+
+/// A plan in progress, or its results. Dropping it cancels the plan and frees the results.
+pub struct Lease {
+    owner: Owner,
+    id: PlanId,
+    answer: oneshot::Receiver<Answer>,
+}
+
+enum Ended {
+    Call(u64, Outcome),
+    Freed,
+}
+
+impl Owner {
+    /// An owner that sends its calls by `client`.
+    #[must_use]
+    pub fn new(client: steps::Client, telemetry: Telemetry) -> Owner {
+        let shared = Shared {
+            state: Mutex::default(),
+            changed: Notify::new(),
+            client,
+            telemetry,
+        };
+        Owner {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Takes a plan on.
+    ///
+    /// # Errors
+    ///
+    /// Refuses at once what cannot end in time.
+    pub fn submit(&self, plan: Plan) -> Result<Lease, Refusal> {
+        let mut state = self.lock();
+        let id = state.planner.submit(plan, Instant::now())?;
+        let (sender, answer) = oneshot::channel();
+        state.waiters.insert(id, sender);
+        drop(state);
+        self.shared.changed.notify_one();
+        Ok(Lease {
+            owner: self.clone(),
+            id,
+            answer,
+        })
+    }
+
+    /// Takes over the services and upstreams of a view.
+    pub fn configure(&self, view: &View) {
+        let Some(catalog) = &view.catalog else {
+            return;
+        };
+        let now = Instant::now();
+        let mut state = self.lock();
+        for service in catalog.services.values() {
+            let Some(pool) = service.pool else {
+                continue;
+            };
+            let upstreams = view.upstreams.values();
+            let upstreams = upstreams.filter(|it| it.service == service.name);
+            let mut replicas = Vec::new();
+            for upstream in upstreams {
+                state
+                    .addresses
+                    .insert(upstream.name.clone(), upstream.address);
+                replicas.push(Replica {
+                    name: upstream.name.clone(),
+                    zone: upstream.zone.clone(),
+                    started_ms: upstream.started_ms,
+                    is_usable: view.is_usable(upstream),
+                });
+            }
+            state
+                .planner
+                .configure(&service.name, pool, replicas, now);
+        }
+        state
+            .addresses
+            .retain(|name, _| view.upstreams.contains_key(name));
+        drop(state);
+        self.shared.changed.notify_one();
+    }
+
+    /// Sends calls until cancelled.
+    pub async fn run(self) {
+        let mut tasks = JoinSet::new();
+        let mut unused: BTreeMap<id::Upstream, Vec<Handle>> = BTreeMap::new();
+        let mut free_at: Option<Instant> = None;
+        loop {
+            let now = Instant::now();
+            let wakes = self.step(&mut tasks, &mut unused, now);
+            if !unused.is_empty() && free_at.is_none() {
+                free_at = Some(now + FREE_DELAY);
+            }
+            if free_at.is_some_and(|it| it <= now) {
+                free_at = None;
+                self.free(&mut tasks, std::mem::take(&mut unused));
+            }
+            let until = [wakes, free_at].into_iter().flatten().min();
+            let until = until.unwrap_or(now + IDLE_WAIT).max(now);
+            tokio::select! {
+                biased;
+                Some(ended) = tasks.join_next() => {
+                    if let Ok(Ended::Call(id, outcome)) = ended {
+                        self.lock().planner.finish(id, outcome, Instant::now());
+                    }
+                }
+                () = self.shared.changed.notified() => {}
+                () = tokio::time::sleep_until(until) => {}
+            }
+        }
+    }
+
+    fn step(
+        &self,
+        tasks: &mut JoinSet<Ended>,
+        unused: &mut BTreeMap<id::Upstream, Vec<Handle>>,
+        now: Instant,
+    ) -> Option<Instant> {
+        let mut state = self.lock();
+        for call in state.planner.dispatch(now) {
+            let address = state.addresses.get(&call.upstream).copied();
+            self.send(tasks, call, address);
+        }
+        for (id, answer) in state.planner.take_ended() {
+            if let Some(waiter) = state.waiters.remove(&id) {
+                // A waiter that has gone releases its plan itself.
+                let _ = waiter.send(answer);
+            }
+        }
+        for (upstream, handle) in state.planner.take_unused() {
+            unused.entry(upstream).or_default().push(handle);
+        }
+        let telemetry = &self.shared.telemetry;
+        telemetry.gauge("owner.waiting", state.planner.waiting() as u64);
+        telemetry.gauge("owner.plans", state.planner.plans() as u64);
+        state.planner.wakes(now)
+    }
+
+    fn send(&self, tasks: &mut JoinSet<Ended>, call: Call, address: Option<SocketAddr>) {
+        let shared = self.shared.clone();
+        tasks.spawn(async move {
+            let Some(address) = address else {
+                return Ended::Call(call.id, Outcome::Unreachable);
+            };
+            let name = call.upstream.as_str();
+            let sent = Instant::now();
+            let client = &shared.client;
+            let outcome = client.run(address, name, &call.items, call.timeout).await;
+            log_call(&shared.telemetry, &call, &outcome, sent.elapsed());
+            Ended::Call(call.id, outcome)
+        });
+    }
+
+    fn free(&self, tasks: &mut JoinSet<Ended>, unused: BTreeMap<id::Upstream, Vec<Handle>>) {
+        for (upstream, handles) in unused {
+            let address = self.lock().addresses.get(&upstream).copied();
+            let Some(address) = address else {
+                continue;
+            };
+            let shared = self.shared.clone();
+            tasks.spawn(async move {
+                let is_freed = shared
+                    .client
+                    .free(address, upstream.as_str(), &handles)
+                    .await;
+                if !is_freed {
+                    slog::info!(shared.telemetry.logger(), "free_failed";
+                        "upstream" => upstream.as_str(), "results" => handles.len());
+                }
+                Ended::Freed
+            });
+        }
+    }
+
+    fn release(&self, id: PlanId) {
+        let mut state = self.lock();
+        state.waiters.remove(&id);
+        state.planner.release(id);
+        drop(state);
+        self.shared.changed.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let state = self.shared.state.lock();
+        state.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Lease {
+    /// Waits for the results.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the plan was given up.
+    pub async fn prepared(&mut self) -> Answer {
+        let answer = (&mut self.answer).await;
+        answer.unwrap_or(Err(Refusal::Failed))
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.owner.release(self.id);
+    }
+}
+
+fn log_call(telemetry: &Telemetry, call: &Call, outcome: &Outcome, took: Duration) {
+    let (outcome, made) = match outcome {
+        Outcome::Done(results) => ("done", results.iter().filter(|it| it.is_ok()).count()),
+        Outcome::Rejected => ("rejected", 0),
+        Outcome::Unreachable => ("unreachable", 0),
+        Outcome::Lost => ("lost", 0),
+    };
+    telemetry.count_of("steps.calls", outcome, 1);
+    telemetry.count("steps.pieces", made as u64);
+    telemetry.time_ms("steps.call_time", took.as_millis() as u64);
+    let mut requests: Vec<&str> = call.items.iter().map(|it| it.request.as_str()).collect();
+    requests.dedup();
+    slog::info!(telemetry.logger(), "step_call"; "call" => call.id,
+        "upstream" => call.upstream.as_str(), "pieces" => call.items.len(), "made" => made,
+        "requests" => requests.join(","), "took_ms" => took.as_millis() as u64,
+        "timeout_ms" => call.timeout.as_millis() as u64, "outcome" => outcome);
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,241 @@
+//! Other instances: what this one asks of them, and what it answers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::time::Duration;
+
+use base::id;
+use catalog::Member;
+use futures_util::future::BoxFuture;
+use stages::Plan;
+use stages::Refusal;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use wire::Reply;
+use wire::Request;
+use wire::peer;
+use wire::peer::Peer;
+use wire::steps::Prepare;
+use wire::steps::Progress;
+
+use crate::state::Node;
+
+/// A peer that does not answer within this time is passed over; between zones an answer takes 4 ms,
+/// and a peer whose processor share is used up stands still for up to 100 ms.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// A peer that answered this recently is not asked again whether it lives.
+const ALIVE_MEMORY: Duration = Duration::from_millis(300);
+/// A peer that did not answer is passed over for this time.
+const SUSPICION: Duration = Duration::from_secs(2);
+/// A question for newer rows is answered after this time at the latest.
+const ROWS_WAIT: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Default)]
+struct Contact {
+    answered: Option<Instant>,
+    suspected_until: Option<Instant>,
+}
+
+/// Connections to other instances and what is known of their lives.
+#[derive(Default)]
+pub struct Peers {
+    client: OnceLock<Arc<wire::quic::Client>>,
+    contacts: Mutex<BTreeMap<id::Instance, Contact>>,
+}
+
+impl Peers {
+    /// Sets the client, once the certificates are known.
+    pub fn connect_by(&self, client: Arc<wire::quic::Client>) {
+        // Certificates never change while a deployment lives.
+        let _ = self.client.set(client);
+    }
+
+    /// Whether a member did not answer lately.
+    #[must_use]
+    pub fn is_suspected(&self, instance: &id::Instance) -> bool {
+        let contacts = self.contacts();
+        let until = contacts.get(instance).and_then(|it| it.suspected_until);
+        until.is_some_and(|it| it > Instant::now())
+    }
+
+    /// Opens a stream to a member.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be reached.
+    pub async fn open(
+        &self,
+        member: &Member,
+        request: Request,
+    ) -> Result<peer::Replies, peer::Error> {
+        let client = self.client.get().ok_or(peer::Error::Unreachable)?;
+        client.open(member.address, request).await
+    }
+
+    /// Notes an answer.
+    pub fn answered(&self, instance: &id::Instance) {
+        let mut contacts = self.contacts();
+        let contact = contacts.entry(instance.clone()).or_default();
+        contact.answered = Some(Instant::now());
+        contact.suspected_until = None;
+    }
+
+    /// Notes that a member did not answer in time; returns whether that is news.
+    pub async fn silent(&self, member: &Member) -> bool {
+        let is_news = {
+            let mut contacts = self.contacts();
+            let contact = contacts.entry(member.instance.clone()).or_default();
+            let now = Instant::now();
+            let is_news = contact.suspected_until.is_none_or(|it| it <= now);
+            contact.suspected_until = Some(now + SUSPICION);
+            is_news
+        };
+        if let Some(client) = self.client.get() {
+            client.forget(member.address).await;
+        }
+        is_news
+    }
+
+    /// Whether a member answers now.
+    pub async fn is_alive(&self, member: &Member) -> bool {
+        let answered = {
+            let contacts = self.contacts();
+            contacts.get(&member.instance).and_then(|it| it.answered)
+        };
+        if answered.is_some_and(|it| it.elapsed() < ALIVE_MEMORY) {
+            return true;
+        }
+        let ping = async {
+            let mut replies = self.open(member, Request::Ping).await.ok()?;
+            replies.next().await
+        };
+        let is_alive = matches!(tokio::time::timeout(ANSWER_TIMEOUT, ping).await, Ok(Some(_)));
+        if is_alive {
+            self.answered(&member.instance);
+        }
+        is_alive
+    }
+
+    fn contacts(&self) -> MutexGuard<'_, BTreeMap<id::Instance, Contact>> {
+        self.contacts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answers other instances.
+pub struct Handler(pub Weak<Node>);
+
+impl peer::Handler for Handler {
+    fn handle(&self, request: Request, replies: mpsc::Sender<Reply>) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            let Some(node) = self.0.upgrade() else {
+                return;
+            };
+            match request {
+                Request::Prepare(prepare) => serve_steps(&node, *prepare, replies).await,
+                Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
+                Request::Crashed(fingerprint, upstream) => {
+                    let now = Instant::now();
+                    let quarantine = &mut node.limits().quarantine;
+                    quarantine.crashed(fingerprint, upstream, now);
+                }
+                Request::Ping => reply(&replies, Reply::Done).await,
+                // The other requests are for the dispatchers of the product's own deployments.
+                _ => {}
+            }
+        })
+    }
+}
+
+/// Runs the steps of a request and keeps the results until the asker drops the stream.
+async fn serve_steps(node: &Arc<Node>, prepare: Prepare, replies: mpsc::Sender<Reply>) {
+    let request = prepare.request.clone();
+    let mut lease = match node.owner.submit(plan(prepare)) {
+        Ok(lease) => lease,
+        Err(refusal) => {
+            slog::info!(node.logger(), "steps_refused"; "request" => request,
+                "reason" => %refusal);
+            return reply(&replies, Reply::Steps(refused(&refusal))).await;
+        }
+    };
+    reply(&replies, Reply::Steps(Progress::Accepted)).await;
+    let answer = tokio::select! {
+        answer = lease.prepared() => answer,
+        () = replies.closed() => return,
+    };
+    let progress = match answer {
+        Ok(prepared) => Progress::Prepared {
+            handles: prepared.handles,
+            zone: prepared.zone,
+        },
+        Err(refusal) => {
+            slog::info!(node.logger(), "steps_given_up"; "request" => request,
+                "reason" => %refusal);
+            refused(&refusal)
+        }
+    };
+    let is_prepared = matches!(progress, Progress::Prepared { .. });
+    reply(&replies, Reply::Steps(progress)).await;
+    if is_prepared {
+        replies.closed().await;
+    }
+}
+
+async fn serve_rows(
+    node: &Arc<Node>,
+    positions: &[(mirror::Table, u64)],
+    replies: mpsc::Sender<Reply>,
+) {
+    let until = Instant::now() + ROWS_WAIT;
+    let mut view = node.watch_view();
+    loop {
+        view.mark_unchanged();
+        let rows = node.store().mirror.since(positions);
+        if !rows.is_empty() || Instant::now() >= until {
+            return reply(&replies, Reply::Rows(rows)).await;
+        }
+        tokio::select! {
+            changed = tokio::time::timeout_at(until, view.changed()) => {
+                if matches!(changed, Ok(Err(_))) {
+                    return;
+                }
+            }
+            () = replies.closed() => return,
+        }
+    }
+}
+
+async fn reply(replies: &mpsc::Sender<Reply>, reply: Reply) {
+    // An asker that has gone needs no reply.
+    let _ = replies.send(reply).await;
+}
+
+fn refused(refusal: &Refusal) -> Progress {
+    match refusal {
+        Refusal::TooLate(drain) => Progress::TooLate(*drain),
+        Refusal::NoUpstream => Progress::NoUpstream,
+        Refusal::Failed => Progress::Failed,
+    }
+}
+
+/// The plan of a message that has just arrived.
+#[must_use]
+pub fn plan(prepare: Prepare) -> Plan {
+    let now = Instant::now();
+    Plan {
+        request: prepare.request,
+        key: prepare.key,
+        zone: prepare.zone,
+        priority: prepare.priority,
+        aim: now + prepare.aim,
+        deadline: now + prepare.deadline,
+        tail: prepare.tail,
+        steps: prepare.steps,
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,242 @@
+//! Passes a stream on, event by event.
+//!
+//! Only whole events are passed on: an upstream may stop in the middle of one. A stream that breaks
+//! is continued at another upstream where its route allows that, and ends visibly broken otherwise.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::Stream;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use stages::Prepared;
+
+use crate::channel::Channel;
+use crate::forward;
+use crate::forward::Ask;
+use crate::forward::Sending;
+use crate::prepare::Lease;
+use crate::state::InFlight;
+use crate::state::Node;
+
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Why a stream ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Error {
+    /// The upstream broke off.
+    Broken,
+    /// The request's time is over.
+    Deadline,
+}
+
+impl std::error::Error for Error {}
+
+/// A stream on its way.
+pub struct Relay {
+    node: Arc<Node>,
+    ask: Arc<Ask>,
+    channel: Option<Channel>,
+    body: Incoming,
+    sending: Sending,
+    sends: u32,
+    results: Option<(Prepared, Lease)>,
+    buffer: BytesMut,
+    last_event: Option<u64>,
+    in_flight: Option<InFlight>,
+}
+
+enum Read {
+    Events(Bytes),
+    End,
+}
+
+impl Relay {
+    /// A stream whose head has arrived.
+    pub fn new(
+        node: &Arc<Node>,
+        ask: &Arc<Ask>,
+        channel: Channel,
+        body: Incoming,
+        sending: Sending,
+        sends: u32,
+        results: Option<(Prepared, Lease)>,
+    ) -> Relay {
+        Relay {
+            node: node.clone(),
+            ask: ask.clone(),
+            channel: Some(channel),
+            body,
+            sending,
+            sends,
+            results,
+            buffer: BytesMut::new(),
+            last_event: None,
+            in_flight: None,
+        }
+    }
+
+    /// Waits for the first event; returns whether there is one to pass on.
+    pub async fn begin(&mut self) -> bool {
+        match self.read().await {
+            Ok(Read::Events(events)) => {
+                // Put back: the body begins with them.
+                let rest = std::mem::replace(&mut self.buffer, BytesMut::from(&events[..]));
+                self.buffer.extend_from_slice(&rest);
+                if !forward::is_resumable(self.ask.route.kind) {
+                    self.results = None;
+                }
+                true
+            }
+            Ok(Read::End) => true,
+            Err(_) => {
+                self.sending.broke();
+                false
+            }
+        }
+    }
+
+    /// Gives the results of the steps back.
+    pub fn take_results(&mut self) -> Option<(Prepared, Lease)> {
+        self.results.take()
+    }
+
+    /// Counts the request as in flight until the stream ends.
+    pub fn hold(&mut self, in_flight: InFlight) {
+        self.in_flight = Some(in_flight);
+    }
+
+    /// The stream as the body of an answer.
+    pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, Error>> + Send {
+        futures_util::stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Read::Events(events)) => Some((Ok(events), Some(relay))),
+                Ok(Read::End) => {
+                    relay.finish().await;
+                    None
+                }
+                Err(err) => {
+                    let last_event = relay.last_event;
+                    slog::warn!(relay.node.logger(), "stream_broken";
+                        "request" => &relay.ask.request, "cause" => %err,
+                        "upstream" => relay.sending.upstream.name.as_str(),
+                        "last_event" => last_event);
+                    relay.node.telemetry.count("streams.broken", 1);
+                    Some((Err(err), None))
+                }
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Result<Read, Error> {
+        match self.read().await {
+            Ok(read) => Ok(read),
+            Err(Error::Broken) => self.resume().await,
+            Err(err) => Err(err),
+        }
+    }
+
+    /// All whole events that have arrived, or the end.
+    async fn read(&mut self) -> Result<Read, Error> {
+        loop {
+            if let Some(events) = self.take_events() {
+                return Ok(Read::Events(events));
+            }
+            let left = self.ask.left();
+            if left.is_zero() {
+                return Err(Error::Deadline);
+            }
+            let frame = tokio::time::timeout(left, self.body.frame()).await;
+            match frame {
+                Err(_) => return Err(Error::Deadline),
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                Ok(Some(Err(_))) => return Err(Error::Broken),
+                Ok(None) if self.buffer.is_empty() => return Ok(Read::End),
+                Ok(None) => return Err(Error::Broken),
+            }
+        }
+    }
+
+    fn take_events(&mut self) -> Option<Bytes> {
+        let end = self
+            .buffer
+            .windows(EVENT_END.len())
+            .rposition(|it| it == EVENT_END)?;
+        let events = self.buffer.split_to(end + EVENT_END.len()).freeze();
+        if let Some(id) = last_id(&events) {
+            self.last_event = Some(id);
+        }
+        Some(events)
+    }
+
+    async fn resume(&mut self) -> Result<Read, Error> {
+        self.sending.broke();
+        self.channel = None;
+        self.buffer.clear();
+        forward::crashed(&self.node, self.ask.fingerprint, &self.sending.upstream.name);
+        if !forward::is_resumable(self.ask.route.kind) {
+            return Err(Error::Broken);
+        }
+        let results = self.results.as_ref().map(|it| &it.0);
+        let resumed = forward::resume(
+            &self.node,
+            &self.ask,
+            &self.sending.upstream,
+            self.sends,
+            results,
+            self.last_event,
+        )
+        .await;
+        let (channel, body, sending) = resumed.ok_or(Error::Broken)?;
+        self.sends += 1;
+        self.channel = Some(channel);
+        self.body = body;
+        self.sending = sending;
+        let before = self.last_event;
+        let read = self.read().await?;
+        if let Read::Events(events) = &read {
+            let is_next = first_id(events) == before.map(|it| it + 1).or(first_id(events));
+            if !is_next {
+                return Err(Error::Broken);
+            }
+        }
+        Ok(read)
+    }
+
+    async fn finish(mut self) {
+        let took = self.ask.received.elapsed();
+        slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
+            "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
+            "took_ms" => took.as_millis() as u64);
+        self.node
+            .telemetry
+            .time_ms("streams.time", took.as_millis() as u64);
+        if let Some(channel) = self.channel.take() {
+            // An upstream that closes the connection is noticed when it is used again.
+            channel.keep(Some(Duration::from_secs(1))).await;
+        }
+    }
+}
+
+/// Ids of events stand on lines of their own, as `id: NUMBER`.
+fn ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
+    let lines = events.split(|it| *it == b'\n');
+    let values = lines.filter_map(|it| it.strip_prefix(b"id:"));
+    values.filter_map(|it| std::str::from_utf8(it).ok()?.trim().parse().ok())
+}
+
+fn first_id(events: &[u8]) -> Option<u64> {
+    ids(events).next()
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    ids(events).next_back()
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,218 @@
+//! What the tasks of a node share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use base::id;
+use catalog::View;
+use mirror::Mirror;
+use mirror::Row;
+use mirror::Table;
+use platform::settings::Settings;
+use telemetry::Telemetry;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::beliefs::Beliefs;
+use crate::beliefs::Change;
+use crate::channel;
+use crate::limits::Limits;
+use crate::owner::Owner;
+use crate::peers::Peers;
+
+/// Rows and the beliefs that follow from them.
+#[derive(Debug, Default)]
+pub struct Store {
+    /// Copy of the store's rows.
+    pub mirror: Mirror,
+    /// Beliefs.
+    pub beliefs: Beliefs,
+}
+
+/// State of one node.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Logs and metrics.
+    pub telemetry: Telemetry,
+    /// Connections to upstreams.
+    pub pool: channel::Pool,
+    /// Owner of step services.
+    pub owner: Owner,
+    /// Other instances.
+    pub peers: Peers,
+    /// Distinguishes this start of the instance from others.
+    pub incarnation: u64,
+    view: watch::Sender<Arc<View>>,
+    store: Mutex<Store>,
+    limits: Mutex<Limits>,
+    is_leaving: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, telemetry: Telemetry, owner: Owner, peers: Peers) -> Node {
+        Node {
+            limits: Mutex::new(Limits::new(settings.bounds)),
+            pool: channel::Pool::default(),
+            incarnation: rand::random(),
+            view: watch::Sender::new(Arc::default()),
+            store: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            settings,
+            telemetry,
+            owner,
+            peers,
+        }
+    }
+
+    /// The logger.
+    pub fn logger(&self) -> &slog::Logger {
+        self.telemetry.logger()
+    }
+
+    /// The view of this moment.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Follows the view.
+    #[must_use]
+    pub fn watch_view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.subscribe()
+    }
+
+    /// Limits and evidence. Never held across an await.
+    pub fn limits(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Rows and beliefs. Never held across an await.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether clients should connect to this instance.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let view = self.view.borrow();
+        !self.is_leaving() && view.catalog.is_some() && !view.upstreams.is_empty()
+    }
+
+    /// Whether the process is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Begins the stop: the balancer is told, requests are still served.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests that were read and have no whole answer yet.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    #[must_use]
+    pub fn begin(self: &Arc<Node>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// All changes of a table up to `synced`, from the store.
+    pub fn advance(&self, table: Table, rows: Vec<Row>, synced: u64) {
+        self.update(|store, now| {
+            let news = store.mirror.advance(table, rows, synced);
+            store.beliefs.apply(&news, now)
+        });
+    }
+
+    /// A whole table as of `version`, from the store.
+    pub fn replace(&self, table: Table, rows: Vec<Row>, version: u64) {
+        self.update(|store, now| {
+            let news = store.mirror.replace(table, rows, version);
+            store.beliefs.apply(&news, now)
+        });
+    }
+
+    /// Rows from another instance.
+    pub fn merge(&self, rows: Vec<Row>) {
+        self.update(|store, now| {
+            let news = store.mirror.merge(rows);
+            store.beliefs.apply(&news, now)
+        });
+    }
+
+    /// Takes lapsed upstreams for gone whose time is over; returns when to look again.
+    pub fn expire(&self) -> Option<Instant> {
+        self.update(|store, now| store.beliefs.expire(now));
+        self.store().beliefs.next_expiry()
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Store, Instant) -> Vec<Change>) {
+        let (changes, view) = {
+            let mut store = self.store();
+            let changes = change(&mut store, Instant::now());
+            if changes.is_empty() {
+                return;
+            }
+            (changes, store.beliefs.view())
+        };
+        for change in &changes {
+            self.log_change(change, view.version);
+        }
+        self.limits().retain(&view);
+        self.owner.configure(&view);
+        self.view.send_replace(view);
+    }
+
+    fn log_change(&self, change: &Change, version: u64) {
+        let what = match change {
+            Change::Configured(version) => version.to_string(),
+            Change::Unreadable(reason) => reason.clone(),
+            Change::Upstream(name) | Change::UpstreamGone(name) | Change::UpstreamLapsed(name) => {
+                name.to_string()
+            }
+            Change::Evacuated(zone) | Change::Returned(zone) => zone.to_string(),
+            Change::Member(name) | Change::MemberGone(name) => name.to_string(),
+        };
+        slog::info!(self.logger(), "{}", change; "what" => what, "store_version" => version);
+    }
+
+    /// Members of the view, or this instance alone.
+    #[must_use]
+    pub fn member_count(&self) -> usize {
+        self.view.borrow().members.len().max(1)
+    }
+
+    /// Other instances by name.
+    #[must_use]
+    pub fn others(&self) -> BTreeMap<id::Instance, Arc<catalog::Member>> {
+        let mut members = self.view.borrow().members.clone();
+        members.remove(&self.settings.instance);
+        members
+    }
+}
+
+/// A request in flight.
+pub struct InFlight(Arc<Node>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -29,3 +29,25 @@
             (it.zone == upstream.zone, weight)
         })
 }
+
+/// Members in the order in which they own `key`, the owner first; a member's chance of being first
+/// is in proportion to its share of a processor core.
+#[must_use]
+pub fn order<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a catalog::Member>,
+) -> Vec<&'a catalog::Member> {
+    let mut scored: Vec<(f64, &catalog::Member)> = members
+        .into_iter()
+        .map(|it| (score(key, it), it))
+        .collect();
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
+    scored.into_iter().map(|it| it.1).collect()
+}
+
+/// Weighted rendezvous hashing: the logarithm of a uniform draw, divided by the weight.
+fn score(key: &str, member: &catalog::Member) -> f64 {
+    let hash = hash::of_strs([key, member.instance.as_str()]);
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    uniform.ln() / member.cpu_share.max(f64::MIN_POSITIVE)
+}
--- /dev/null
+++ b/crates/stages/src/fleet.rs
@@ -0,0 +1,203 @@
+//! Upstreams of one step service: what each is doing and how fast it is.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::id;
+use catalog::Pool;
+use tokio::time::Instant;
+
+/// Weight of the newest sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.3;
+/// Excess of a replica's slowness that remains after this time without a sample is a half.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Replicas slower than this multiple of their stated time are used only when no other is usable.
+const SLOW_FACTOR: f64 = 2.0;
+/// A full upstream is left alone for about a quarter of a call's fixed time.
+const REJECTED_PAUSE: Duration = Duration::from_millis(50);
+/// An unreachable upstream is left alone for the time in which a crashed one is deregistered.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+/// A call is lost after this multiple of its expected time, plus [`TIMEOUT_SLACK`].
+const TIMEOUT_FACTOR: f64 = 2.5;
+/// Covers connecting and both ways between zones.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
+
+/// A registered upstream of a step service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Replica {
+    /// Name.
+    pub name: id::Upstream,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Unix milliseconds of its start.
+    pub started_ms: u64,
+    /// Whether new calls may go to it.
+    pub is_usable: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) replica: Replica,
+    pub(crate) calls: u32,
+    /// Bytes of results that it keeps or will make.
+    pub(crate) bytes: u64,
+    /// Measured over stated time of calls.
+    slowness: f64,
+    sampled: Option<Instant>,
+    paused_until: Option<Instant>,
+    /// Expected end of its latest call.
+    pub(crate) busy_until: Option<Instant>,
+}
+
+impl Slot {
+    fn new(replica: Replica) -> Slot {
+        Slot {
+            replica,
+            calls: 0,
+            bytes: 0,
+            slowness: 1.0,
+            sampled: None,
+            paused_until: None,
+            busy_until: None,
+        }
+    }
+
+    pub(crate) fn slowness(&self, now: Instant) -> f64 {
+        let Some(sampled) = self.sampled else {
+            return 1.0;
+        };
+        let idle = now.saturating_duration_since(sampled);
+        let halvings = idle.as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halvings)
+    }
+
+    pub(crate) fn is_slow(&self, now: Instant) -> bool {
+        self.slowness(now) > SLOW_FACTOR
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        self.replica.is_usable && self.paused_until.is_none_or(|it| it <= now)
+    }
+}
+
+/// Upstreams of one service.
+#[derive(Debug)]
+pub(crate) struct Fleet {
+    pub(crate) pool: Pool,
+    pub(crate) slots: BTreeMap<id::Upstream, Slot>,
+    /// Average time of a call.
+    call_time: f64,
+    /// Average time that a piece in time for its aim waits for a call.
+    wait_time: f64,
+}
+
+impl Fleet {
+    pub(crate) fn new(pool: Pool) -> Fleet {
+        Fleet {
+            pool,
+            slots: BTreeMap::new(),
+            call_time: pool.call.as_secs_f64() + pool.piece.as_secs_f64() * pool.batch as f64 / 3.0,
+            wait_time: 0.0,
+        }
+    }
+
+    /// Takes over a new list of replicas; returns those that are gone or have started anew.
+    pub(crate) fn update(&mut self, replicas: Vec<Replica>) -> Vec<id::Upstream> {
+        let mut before = std::mem::take(&mut self.slots);
+        let mut lost = Vec::new();
+        for replica in replicas {
+            let name = replica.name.clone();
+            let slot = match before.remove(&name) {
+                Some(slot) if slot.replica.started_ms == replica.started_ms => {
+                    Slot { replica, ..slot }
+                }
+                Some(_) => {
+                    lost.push(name.clone());
+                    Slot::new(replica)
+                }
+                None => Slot::new(replica),
+            };
+            self.slots.insert(name, slot);
+        }
+        lost.extend(before.into_keys());
+        lost
+    }
+
+    /// Upstreams that can take a call now; slow ones only while no other is usable.
+    pub(crate) fn free(&self, now: Instant) -> Vec<&Slot> {
+        let open: Vec<&Slot> = self.slots.values().filter(|it| it.is_open(now)).collect();
+        let is_any_fast = open.iter().any(|it| !it.is_slow(now));
+        open.into_iter()
+            .filter(|it| it.calls < self.pool.slots)
+            .filter(|it| !is_any_fast || !it.is_slow(now))
+            .collect()
+    }
+
+    pub(crate) fn usable(&self, now: Instant) -> usize {
+        self.slots.values().filter(|it| it.is_open(now)).count()
+    }
+
+    pub(crate) fn registered(&self) -> usize {
+        self.slots.values().filter(|it| it.replica.is_usable).count()
+    }
+
+    /// Stated time of a call of `pieces`.
+    pub(crate) fn stated(&self, pieces: usize) -> Duration {
+        self.pool.call + self.pool.piece * pieces as u32
+    }
+
+    pub(crate) fn call_time(&self) -> Duration {
+        Duration::from_secs_f64(self.call_time)
+    }
+
+    pub(crate) fn wait_time(&self) -> Duration {
+        Duration::from_secs_f64(self.wait_time)
+    }
+
+    pub(crate) fn timeout(&self, upstream: &id::Upstream, pieces: usize, now: Instant) -> Duration {
+        let slowness = self.slots.get(upstream).map_or(1.0, |it| it.slowness(now));
+        self.stated(pieces)
+            .mul_f64(slowness.max(1.0) * TIMEOUT_FACTOR)
+            + TIMEOUT_SLACK
+    }
+
+    pub(crate) fn waited(&mut self, wait: Duration) {
+        self.wait_time += SAMPLE_WEIGHT * (wait.as_secs_f64() - self.wait_time);
+    }
+
+    /// Ends a call; `took` is its time where the upstream worked on it.
+    pub(crate) fn ended(&mut self, upstream: &id::Upstream, pieces: usize, took: Duration, now: Instant) {
+        let stated = self.stated(pieces).as_secs_f64();
+        let took = took.as_secs_f64();
+        self.call_time += SAMPLE_WEIGHT * (took.min(stated * SLOW_FACTOR) - self.call_time);
+        let Some(slot) = self.slots.get_mut(upstream) else {
+            return;
+        };
+        let before = slot.slowness(now);
+        // Pieces of some steps take less than the stated time, so speed is never below it.
+        let sample = (took / stated).max(1.0);
+        let weight = if sample > SLOW_FACTOR { 1.0 } else { SAMPLE_WEIGHT };
+        slot.slowness = before + weight * (sample - before);
+        slot.sampled = Some(now);
+    }
+
+    pub(crate) fn rejected(&mut self, upstream: &id::Upstream, now: Instant) {
+        self.pause(upstream, now + REJECTED_PAUSE);
+    }
+
+    pub(crate) fn unreachable(&mut self, upstream: &id::Upstream, now: Instant) {
+        self.pause(upstream, now + UNREACHABLE_PAUSE);
+    }
+
+    /// When the next paused upstream opens again.
+    pub(crate) fn opens(&self, now: Instant) -> Option<Instant> {
+        let paused = self.slots.values().filter_map(|it| it.paused_until);
+        paused.filter(|it| *it > now).min()
+    }
+
+    fn pause(&mut self, upstream: &id::Upstream, until: Instant) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.paused_until = Some(until);
+        }
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,10 +1,11 @@
 //! Logs, metrics and the time line of events.
 //!
-//! Every process has one [`Telemetry`]. Logs go to standard error as one key=value line an event,
-//! metrics to StatsD, and events to a bounded ring from which operators merge a time line over all
+//! Every process has one [`Telemetry`]. Logs go to standard output as one key=value line an event,
+//! metrics to StatsD or into a [`registry::Registry`] that is served as text, and events to a bounded ring from which operators merge a time line over all
 //! processes.
 
 pub mod log;
+pub mod registry;
 pub mod timeline;
 
 use std::net::SocketAddr;
@@ -30,19 +31,30 @@
 }
 
 impl Telemetry {
-    /// Telemetry of a daemon named `process`, logging to standard error.
+    /// Telemetry of a daemon named `process`, logging to standard output.
     ///
     /// # Errors
     ///
     /// Fails when no UDP socket for metrics can be had.
     pub fn daemon(process: &str, statsd: Option<SocketAddr>) -> std::io::Result<Telemetry> {
         Ok(Telemetry {
-            logger: log::stderr(process),
+            logger: log::stdout(process),
             metrics: Arc::new(metrics(statsd)?),
             recorder: Arc::new(Recorder::new(process)),
         })
     }
 
+    /// Telemetry of a daemon named `process`, logging to standard output, whose metrics are kept
+    /// in `registry`.
+    #[must_use]
+    pub fn with_registry(process: &str, registry: registry::Registry) -> Telemetry {
+        Telemetry {
+            logger: log::stdout(process),
+            metrics: Arc::new(StatsdClient::from_sink(METRIC_PREFIX, registry)),
+            recorder: Arc::new(Recorder::new(process)),
+        }
+    }
+
     /// Telemetry that keeps events but writes neither logs nor metrics.
     #[must_use]
     pub fn quiet(process: &str) -> Telemetry {
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -8,12 +8,12 @@
 
 use crate::timeline::Event;
 
-/// Log lines kept while standard error is slow; further ones are dropped and counted by `slog`.
+/// Log lines kept while standard output is slow; further ones are dropped and counted by `slog`.
 const CHANNEL_LINES: usize = 4096;
 
-/// A logger that writes one key=value line an event to standard error.
-pub fn stderr(process: &str) -> slog::Logger {
-    let drain = slog_logfmt::Logfmt::new(std::io::stderr())
+/// A logger that writes one key=value line an event to standard output.
+pub fn stdout(process: &str) -> slog::Logger {
+    let drain = slog_logfmt::Logfmt::new(std::io::stdout())
         .set_prefix(prefix)
         .print_msg(false)
         .print_level(false)
--- a/crates/wire/src/keys.rs
+++ b/crates/wire/src/keys.rs
@@ -9,6 +9,8 @@
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Name that every process certificate carries and every process expects.
 pub const SERVER_NAME: &str = "catkinvane";
@@ -49,40 +51,58 @@
 ///
 /// Fails when a file is missing or malformed.
 pub fn load(tls: &settings::Tls) -> Result<Keys, Error> {
+    let pem = Pem {
+        authority: read(&tls.authority)?,
+        certificate: read(&tls.certificate)?,
+        key: read(&tls.key)?,
+    };
+    let paths = [&tls.authority, &tls.certificate, &tls.key];
+    parse_named(&pem, paths.map(|it| it.display().to_string()))
+}
+
+fn parse_named(pem: &Pem, names: [String; 3]) -> Result<Keys, Error> {
+    let [authority, certificate, key] = names;
     let mut roots = rustls::RootCertStore::empty();
-    for certificate in certificates(&tls.authority)? {
+    for certificate in certificates(&pem.authority, &authority)? {
         roots
             .add(certificate)
             .map_err(|err| Error::Tls(err.to_string()))?;
     }
-    let key = PrivateKeyDer::from_pem_slice(&read(&tls.key)?)
-        .map_err(|err| Error::Pem(tls.key.display().to_string(), err))?;
     Ok(Keys {
         roots: Arc::new(roots),
-        chain: certificates(&tls.certificate)?,
-        key,
+        chain: certificates(&pem.certificate, &certificate)?,
+        key: PrivateKeyDer::from_pem_slice(pem.key.as_bytes())
+            .map_err(|err| Error::Pem(key, err))?,
     })
 }
 
-fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
-    let pem = read(path)?;
-    CertificateDer::pem_slice_iter(&pem)
+fn certificates(pem: &str, name: &str) -> Result<Vec<CertificateDer<'static>>, Error> {
+    CertificateDer::pem_slice_iter(pem.as_bytes())
         .collect::<Result<_, _>>()
-        .map_err(|err| Error::Pem(path.display().to_string(), err))
+        .map_err(|err| Error::Pem(name.to_owned(), err))
 }
 
-fn read(path: &Path) -> Result<Vec<u8>, Error> {
-    fs::read(path).map_err(|err| Error::File(path.display().to_string(), err))
+fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|err| Error::File(path.display().to_string(), err))
 }
 
-/// Writes an authority and one process certificate into `dir`.
-///
-/// The set is meant for tests and first trials: every process shares one key.
+/// PEM texts of an authority and of one process certificate that it signed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pem {
+    /// Authority that signs every process of the deployment.
+    pub authority: String,
+    /// Certificate.
+    pub certificate: String,
+    /// Private key of the certificate.
+    pub key: String,
+}
+
+/// Makes an authority and one process certificate; every process shares the one key.
 ///
 /// # Errors
 ///
-/// Fails when a file cannot be written.
-pub fn make(dir: &Path) -> Result<settings::Tls, Error> {
+/// Fails when the random generator or the encoder does.
+pub fn generate() -> Result<Pem, Error> {
     let authority_key = rcgen::KeyPair::generate().map_err(Error::Make)?;
     let mut params = rcgen::CertificateParams::new(Vec::new()).map_err(Error::Make)?;
     params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
@@ -93,16 +113,40 @@
     let names = vec![SERVER_NAME.to_owned()];
     let params = rcgen::CertificateParams::new(names).map_err(Error::Make)?;
     let certificate = params.signed_by(&key, &issuer).map_err(Error::Make)?;
+    Ok(Pem {
+        authority: authority.pem(),
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
 
+/// Reads certificates from PEM texts.
+///
+/// # Errors
+///
+/// Fails when a text is malformed.
+pub fn parse(pem: &Pem) -> Result<Keys, Error> {
+    parse_named(pem, ["authority", "certificate", "key"].map(str::to_owned))
+}
+
+/// Writes an authority and one process certificate into `dir`.
+///
+/// The set is meant for tests and first trials: every process shares one key.
+///
+/// # Errors
+///
+/// Fails when a file cannot be written.
+pub fn make(dir: &Path) -> Result<settings::Tls, Error> {
+    let pem = generate()?;
     fs::create_dir_all(dir).map_err(|err| Error::File(dir.display().to_string(), err))?;
     let tls = settings::Tls {
         authority: dir.join("authority.pem"),
         certificate: dir.join("process.pem"),
         key: dir.join("process.key"),
     };
-    write(&tls.authority, &authority.pem())?;
-    write(&tls.certificate, &certificate.pem())?;
-    write(&tls.key, &key.serialize_pem())?;
+    write(&tls.authority, &pem.authority)?;
+    write(&tls.certificate, &pem.certificate)?;
+    write(&tls.key, &pem.key)?;
     Ok(tls)
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod quic;
 pub mod status;
+pub mod steps;
 
 pub use message::Reply;
 pub use message::Request;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -11,6 +11,7 @@
 use crate::dispatch;
 use crate::member;
 use crate::status;
+use crate::steps;
 
 /// What one process asks of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,6 +34,14 @@
     Events(Vec<timeline::Event>),
     /// Events of the process.
     Timeline(Option<id::Trace>),
+    /// Run the steps of a request. The results are kept until the asker drops the stream.
+    Prepare(Box<steps::Prepare>),
+    /// Rows of the store newer than the positions; waits a while for one.
+    Rows(Vec<(mirror::Table, u64)>),
+    /// An upstream was lost while it ran a request.
+    Crashed(id::Fingerprint, id::Upstream),
+    /// Whether the process answers.
+    Ping,
 }
 
 /// What a process answers. A stream of replies ends with the first one that is not a part.
@@ -56,6 +65,10 @@
     Status(Box<status::Status>),
     /// Events, oldest first.
     Timeline(Vec<timeline::Event>),
+    /// Progress or end of the steps of a request.
+    Steps(steps::Progress),
+    /// Rows of the store, oldest first.
+    Rows(Vec<mirror::Row>),
 }
 
 /// Asks for the current view.
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -69,6 +69,17 @@
         self.endpoint.wait_idle().await;
     }
 
+    /// Drops the connection to a peer that does not answer on it.
+    pub async fn forget(&self, to: SocketAddr) {
+        let slot = self.connections.lock().await.get(&to).cloned();
+        let Some(slot) = slot else {
+            return;
+        };
+        if let Some(connection) = slot.lock().await.take() {
+            connection.close(0u32.into(), b"silent");
+        }
+    }
+
     async fn connection(&self, to: SocketAddr) -> Result<quinn::Connection, peer::Error> {
         let slot = {
             let mut connections = self.connections.lock().await;
--- /dev/null
+++ b/crates/wire/src/steps.rs
@@ -0,0 +1,50 @@
+//! Steps of a request, as a gateway asks their owner to run them.
+
+use std::time::Duration;
+
+use base::id;
+use serde::Deserialize;
+use serde::Serialize;
+use stages::Handle;
+use stages::Step;
+
+/// Asks for the results of a request's steps. Times are counted from the sending of the message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Prepare {
+    /// Id of the request.
+    pub request: String,
+    /// Input of steps that read no results.
+    pub key: String,
+    /// Zone in which the results are wanted.
+    pub zone: Option<id::Zone>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Time until the response is of less use.
+    pub aim: Duration,
+    /// Time until the client gives up.
+    pub deadline: Duration,
+    /// Expected time from the last step to the response.
+    pub tail: Duration,
+    /// Steps; each comes after those that it reads.
+    pub steps: Vec<Step>,
+}
+
+/// What the owner of the steps answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Progress {
+    /// The steps are queued.
+    Accepted,
+    /// All results exist.
+    Prepared {
+        /// The results that the request itself reads.
+        handles: Vec<Handle>,
+        /// Zone of the largest ones.
+        zone: Option<id::Zone>,
+    },
+    /// The steps cannot end in time; the queue has drained after this time.
+    TooLate(Duration),
+    /// No upstream of a service can be used.
+    NoUpstream,
+    /// Pieces failed too often.
+    Failed,
+}
