--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -311,6 +311,9 @@
                 Request::Timeline(trace) => {
                     Reply::Timeline(self.telemetry.recorder().select(trace))
                 }
+                Request::Ping => Reply::Done,
+                // These are for the nodes of the users' platform.
+                Request::Prepare(_) | Request::Rows(_) | Request::Crashed(..) => return,
             };
             // An asker that has gone needs no reply.
             let _ = replies.send(reply).await;
--- a/crates/forwarding/src/choice.rs
+++ b/crates/forwarding/src/choice.rs
@@ -56,7 +56,8 @@
     );
     let is_avoided = |it: &Candidate<'_>| {
         let time = it.answer_time.map_or(0.0, |it| it.as_secs_f64());
-        let is_slow = time > answer_time * SLOWNESS && time > answer_time + SLOWNESS_MIN.as_secs_f64();
+        let is_slow =
+            time > answer_time * SLOWNESS && time > answer_time + SLOWNESS_MIN.as_secs_f64();
         it.failure_rate > failure_rate + FAILURE_EXCESS || is_slow
     };
     let order = |it: &&Candidate<'a>| {
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -72,6 +72,21 @@
         self.synced.get(&table).copied()
     }
 
+    /// Version up to which every change of the table is held: that of the last full read or feed,
+    /// or of a newer row that another copy passed on in order.
+    #[must_use]
+    pub fn complete(&self, table: Table) -> Option<u64> {
+        let synced = self.synced(table)?;
+        let rows = self.rows.iter().filter(|(place, _)| place.0 == table);
+        let newest = rows.map(|(_, it)| it.version).max();
+        Some(synced.max(newest.unwrap_or(0)))
+    }
+
+    /// Forgets up to which version a table is known: its history is gone and it must be read anew.
+    pub fn unsync(&mut self, table: Table) {
+        self.synced.remove(&table);
+    }
+
     /// Newest version of each table, in the order of its changes.
     #[must_use]
     pub fn positions(&self) -> Vec<(Table, u64)> {
@@ -145,7 +160,10 @@
             let position = positions.iter().find(|it| it.0 == table);
             position.is_none_or(|it| version > it.1)
         };
-        let newer = self.rows.iter().filter(|(place, it)| is_newer(place.0, it.version));
+        let newer = self
+            .rows
+            .iter()
+            .filter(|(place, it)| is_newer(place.0, it.version));
         let mut rows: Vec<Row> = newer
             .map(|((table, key), entry)| Row {
                 table: *table,
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::hash;
+use base::id;
 use catalog::Member;
 use mirror::Table;
 use platform::rows;
@@ -16,19 +18,31 @@
 
 use crate::state::Node;
 
-/// A feed without news is asked anew after this time; it bounds how long a feed that fell silent
-/// stays unnoticed, where other instances do not pass the news on.
+/// A feed without news is asked anew after this time.
 const FEED_WAIT: Duration = Duration::from_secs(8);
+/// The same for the operators' table. It bounds how long a silent store stays unnoticed: a change
+/// must be in force 2 s after the store accepted it.
+const OPERATORS_FEED_WAIT: Duration = Duration::from_millis(1_300);
 /// Pause after a call that failed; doubled each time up to [`RETRY_MAX`].
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Longest pause, so that the return of the store is seen within a second.
-const RETRY_MAX: Duration = Duration::from_millis(800);
+const RETRY_MAX: Duration = Duration::from_millis(500);
+/// Instances that follow the store itself; the others follow them. One for this many members, and
+/// at least [`READERS_MIN`].
+const MEMBERS_PER_READER: usize = 16;
+const READERS_MIN: usize = 3;
+/// Ownership key of reading the store.
+const READER_KEY: &str = "store";
+/// An instance that follows others looks this often whether its rows are still fresh.
+const FRESH_INTERVAL: Duration = Duration::from_millis(250);
 /// Other instances whose rows are followed.
 const PEERS: usize = 2;
 /// Longest wait for another instance's rows.
-const PEER_TIMEOUT: Duration = Duration::from_secs(6);
-/// Pause before a peer that gave no rows is asked again.
-const PEER_PAUSE: Duration = Duration::from_millis(700);
+const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause before the next peer is asked after one that had no fresh rows.
+const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// After this time the first peers in order are tried again.
+const PEER_RESET: Duration = Duration::from_secs(3);
 
 /// Pause between attempts.
 struct Backoff(Duration);
@@ -52,34 +66,53 @@
 /// Follows one table of the store for ever.
 pub async fn table(node: Arc<Node>, client: store::Client, table: Table) {
     let mut backoff = Backoff::new();
+    let mut returns = node.store_returns();
     loop {
-        match next(&node, &client, table).await {
+        returns.mark_unchanged();
+        if node.store().mirror.synced(table).is_some() && !is_reader(&node) && node.is_fresh() {
+            tokio::time::sleep(FRESH_INTERVAL).await;
+            continue;
+        }
+        let outcome = tokio::select! {
+            biased;
+            outcome = next(&node, &client, table) => outcome,
+            // A call from before the store's return may never be answered.
+            _ = returns.changed() => continue,
+        };
+        match outcome {
             Ok(()) => {
                 backoff.reset();
                 store_answered(&node);
+                continue;
             }
             Err(store::Error::Compacted) => {
                 slog::info!(node.logger(), "store_history_gone"; "table" => %table);
-                if let Err(err) = read(&node, &client, table).await {
-                    store_lost(&node, table, &err);
-                    backoff.wait().await;
-                }
-            }
-            Err(err) => {
-                store_lost(&node, table, &err);
-                backoff.wait().await;
+                node.store().mirror.unsync(table);
+                continue;
             }
+            Err(err) => store_lost(&node, table, &err),
+        }
+        tokio::select! {
+            () = backoff.wait() => {}
+            _ = returns.changed() => backoff.reset(),
         }
     }
 }
 
 async fn next(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
-    let synced = node.store().mirror.synced(table);
-    let Some(synced) = synced else {
+    let position = node.store().mirror.complete(table);
+    let Some(position) = position else {
         return read(node, client, table).await;
     };
-    let batch = client.feed(table, synced, FEED_WAIT).await?;
+    let wait = match table {
+        Table::Operators => OPERATORS_FEED_WAIT,
+        Table::Upstreams | Table::Members => FEED_WAIT,
+    };
+    let batch = client.feed(table, position, wait).await?;
     node.advance(table, batch.rows, batch.version);
+    if table == Table::Operators {
+        node.note_complete(Duration::ZERO);
+    }
     Ok(())
 }
 
@@ -93,6 +126,7 @@
     let is_news = node.store().beliefs.store_answered(Instant::now());
     if is_news {
         slog::info!(node.logger(), "store_back");
+        node.note_store_return();
     }
 }
 
@@ -111,8 +145,7 @@
         view.mark_unchanged();
         let next = node.expire();
         let pause = next.map_or(FEED_WAIT, |it| {
-            it.saturating_duration_since(Instant::now())
-                .max(RETRY_MIN)
+            it.saturating_duration_since(Instant::now()).max(RETRY_MIN)
         });
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
@@ -126,31 +159,52 @@
     }
 }
 
-/// Follows the rows of the `idx`-th next instance for ever.
+/// Follows the rows of other instances for ever, beginning with the `idx`-th in order.
 pub async fn peer(node: Arc<Node>, idx: usize) {
+    let mut next = idx;
+    let mut reset = Instant::now();
     loop {
-        let Some(member) = successor(&node, idx) else {
-            tokio::time::sleep(PEER_PAUSE).await;
+        if reset.elapsed() > PEER_RESET {
+            next = idx;
+            reset = Instant::now();
+        }
+        let Some(member) = source(&node, next) else {
+            next = idx;
+            tokio::time::sleep(FRESH_INTERVAL).await;
             continue;
         };
-        let positions = node.store().mirror.positions();
-        let rows = async {
-            let request = Request::Rows(positions);
-            let mut replies = node.peers.open(&member, request).await.ok()?;
-            replies.next().await
-        };
-        match tokio::time::timeout(PEER_TIMEOUT, rows).await {
-            Ok(Some(Reply::Rows(rows))) => {
-                node.peers.answered(&member.instance);
-                if !rows.is_empty() {
-                    node.merge(rows);
-                }
-            }
-            Err(_) => {
-                node.peers.silent(&member).await;
+        if !follow_once(&node, &member).await {
+            next += 1;
+            tokio::time::sleep(PEER_PAUSE).await;
+        }
+    }
+}
+
+/// Asks another instance for its newer rows; returns whether it has fresh ones.
+async fn follow_once(node: &Node, member: &Member) -> bool {
+    let positions = node.store().mirror.positions();
+    let rows = async {
+        let request = Request::Rows(positions);
+        let mut replies = node.peers.open(member, request).await.ok()?;
+        replies.next().await
+    };
+    match tokio::time::timeout(PEER_TIMEOUT, rows).await {
+        Ok(Some(Reply::Rows(rows, age))) => {
+            node.peers.answered(&member.instance);
+            if !rows.is_empty() {
+                node.merge(rows);
             }
-            Ok(_) => tokio::time::sleep(PEER_PAUSE).await,
+            let Some(age) = age else {
+                return false;
+            };
+            node.note_complete(age);
+            age < PEER_TIMEOUT
+        }
+        Err(_) => {
+            node.peers.silent(member).await;
+            false
         }
+        Ok(_) => false,
     }
 }
 
@@ -159,16 +213,39 @@
     0..PEERS
 }
 
-/// The `idx`-th instance after this one in the ring of names, passing over suspected ones.
-fn successor(node: &Node, idx: usize) -> Option<Arc<Member>> {
-    let others = node.others();
-    let after = others.range(node.settings.instance.clone()..);
-    let before = others.range(..node.settings.instance.clone());
-    let mut ring = after
-        .chain(before)
-        .map(|(_, member)| member)
-        .filter(|it| !node.peers.is_suspected(&it.instance));
-    ring.nth(idx).cloned()
+/// Instances that are not suspected, those that read the store first.
+fn readers(node: &Node) -> Vec<id::Instance> {
+    let view = node.view();
+    let members = view.members.values().map(Arc::as_ref);
+    let order = ownership::order(READER_KEY, members);
+    let names = order.into_iter().map(|it| it.instance.clone());
+    names.filter(|it| !node.peers.is_suspected(it)).collect()
+}
+
+fn reader_count(members: usize) -> usize {
+    (members / MEMBERS_PER_READER).max(READERS_MIN)
+}
+
+fn is_reader(node: &Node) -> bool {
+    let readers = readers(node);
+    let count = reader_count(readers.len());
+    let mut readers = readers.iter().take(count);
+    readers.any(|it| *it == node.settings.instance)
+}
+
+/// The `idx`-th source of rows: the readers, from a place that differs between instances, then all
+/// other instances.
+fn source(node: &Node, idx: usize) -> Option<Arc<Member>> {
+    let own = &node.settings.instance;
+    let mut order = readers(node);
+    let count = reader_count(order.len()).min(order.len());
+    if count > 0 {
+        let start = hash::of_strs([own.as_str()]) % count as u64;
+        order[..count].rotate_left(start as usize);
+    }
+    let mut others = order.into_iter().filter(|it| it != own);
+    let name = others.nth(idx)?;
+    node.view().members.get(&name).cloned()
 }
 
 /// Reads the certificates of this deployment from the store, and makes them if there are none.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -31,6 +31,7 @@
 use stages::Handle;
 use stages::Prepared;
 use stages::Refusal;
+use stages::Shard;
 use stages::Step;
 use tokio::time::Instant;
 use wire::steps::Prepare;
@@ -63,6 +64,9 @@
 const SILENCE_MIN: Duration = Duration::from_millis(250);
 /// A repeatable request is sent elsewhere after this multiple of the usual time to answer.
 const SILENCE_FACTOR: f64 = 6.0;
+/// Shared tokens of a prompt from which on reading them again costs more than moving results
+/// between zones: 2.5 results of 1.5 MB against 2,500 tokens at the prices of both users.
+const HOME_TOKENS_MIN: u64 = 1_000;
 /// Time from the last step to the first event before any was measured.
 const ENGINE_TIME: Duration = Duration::from_millis(250);
 
@@ -128,6 +132,13 @@
         Some(hash::of_strs(ids))
     }
 
+    /// Whether the engine that keeps the shared part of the prompt is worth going to in any zone.
+    fn has_home(&self) -> bool {
+        let parts = &self.head.prompt;
+        let shared = parts.iter().take(parts.len().saturating_sub(1));
+        shared.map(|it| it.tokens).sum::<u64>() >= HOME_TOKENS_MIN
+    }
+
     fn is_repeatable(&self) -> bool {
         self.route.kind.is_repeatable()
     }
@@ -198,7 +209,9 @@
 
     fn unreachable(&self) {
         let mut limits = self.node.limits();
-        limits.health(&self.upstream.name).unreachable(Instant::now());
+        limits
+            .health(&self.upstream.name)
+            .unreachable(Instant::now());
     }
 }
 
@@ -234,6 +247,7 @@
     node.limits().request(&service, Instant::now());
     let mut results: Option<(Prepared, Lease)> = None;
     let mut tries = 0;
+    let mut last: Option<id::Upstream> = None;
     loop {
         if let Some(wanted) = wanted(node, ask, &service).filter(|_| results.is_none()) {
             match prepare::run(node, &wanted).await {
@@ -241,9 +255,8 @@
                 Err(refusal) => return Err(give_up(ask, pending, &refusal)),
             }
         }
-        let is_repeat = tries > 0;
         tries += 1;
-        let attempt = attempt(node, ask, &service, pending, &mut results, is_repeat).await;
+        let attempt = attempt(node, ask, &service, pending, &mut results, &mut last).await;
         pending = match attempt {
             Err(failure) => return Err(failure),
             Ok(Attempt::Answered(reply)) => return Ok(reply),
@@ -359,6 +372,7 @@
     let deadline = ask.deadline();
     Some(Wanted {
         prepare: Prepare {
+            shard: Shard::Whole,
             request: ask.request.clone(),
             key: ask.head.piece_key.clone(),
             zone: home_zone(node, ask, service),
@@ -373,8 +387,11 @@
     })
 }
 
-/// Zone of the engine that keeps the request's prompt.
+/// Zone of the engine that keeps the request's prompt, if the prompt is large.
 fn home_zone(node: &Node, ask: &Ask, service: &id::Service) -> Option<id::Zone> {
+    if !ask.has_home() {
+        return None;
+    }
     let view = node.view();
     let upstream = choose(node, ask, service, None, None).ok()?;
     view.upstreams.get(&upstream.name).map(|it| it.zone.clone())
@@ -386,12 +403,13 @@
     service: &id::Service,
     pending: Pending,
     results: &mut Option<(Prepared, Lease)>,
-    is_repeat: bool,
+    last: &mut Option<id::Upstream>,
 ) -> Result<Attempt, Failure> {
     let prepared = results.as_ref().map(|it| &it.0);
     let zone = prepared.and_then(|it| it.zone.clone());
     let handles: Vec<Handle> = prepared.map_or_else(Vec::new, |it| it.handles.clone());
-    let connected = connect(node, ask, service, zone.as_ref(), None).await;
+    let is_repeat = last.is_some();
+    let connected = connect(node, ask, service, zone.as_ref(), last.as_ref()).await;
     let (upstream, mut channel) = match connected {
         Ok(connected) => connected,
         Err(cause) => {
@@ -399,6 +417,7 @@
             return Err(pending.end(cause, retry_after));
         }
     };
+    *last = Some(upstream.name.clone());
     let left = ask.left();
     if left <= ANSWER_MARGIN {
         return Err(pending.end(Cause::Deadline, ask.retry_after(RETRY_AFTER)));
@@ -444,7 +463,15 @@
         let status = response.status();
         let headers = upstream::answer_headers(response.headers());
         let lease = results.take();
-        let mut relay = Relay::new(node, ask, channel, response.into_body(), sending, sends, lease);
+        let mut relay = Relay::new(
+            node,
+            ask,
+            channel,
+            response.into_body(),
+            sending,
+            sends,
+            lease,
+        );
         return Ok(match relay.begin().await {
             true => Attempt::Answered(Reply {
                 status,
@@ -586,7 +613,9 @@
         match opened {
             // What was decided before the connection was made is checked again.
             Ok(channel) if node.view().still_usable(&upstream) => {
-                let is_open = node.limits().is_open(&node.view(), &upstream, Instant::now());
+                let is_open = node
+                    .limits()
+                    .is_open(&node.view(), &upstream, Instant::now());
                 if is_open {
                     return Ok((upstream, channel));
                 }
@@ -615,15 +644,19 @@
 ) -> Result<Arc<Upstream>, Cause> {
     let view = node.view();
     let now = Instant::now();
-    let usable: Vec<&Arc<Upstream>> = view
-        .usable(service)
-        .filter(|it| Some(&it.name) != except)
-        .collect();
+    let mut usable: Vec<&Arc<Upstream>> = view.usable(service).collect();
     if usable.is_empty() {
         return Err(Cause::NoUpstream);
     }
+    if usable.len() > 1 {
+        usable.retain(|it| Some(&it.name) != except);
+    }
     let prompt = ask.prompt();
-    let near = zone.or(prompt.is_none().then_some(&node.settings.zone));
+    let near = match prompt {
+        Some(_) if ask.has_home() => None,
+        Some(_) => zone,
+        None => Some(&node.settings.zone),
+    };
     let mut limits = node.limits();
     let candidates: Vec<choice::Candidate<'_>> = usable
         .iter()
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -84,7 +84,8 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let node = &self.0;
-        if request.uri().path() == platform::READY_PATH && node.settings.ready == node.settings.front
+        if request.uri().path() == platform::READY_PATH
+            && node.settings.ready == node.settings.front
         {
             return ready(node, response);
         }
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -21,6 +21,8 @@
 use stages::Prepared;
 use stages::Refusal;
 use stages::Replica;
+use stages::Shard;
+use stages::shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -36,8 +38,8 @@
 
 #[derive(Default)]
 struct State {
-    planner: Planner,
-    waiters: HashMap<PlanId, oneshot::Sender<Answer>>,
+    planners: BTreeMap<Shard, Planner>,
+    waiters: HashMap<(Shard, PlanId), oneshot::Sender<Answer>>,
     addresses: BTreeMap<id::Upstream, SocketAddr>,
 }
 
@@ -57,12 +59,15 @@
 /// A plan in progress, or its results. Dropping it cancels the plan and frees the results.
 pub struct Lease {
     owner: Owner,
+    shard: Shard,
     id: PlanId,
+    /// Time in which the queue ahead of the plan drains.
+    pub wait: Duration,
     answer: oneshot::Receiver<Answer>,
 }
 
 enum Ended {
-    Call(u64, Outcome),
+    Call(Shard, u64, Outcome),
     Freed,
 }
 
@@ -86,16 +91,22 @@
     /// # Errors
     ///
     /// Refuses at once what cannot end in time.
-    pub fn submit(&self, plan: Plan) -> Result<Lease, Refusal> {
+    pub fn submit(&self, shard: Shard, plan: Plan) -> Result<Lease, Refusal> {
         let mut state = self.lock();
-        let id = state.planner.submit(plan, Instant::now())?;
+        let planner = state.planners.get_mut(&shard).ok_or(Refusal::NoUpstream)?;
+        let now = Instant::now();
+        let first = plan.steps.first().map(|it| it.service.clone());
+        let wait = first.map(|it| planner.drain_time(&it, plan.priority, now));
+        let id = planner.submit(plan, now)?;
         let (sender, answer) = oneshot::channel();
-        state.waiters.insert(id, sender);
+        state.waiters.insert((shard.clone(), id), sender);
         drop(state);
         self.shared.changed.notify_one();
         Ok(Lease {
             owner: self.clone(),
+            shard,
             id,
+            wait: wait.unwrap_or_default(),
             answer,
         })
     }
@@ -105,33 +116,32 @@
         let Some(catalog) = &view.catalog else {
             return;
         };
-        let now = Instant::now();
         let mut state = self.lock();
+        let shards = shard::of_view(view);
+        // Plans of a shard that is split or merged end where they began.
+        state
+            .planners
+            .retain(|shard, it| shards.contains(shard) || it.plans() > 0);
+        for shard in shards {
+            state.planners.entry(shard).or_default();
+        }
+        for upstream in view.upstreams.values() {
+            let name = upstream.name.clone();
+            state.addresses.insert(name, upstream.address);
+        }
+        state
+            .addresses
+            .retain(|name, _| view.upstreams.contains_key(name));
+        let now = Instant::now();
         for service in catalog.services.values() {
             let Some(pool) = service.pool else {
                 continue;
             };
-            let upstreams = view.upstreams.values();
-            let upstreams = upstreams.filter(|it| it.service == service.name);
-            let mut replicas = Vec::new();
-            for upstream in upstreams {
-                state
-                    .addresses
-                    .insert(upstream.name.clone(), upstream.address);
-                replicas.push(Replica {
-                    name: upstream.name.clone(),
-                    zone: upstream.zone.clone(),
-                    started_ms: upstream.started_ms,
-                    is_usable: view.is_usable(upstream),
-                });
+            for (shard, planner) in &mut state.planners {
+                let replicas = replicas(view, &service.name, shard);
+                planner.configure(&service.name, pool, replicas, now);
             }
-            state
-                .planner
-                .configure(&service.name, pool, replicas, now);
         }
-        state
-            .addresses
-            .retain(|name, _| view.upstreams.contains_key(name));
         drop(state);
         self.shared.changed.notify_one();
     }
@@ -156,8 +166,8 @@
             tokio::select! {
                 biased;
                 Some(ended) = tasks.join_next() => {
-                    if let Ok(Ended::Call(id, outcome)) = ended {
-                        self.lock().planner.finish(id, outcome, Instant::now());
+                    if let Ok(Ended::Call(shard, id, outcome)) = ended {
+                        self.finish(&shard, id, outcome);
                     }
                 }
                 () = self.shared.changed.notified() => {}
@@ -172,38 +182,59 @@
         unused: &mut BTreeMap<id::Upstream, Vec<Handle>>,
         now: Instant,
     ) -> Option<Instant> {
-        let mut state = self.lock();
-        for call in state.planner.dispatch(now) {
-            let address = state.addresses.get(&call.upstream).copied();
-            self.send(tasks, call, address);
-        }
-        for (id, answer) in state.planner.take_ended() {
-            if let Some(waiter) = state.waiters.remove(&id) {
-                // A waiter that has gone releases its plan itself.
-                let _ = waiter.send(answer);
+        let state = &mut *self.lock();
+        let mut wakes = Vec::new();
+        let mut waiting = 0;
+        let mut plans = 0;
+        for (shard, planner) in &mut state.planners {
+            for call in planner.dispatch(now) {
+                let address = state.addresses.get(&call.upstream).copied();
+                self.send(tasks, shard.clone(), call, address);
             }
-        }
-        for (upstream, handle) in state.planner.take_unused() {
-            unused.entry(upstream).or_default().push(handle);
+            for (id, answer) in planner.take_ended() {
+                if let Some(waiter) = state.waiters.remove(&(shard.clone(), id)) {
+                    // A waiter that has gone releases its plan itself.
+                    let _ = waiter.send(answer);
+                }
+            }
+            for (upstream, handle) in planner.take_unused() {
+                unused.entry(upstream).or_default().push(handle);
+            }
+            waiting += planner.waiting();
+            plans += planner.plans();
+            wakes.extend(planner.wakes(now));
         }
         let telemetry = &self.shared.telemetry;
-        telemetry.gauge("owner.waiting", state.planner.waiting() as u64);
-        telemetry.gauge("owner.plans", state.planner.plans() as u64);
-        state.planner.wakes(now)
+        telemetry.gauge("owner.waiting", waiting as u64);
+        telemetry.gauge("owner.plans", plans as u64);
+        wakes.into_iter().min()
     }
 
-    fn send(&self, tasks: &mut JoinSet<Ended>, call: Call, address: Option<SocketAddr>) {
+    fn finish(&self, shard: &Shard, call: u64, outcome: Outcome) {
+        let mut state = self.lock();
+        if let Some(planner) = state.planners.get_mut(shard) {
+            planner.finish(call, outcome, Instant::now());
+        }
+    }
+
+    fn send(
+        &self,
+        tasks: &mut JoinSet<Ended>,
+        shard: Shard,
+        call: Call,
+        address: Option<SocketAddr>,
+    ) {
         let shared = self.shared.clone();
         tasks.spawn(async move {
             let Some(address) = address else {
-                return Ended::Call(call.id, Outcome::Unreachable);
+                return Ended::Call(shard, call.id, Outcome::Unreachable);
             };
             let name = call.upstream.as_str();
             let sent = Instant::now();
             let client = &shared.client;
             let outcome = client.run(address, name, &call.items, call.timeout).await;
             log_call(&shared.telemetry, &call, &outcome, sent.elapsed());
-            Ended::Call(call.id, outcome)
+            Ended::Call(shard, call.id, outcome)
         });
     }
 
@@ -228,10 +259,12 @@
         }
     }
 
-    fn release(&self, id: PlanId) {
+    fn release(&self, shard: &Shard, id: PlanId) {
         let mut state = self.lock();
-        state.waiters.remove(&id);
-        state.planner.release(id);
+        state.waiters.remove(&(shard.clone(), id));
+        if let Some(planner) = state.planners.get_mut(shard) {
+            planner.release(id);
+        }
         drop(state);
         self.shared.changed.notify_one();
     }
@@ -256,10 +289,22 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.owner.release(self.id);
+        self.owner.release(&self.shard, self.id);
     }
 }
 
+fn replicas(view: &View, service: &id::Service, shard: &Shard) -> Vec<Replica> {
+    let upstreams = view.upstreams.values();
+    let upstreams = upstreams.filter(|it| it.service == *service && shard.holds(&it.zone));
+    let replicas = upstreams.map(|it| Replica {
+        name: it.name.clone(),
+        zone: it.zone.clone(),
+        started_ms: it.started_ms,
+        is_usable: view.is_usable(it),
+    });
+    replicas.collect()
+}
+
 fn log_call(telemetry: &Telemetry, call: &Call, outcome: &Outcome, took: Duration) {
     let (outcome, made) = match outcome {
         Outcome::Done(results) => ("done", results.iter().filter(|it| it.is_ok()).count()),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -32,8 +32,9 @@
 const ALIVE_MEMORY: Duration = Duration::from_millis(300);
 /// A peer that did not answer is passed over for this time.
 const SUSPICION: Duration = Duration::from_secs(2);
-/// A question for newer rows is answered after this time at the latest.
-const ROWS_WAIT: Duration = Duration::from_secs(5);
+/// A question for newer rows is answered after this time at the latest, so that the asker learns how
+/// fresh its rows are.
+const ROWS_WAIT: Duration = Duration::from_millis(400);
 
 #[derive(Debug, Default)]
 struct Contact {
@@ -114,7 +115,10 @@
             let mut replies = self.open(member, Request::Ping).await.ok()?;
             replies.next().await
         };
-        let is_alive = matches!(tokio::time::timeout(ANSWER_TIMEOUT, ping).await, Ok(Some(_)));
+        let is_alive = matches!(
+            tokio::time::timeout(ANSWER_TIMEOUT, ping).await,
+            Ok(Some(_))
+        );
         if is_alive {
             self.answered(&member.instance);
         }
@@ -122,9 +126,7 @@
     }
 
     fn contacts(&self) -> MutexGuard<'_, BTreeMap<id::Instance, Contact>> {
-        self.contacts
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -156,7 +158,8 @@
 /// Runs the steps of a request and keeps the results until the asker drops the stream.
 async fn serve_steps(node: &Arc<Node>, prepare: Prepare, replies: mpsc::Sender<Reply>) {
     let request = prepare.request.clone();
-    let mut lease = match node.owner.submit(plan(prepare)) {
+    let shard = prepare.shard.clone();
+    let mut lease = match node.owner.submit(shard, plan(prepare)) {
         Ok(lease) => lease,
         Err(refusal) => {
             slog::info!(node.logger(), "steps_refused"; "request" => request,
@@ -164,7 +167,7 @@
             return reply(&replies, Reply::Steps(refused(&refusal))).await;
         }
     };
-    reply(&replies, Reply::Steps(Progress::Accepted)).await;
+    reply(&replies, Reply::Steps(Progress::Accepted(lease.wait))).await;
     let answer = tokio::select! {
         answer = lease.prepared() => answer,
         () = replies.closed() => return,
@@ -197,8 +200,9 @@
     loop {
         view.mark_unchanged();
         let rows = node.store().mirror.since(positions);
-        if !rows.is_empty() || Instant::now() >= until {
-            return reply(&replies, Reply::Rows(rows)).await;
+        if !rows.is_empty() || Instant::now() >= until || !node.is_fresh() {
+            let age = node.rows_age();
+            return reply(&replies, Reply::Rows(rows, age)).await;
         }
         tokio::select! {
             changed = tokio::time::timeout_at(until, view.changed()) => {
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::hash;
 use catalog::Member;
 use stages::Prepared;
 use stages::Refusal;
+use stages::Shard;
+use stages::shard;
 use tokio::time::Instant;
 use wire::Reply;
 use wire::Request;
@@ -21,8 +24,13 @@
 use crate::peers::ANSWER_TIMEOUT;
 use crate::state::Node;
 
-/// Ownership key of all step services: one owner sees all steps of a request.
-const OWNERSHIP_KEY: &str = "steps";
+/// Prefix of the ownership keys of shards.
+const OWNERSHIP_KEY: &str = "steps/";
+/// How long what a shard said of its queue is believed.
+const WAIT_MEMORY: Duration = Duration::from_millis(500);
+/// A shard in the zone of the request's prompt is preferred while its queue is at most this much
+/// longer than the shortest.
+const HOME_BONUS: Duration = Duration::from_millis(150);
 /// While results are awaited, the owner is asked this often whether it lives.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Remote owners that are tried before this instance runs the steps itself.
@@ -48,6 +56,12 @@
 }
 
 impl Wanted {
+    fn for_shard(&self, shard: Shard) -> Wanted {
+        let mut wanted = self.clone();
+        wanted.prepare.shard = shard;
+        wanted
+    }
+
     fn message(&self) -> Prepare {
         let now = Instant::now();
         Prepare {
@@ -64,12 +78,12 @@
 ///
 /// Fails when the owner gives them up.
 pub async fn run(node: &Arc<Node>, wanted: &Wanted) -> Result<(Prepared, Lease), Refusal> {
-    let mut tried = 0;
-    for member in owners(node) {
-        if member.instance == node.settings.instance || tried >= REMOTE_OWNERS_MAX {
+    let shard = choose_shard(node, wanted).ok_or(Refusal::NoUpstream)?;
+    let wanted = &wanted.for_shard(shard.clone());
+    for member in owners(node, &shard).into_iter().take(REMOTE_OWNERS_MAX) {
+        if member.instance == node.settings.instance {
             break;
         }
-        tried += 1;
         match ask(node, &member, wanted).await {
             Some(answer) => return answer,
             None => {
@@ -80,20 +94,64 @@
             }
         }
     }
-    let mut lease = node.owner.submit(peers::plan(wanted.message()))?;
+    let mut lease = node
+        .owner
+        .submit(shard.clone(), peers::plan(wanted.message()))?;
+    node.shard_waits()
+        .insert(shard, (lease.wait, Instant::now()));
     let prepared = lease.prepared().await?;
     Ok((prepared, Lease::Local(lease)))
 }
 
-/// Members that are not suspected, in the order of ownership; suspected ones come last.
-fn owners(node: &Node) -> Vec<Arc<Member>> {
+/// The shard with the shortest queue that has all services, the one of the wanted zone first.
+fn choose_shard(node: &Node, wanted: &Wanted) -> Option<Shard> {
+    let view = node.view();
+    let prepare = &wanted.prepare;
+    let services = || prepare.steps.iter().map(|it| &it.service);
+    let mut shards: Vec<(Shard, usize)> = shard::of_view(&view)
+        .into_iter()
+        .map(|it| (it.clone(), shard::capacity(&view, &it, services())))
+        .collect();
+    if shards.len() == 1 {
+        return shards.pop().map(|it| it.0);
+    }
+    let waits = node.shard_waits().clone();
+    let now = Instant::now();
+    let cost = |shard: &Shard, capacity: usize| {
+        let wait = waits
+            .get(shard)
+            .filter(|it| now.saturating_duration_since(it.1) < WAIT_MEMORY)
+            .map_or(Duration::ZERO, |it| it.0);
+        let is_home = prepare.zone.as_ref().is_some_and(|it| shard.holds(it));
+        let wait = if is_home {
+            wait.saturating_sub(HOME_BONUS)
+        } else {
+            wait + HOME_BONUS * u32::from(prepare.zone.is_some())
+        };
+        // Equal queues are shared out in proportion to what the shards carry.
+        let draw = hash::of_strs([prepare.request.as_str(), &shard.to_string()]);
+        let draw = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        (wait.as_millis(), -draw.ln() / capacity as f64)
+    };
+    let able = shards.into_iter().filter(|it| it.1 > 0);
+    let best = able.min_by(|a, b| {
+        let (a, b) = (cost(&a.0, a.1), cost(&b.0, b.1));
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+    });
+    best.map(|it| it.0)
+}
+
+/// Members that are not suspected, in the order of ownership; those in the shard's zone first.
+fn owners(node: &Node, shard: &Shard) -> Vec<Arc<Member>> {
     let view = node.view();
     let members = view.members.values().map(Arc::as_ref);
-    let order = ownership::order(OWNERSHIP_KEY, members);
-    let (alive, _suspected): (Vec<&Member>, Vec<&Member>) = order
+    let key = format!("{OWNERSHIP_KEY}{shard}");
+    let mut order = ownership::order(&key, members);
+    order.retain(|it| !node.peers.is_suspected(&it.instance));
+    order.sort_by_key(|it| !shard.holds(&it.zone));
+    let shared = order
         .into_iter()
-        .partition(|it| !node.peers.is_suspected(&it.instance));
-    let shared = alive.into_iter().filter_map(|it| view.members.get(&it.instance));
+        .filter_map(|it| view.members.get(&it.instance));
     shared.cloned().collect()
 }
 
@@ -113,7 +171,10 @@
     loop {
         node.peers.answered(&member.instance);
         match reply {
-            Reply::Steps(Progress::Accepted) => {}
+            Reply::Steps(Progress::Accepted(wait)) => {
+                let shard = wanted.prepare.shard.clone();
+                node.shard_waits().insert(shard, (wait, Instant::now()));
+            }
             Reply::Steps(Progress::Prepared { handles, zone }) => {
                 let prepared = Prepared { handles, zone };
                 return Some(Ok((prepared, Lease::Remote(replies))));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -181,7 +181,11 @@
         self.sending.broke();
         self.channel = None;
         self.buffer.clear();
-        forward::crashed(&self.node, self.ask.fingerprint, &self.sending.upstream.name);
+        forward::crashed(
+            &self.node,
+            self.ask.fingerprint,
+            &self.sending.upstream.name,
+        );
         if !forward::is_resumable(self.ask.route.kind) {
             return Err(Error::Broken);
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use base::id;
 use catalog::View;
@@ -15,6 +16,7 @@
 use mirror::Row;
 use mirror::Table;
 use platform::settings::Settings;
+use stages::Shard;
 use telemetry::Telemetry;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -26,6 +28,10 @@
 use crate::owner::Owner;
 use crate::peers::Peers;
 
+/// Rows that were complete this long ago count as fresh. A change must be in force within 2 s; this
+/// leaves time to read the store.
+const ROWS_FRESH: Duration = Duration::from_millis(900);
+
 /// Rows and the beliefs that follow from them.
 #[derive(Debug, Default)]
 pub struct Store {
@@ -33,8 +39,13 @@
     pub mirror: Mirror,
     /// Beliefs.
     pub beliefs: Beliefs,
+    /// When the rows were last known to be complete.
+    complete: Option<Instant>,
 }
 
+/// Time in which the queue of a shard drains, and when the shard said so.
+pub type ShardWaits = BTreeMap<Shard, (Duration, Instant)>;
+
 /// State of one node.
 pub struct Node {
     /// Settings.
@@ -50,8 +61,10 @@
     /// Distinguishes this start of the instance from others.
     pub incarnation: u64,
     view: watch::Sender<Arc<View>>,
+    store_returns: watch::Sender<u64>,
     store: Mutex<Store>,
     limits: Mutex<Limits>,
+    shard_waits: Mutex<ShardWaits>,
     is_leaving: AtomicBool,
     in_flight: AtomicUsize,
 }
@@ -65,7 +78,9 @@
             pool: channel::Pool::default(),
             incarnation: rand::random(),
             view: watch::Sender::new(Arc::default()),
+            store_returns: watch::Sender::new(0),
             store: Mutex::default(),
+            shard_waits: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             settings,
@@ -92,6 +107,36 @@
         self.view.subscribe()
     }
 
+    /// Follows the returns of the store.
+    #[must_use]
+    pub fn store_returns(&self) -> watch::Receiver<u64> {
+        self.store_returns.subscribe()
+    }
+
+    /// Tells every call to the store that is still waiting that the store has returned.
+    pub fn note_store_return(&self) {
+        self.store_returns.send_modify(|it| *it += 1);
+    }
+
+    /// How long ago the rows were known to be complete, from the store or from other instances.
+    #[must_use]
+    pub fn rows_age(&self) -> Option<Duration> {
+        self.store().complete.map(|it| it.elapsed())
+    }
+
+    /// Whether the rows were complete a moment ago.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.rows_age().is_some_and(|it| it < ROWS_FRESH)
+    }
+
+    /// Notes that the rows were complete `age` ago.
+    pub fn note_complete(&self, age: Duration) {
+        let mut store = self.store();
+        let at = Instant::now().checked_sub(age);
+        store.complete = store.complete.max(at);
+    }
+
     /// Limits and evidence. Never held across an await.
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
@@ -102,6 +147,12 @@
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What shards last said of their queues. Never held across an await.
+    pub fn shard_waits(&self) -> MutexGuard<'_, ShardWaits> {
+        let waits = self.shard_waits.lock();
+        waits.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether clients should connect to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -37,11 +37,12 @@
     key: &str,
     members: impl IntoIterator<Item = &'a catalog::Member>,
 ) -> Vec<&'a catalog::Member> {
-    let mut scored: Vec<(f64, &catalog::Member)> = members
-        .into_iter()
-        .map(|it| (score(key, it), it))
-        .collect();
-    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
+    let mut scored: Vec<(f64, &catalog::Member)> =
+        members.into_iter().map(|it| (score(key, it), it)).collect();
+    scored.sort_by(|a, b| {
+        b.0.total_cmp(&a.0)
+            .then_with(|| a.1.instance.cmp(&b.1.instance))
+    });
     scored.into_iter().map(|it| it.1).collect()
 }
 
--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -19,6 +19,11 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
 /// A call is lost after this multiple of its expected time, plus [`TIMEOUT_SLACK`].
 const TIMEOUT_FACTOR: f64 = 2.5;
+/// Part of an upstream's room that is planned with: the stated size of results is approximate.
+const ROOM_PART: f64 = 0.85;
+/// An upstream that reported no room gets no more results to keep for this time: another owner's
+/// results may fill it.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(200);
 /// Covers connecting and both ways between zones.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
 
@@ -45,8 +50,8 @@
     slowness: f64,
     sampled: Option<Instant>,
     paused_until: Option<Instant>,
-    /// Expected end of its latest call.
-    pub(crate) busy_until: Option<Instant>,
+    /// Until when it is taken for full, whatever this owner keeps there.
+    full_until: Option<Instant>,
 }
 
 impl Slot {
@@ -58,7 +63,7 @@
             slowness: 1.0,
             sampled: None,
             paused_until: None,
-            busy_until: None,
+            full_until: None,
         }
     }
 
@@ -71,6 +76,15 @@
         1.0 + (self.slowness - 1.0) * 0.5_f64.powf(halvings)
     }
 
+    /// Whether results of `bytes` fit besides those that it keeps. One that keeps none takes any:
+    /// otherwise a large request would never run.
+    pub(crate) fn has_room(&self, bytes: u64, room: u64, now: Instant) -> bool {
+        if self.full_until.is_some_and(|it| it > now) {
+            return false;
+        }
+        self.bytes == 0 || self.bytes + bytes <= (room as f64 * ROOM_PART) as u64
+    }
+
     pub(crate) fn is_slow(&self, now: Instant) -> bool {
         self.slowness(now) > SLOW_FACTOR
     }
@@ -137,8 +151,16 @@
         self.slots.values().filter(|it| it.is_open(now)).count()
     }
 
+    pub(crate) fn is_usable_in(&self, zone: &id::Zone, now: Instant) -> bool {
+        let mut open = self.slots.values().filter(|it| it.is_open(now));
+        open.any(|it| it.replica.zone == *zone && !it.is_slow(now))
+    }
+
     pub(crate) fn registered(&self) -> usize {
-        self.slots.values().filter(|it| it.replica.is_usable).count()
+        self.slots
+            .values()
+            .filter(|it| it.replica.is_usable)
+            .count()
     }
 
     /// Stated time of a call of `pieces`.
@@ -166,7 +188,13 @@
     }
 
     /// Ends a call; `took` is its time where the upstream worked on it.
-    pub(crate) fn ended(&mut self, upstream: &id::Upstream, pieces: usize, took: Duration, now: Instant) {
+    pub(crate) fn ended(
+        &mut self,
+        upstream: &id::Upstream,
+        pieces: usize,
+        took: Duration,
+        now: Instant,
+    ) {
         let stated = self.stated(pieces).as_secs_f64();
         let took = took.as_secs_f64();
         self.call_time += SAMPLE_WEIGHT * (took.min(stated * SLOW_FACTOR) - self.call_time);
@@ -176,7 +204,11 @@
         let before = slot.slowness(now);
         // Pieces of some steps take less than the stated time, so speed is never below it.
         let sample = (took / stated).max(1.0);
-        let weight = if sample > SLOW_FACTOR { 1.0 } else { SAMPLE_WEIGHT };
+        let weight = if sample > SLOW_FACTOR {
+            1.0
+        } else {
+            SAMPLE_WEIGHT
+        };
         slot.slowness = before + weight * (sample - before);
         slot.sampled = Some(now);
     }
@@ -185,14 +217,21 @@
         self.pause(upstream, now + REJECTED_PAUSE);
     }
 
+    pub(crate) fn out_of_room(&mut self, upstream: &id::Upstream, now: Instant) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.full_until = Some(now + NO_ROOM_PAUSE);
+        }
+    }
+
     pub(crate) fn unreachable(&mut self, upstream: &id::Upstream, now: Instant) {
         self.pause(upstream, now + UNREACHABLE_PAUSE);
     }
 
     /// When the next paused upstream opens again.
     pub(crate) fn opens(&self, now: Instant) -> Option<Instant> {
-        let paused = self.slots.values().filter_map(|it| it.paused_until);
-        paused.filter(|it| *it > now).min()
+        let slots = self.slots.values();
+        let paused = slots.flat_map(|it| [it.paused_until, it.full_until]);
+        paused.flatten().filter(|it| *it > now).min()
     }
 
     fn pause(&mut self, upstream: &id::Upstream, until: Instant) {
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod planner;
 mod rank;
+pub mod shard;
 
 pub use call::Call;
 pub use call::Input;
@@ -25,3 +26,4 @@
 pub use plan::Step;
 pub use planner::PlanId;
 pub use planner::Planner;
+pub use shard::Shard;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -23,6 +23,10 @@
 
 /// Pieces of one plan that may fail before the plan is given up.
 const FAILURES_MAX: u32 = 12;
+/// Work with large inputs waits this long for an upstream in their zone before it goes elsewhere.
+const ZONE_WAIT: Duration = Duration::from_millis(120);
+/// Bytes read from another zone below which the zone does not matter.
+const ZONE_BYTES_MIN: u64 = 500_000;
 /// Part of a request's time for which late work waits in the queue before it is refused, so that
 /// the client hears early enough to come back.
 const LATE_HOLD: f64 = 0.35;
@@ -145,10 +149,22 @@
     rank: Rank,
     waiting: usize,
     bytes_each: u64,
+    /// Zone outside of which it should not be called yet.
     zone: Option<id::Zone>,
     ready_since: Instant,
 }
 
+impl Candidate {
+    fn bytes(&self, pieces: usize) -> u64 {
+        self.bytes_each * pieces as u64
+    }
+
+    fn may_run_in(&self, zone: &id::Zone, now: Instant) -> bool {
+        let has_waited = now.saturating_duration_since(self.ready_since) >= ZONE_WAIT;
+        has_waited || self.rank.is_late || self.zone.as_ref().is_none_or(|it| it == zone)
+    }
+}
+
 impl Planner {
     /// An owner without services.
     #[must_use]
@@ -297,16 +313,26 @@
     pub fn wakes(&self, now: Instant) -> Option<Instant> {
         let opens = self.fleets.values().filter_map(|it| it.opens(now));
         let open = self.plans.values().filter(|it| !it.is_delivered);
-        let expires = open.map(|it| self.gives_up(it, now)).filter(|it| *it > now);
-        opens.chain(expires).min()
+        let ready = open.clone().flat_map(|it| &it.steps);
+        let ready = ready.filter(|it| it.waiting() > 0);
+        let zones = ready
+            .filter_map(|it| it.ready_since)
+            .map(|it| it + ZONE_WAIT);
+        let expires = open.map(|it| self.gives_up(it, now));
+        let times = opens.chain(zones).chain(expires);
+        times.filter(|it| *it > now).min()
     }
 
     /// Time in which the queue ahead of a priority drains.
-    fn drain_time(&self, service: &id::Service, priority: u8, now: Instant) -> Duration {
+    #[must_use]
+    pub fn drain_time(&self, service: &id::Service, priority: u8, now: Instant) -> Duration {
         let Some(fleet) = self.fleets.get(service) else {
             return Duration::ZERO;
         };
-        let plans = self.plans.values().filter(|it| it.plan.priority <= priority);
+        let plans = self
+            .plans
+            .values()
+            .filter(|it| it.plan.priority <= priority);
         let pieces: usize = plans
             .flat_map(|it| it.plan.steps.iter().zip(&it.steps))
             .filter(|(step, _)| step.service == *service)
@@ -355,7 +381,9 @@
 
     /// When a waiting plan is refused unless it gets on.
     fn gives_up(&self, active: &Active, now: Instant) -> Instant {
-        let needed = self.expected_end(active, now).saturating_duration_since(now);
+        let needed = self
+            .expected_end(active, now)
+            .saturating_duration_since(now);
         let deadline = active.plan.deadline;
         let latest = deadline.checked_sub(needed).unwrap_or(now);
         let is_untouched = active
@@ -415,7 +443,7 @@
                     rank: Rank::new(active.plan.priority, active.plan.aim, end),
                     waiting,
                     bytes_each: step.result_bytes,
-                    zone: self.wanted_zone(active, idx),
+                    zone: self.wanted_zone(active, idx, now),
                     ready_since,
                 });
             }
@@ -424,24 +452,39 @@
         candidates
     }
 
-    /// Zone in which a step is best run: that of its inputs, or the one asked for.
-    fn wanted_zone(&self, active: &Active, step: usize) -> Option<id::Zone> {
-        let inputs = active.plan.steps[step].after.iter();
-        let mut pieces = inputs.flat_map(|it| &active.steps[*it].pieces);
-        let maker = pieces.find_map(|it| match it {
-            Piece::Made(upstream, _) => Some(upstream),
-            _ => None,
-        });
-        let slots = maker.and_then(|it| self.slot(it));
-        slots
-            .map(|it| it.replica.zone.clone())
-            .or_else(|| active.plan.zone.clone())
+    /// Zone in which a step should run: that of its inputs, or the one asked for, if enough bytes
+    /// depend on it and the zone has a usable upstream.
+    fn wanted_zone(&self, active: &Active, step: usize, now: Instant) -> Option<id::Zone> {
+        let steps = &active.plan.steps;
+        let inputs = &steps[step].after;
+        let read = inputs
+            .iter()
+            .map(|it| steps[*it].result_bytes * steps[*it].pieces as u64);
+        let read = read.sum::<u64>() * steps[step].pieces as u64;
+        let made = steps[step].result_bytes * steps[step].pieces as u64;
+        let zone = if read >= ZONE_BYTES_MIN {
+            let mut pieces = inputs.iter().flat_map(|it| &active.steps[*it].pieces);
+            let maker = pieces.find_map(|it| match it {
+                Piece::Made(upstream, _) => Some(upstream),
+                _ => None,
+            });
+            maker
+                .and_then(|it| self.slot(it))
+                .map(|it| it.replica.zone.clone())
+        } else if made >= ZONE_BYTES_MIN {
+            active.plan.zone.clone()
+        } else {
+            None
+        };
+        let fleet = self.fleets.get(&steps[step].service)?;
+        zone.filter(|it| fleet.is_usable_in(it, now))
     }
 
     fn slot(&self, upstream: &id::Upstream) -> Option<&Slot> {
         self.fleets.values().find_map(|it| it.slots.get(upstream))
     }
 
+    /// Forms one call from the candidates, in their order; takes those that it holds from the list.
     fn form(
         &mut self,
         service: &id::Service,
@@ -449,59 +492,32 @@
         now: Instant,
     ) -> Option<Call> {
         let fleet = self.fleets.get(service)?;
-        let free = fleet.free(now);
-        let first = candidates.first()?;
-        // Late work leaves one upstream free for work that can still be in time.
-        if first.rank.is_late && free.len() < 2 && fleet.usable(now) > 1 {
-            return None;
-        }
-        let room = fleet.pool.result_room;
-        let fits = |slot: &&&Slot| {
-            slot.bytes == 0 || slot.bytes + first.bytes_each * first.waiting as u64 <= room
-        };
-        let slot = free
-            .iter()
-            .filter(fits)
-            .min_by_key(|it| {
-                let is_elsewhere = first.zone.as_ref().is_some_and(|zone| *zone != it.replica.zone);
-                (is_elsewhere, it.bytes)
-            })?;
-        let upstream = slot.replica.name.clone();
-        let started_ms = slot.replica.started_ms;
+        let (first, upstream) = self.first(fleet, candidates, now)?;
+        let slot = fleet.slots.get(&upstream)?;
         let zone = slot.replica.zone.clone();
-        let other_zones: Vec<id::Zone> = free
-            .iter()
-            .filter(|it| it.replica.name != upstream)
-            .map(|it| it.replica.zone.clone())
-            .collect();
-        let mut bytes_left = room.saturating_sub(slot.bytes);
-        let mut pieces_left = fleet.pool.batch;
+        let started_ms = slot.replica.started_ms;
+        let room = fleet.pool.result_room;
         let batch = fleet.pool.batch;
-        let mut taken: Vec<(PlanId, usize, usize)> = Vec::new();
+        let mut pieces = 0;
         let mut bytes = 0;
+        let mut taken: Vec<(PlanId, usize, usize)> = Vec::new();
+        let mut waits = Vec::new();
         let mut rest = Vec::new();
-        for candidate in candidates.drain(..) {
-            let is_first = taken.is_empty();
-            let has_own_zone = candidate
-                .zone
-                .as_ref()
-                .is_some_and(|it| *it != zone && other_zones.contains(it));
+        for (idx, candidate) in candidates.drain(..).enumerate() {
             let wanted = candidate.waiting.min(batch);
-            let size = candidate.bytes_each * wanted as u64;
-            let is_fitting = wanted <= pieces_left && size <= bytes_left;
-            if !is_first && (has_own_zone || !is_fitting) {
+            let size = candidate.bytes(wanted);
+            let is_fitting = pieces + wanted <= batch
+                && slot.has_room(bytes + size, room, now)
+                && candidate.may_run_in(&zone, now);
+            if idx < first || (idx > first && !is_fitting) {
                 rest.push(candidate);
                 continue;
             }
-            pieces_left -= wanted.min(pieces_left);
-            bytes_left = bytes_left.saturating_sub(size);
+            pieces += wanted;
             bytes += size;
             taken.push((candidate.plan, candidate.step, wanted));
             if !candidate.rank.is_late {
-                let wait = now.saturating_duration_since(candidate.ready_since);
-                if let Some(fleet) = self.fleets.get_mut(service) {
-                    fleet.waited(wait);
-                }
+                waits.push(now.saturating_duration_since(candidate.ready_since));
             }
             if candidate.waiting > wanted {
                 rest.push(Candidate {
@@ -512,13 +528,12 @@
         }
         *candidates = rest;
         let fleet = self.fleets.get_mut(service)?;
-        let pieces = taken.iter().map(|it| it.2).sum();
+        waits.into_iter().for_each(|it| fleet.waited(it));
         let timeout = fleet.timeout(&upstream, pieces, now);
         let until = now + fleet.stated(pieces);
         if let Some(slot) = fleet.slots.get_mut(&upstream) {
             slot.calls += 1;
             slot.bytes += bytes;
-            slot.busy_until = Some(until);
         }
         let mut items = Vec::with_capacity(pieces);
         for (plan, step, count) in taken {
@@ -542,6 +557,36 @@
         })
     }
 
+    /// The first candidate that a free upstream can take, and that upstream.
+    fn first(
+        &self,
+        fleet: &Fleet,
+        candidates: &[Candidate],
+        now: Instant,
+    ) -> Option<(usize, id::Upstream)> {
+        let free = fleet.free(now);
+        let room = fleet.pool.result_room;
+        for (idx, candidate) in candidates.iter().enumerate() {
+            // Late work leaves one upstream free for work that can still be in time.
+            if candidate.rank.is_late && free.len() < 2 && fleet.usable(now) > 1 {
+                return None;
+            }
+            let size = candidate.bytes(candidate.waiting.min(fleet.pool.batch));
+            let able = free
+                .iter()
+                .filter(|it| it.has_room(size, room, now))
+                .filter(|it| candidate.may_run_in(&it.replica.zone, now));
+            let best = able.min_by_key(|it| {
+                let zone = candidate.zone.as_ref();
+                (zone.is_some_and(|zone| *zone != it.replica.zone), it.bytes)
+            });
+            if let Some(slot) = best {
+                return Some((idx, slot.replica.name.clone()));
+            }
+        }
+        None
+    }
+
     fn call_pieces(
         &mut self,
         id: PlanId,
@@ -591,7 +636,8 @@
                 fleet.unreachable(&call.upstream, now);
             }
         }
-        let is_all_made = matches!(outcome, Outcome::Done(results) if results.iter().all(Result::is_ok));
+        let is_all_made =
+            matches!(outcome, Outcome::Done(results) if results.iter().all(Result::is_ok));
         let slot = fleet.slots.get_mut(&call.upstream);
         let Some(slot) = slot.filter(|it| it.replica.started_ms == call.started_ms) else {
             return;
@@ -626,7 +672,13 @@
             Ok(handle) => self.made(call, item, handle, now),
             Err(ItemFailure::Late) => self.end(item.plan, Refusal::TooLate(Duration::ZERO)),
             Err(ItemFailure::InputGone) => self.remake_inputs(item, now),
-            Err(ItemFailure::NoRoom | ItemFailure::Failed) => self.fail(item),
+            Err(ItemFailure::NoRoom) => {
+                if let Some(fleet) = self.fleets.get_mut(&call.service) {
+                    fleet.out_of_room(&call.upstream, now);
+                }
+                self.wait_again(item);
+            }
+            Err(ItemFailure::Failed) => self.fail(item),
         }
     }
 
--- /dev/null
+++ b/crates/stages/src/shard.rs
@@ -0,0 +1,80 @@
+//! How step services are split over owners.
+//!
+//! One owner sees every waiting piece and fills its calls best. Where a service has many upstreams
+//! one owner cannot carry the messages, and each zone has enough upstreams to fill calls of its
+//! own; then each zone is a shard, and no result crosses zones.
+
+use std::fmt;
+
+use base::id;
+use catalog::View;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Upstreams of step services from which on they are split by zone. Sixteen of them are one
+/// owner's; fifty, at 3,500 pieces a second, are more than half a core can carry.
+const SPLIT_UPSTREAMS: usize = 32;
+
+/// A set of upstreams with one owner.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Shard {
+    /// All upstreams.
+    Whole,
+    /// Those of one zone.
+    Zone(id::Zone),
+}
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Shard::Whole => f.write_str("whole"),
+            Shard::Zone(zone) => write!(f, "{zone}"),
+        }
+    }
+}
+
+impl Shard {
+    /// Whether upstreams of `zone` belong to the shard.
+    #[must_use]
+    pub fn holds(&self, zone: &id::Zone) -> bool {
+        match self {
+            Shard::Whole => true,
+            Shard::Zone(own) => own == zone,
+        }
+    }
+}
+
+/// The shards of a view.
+#[must_use]
+pub fn of_view(view: &View) -> Vec<Shard> {
+    let Some(catalog) = &view.catalog else {
+        return Vec::new();
+    };
+    let is_step = |service: &id::Service| {
+        let service = catalog.services.get(service);
+        service.is_some_and(|it| it.pool.is_some())
+    };
+    let upstreams = view.upstreams.values().filter(|it| is_step(&it.service));
+    let mut zones: Vec<&id::Zone> = upstreams.map(|it| &it.zone).collect();
+    if zones.len() < SPLIT_UPSTREAMS {
+        return vec![Shard::Whole];
+    }
+    zones.sort();
+    zones.dedup();
+    zones.into_iter().cloned().map(Shard::Zone).collect()
+}
+
+/// How much a shard can carry of requests whose steps run at `services`: the fewest upstreams that
+/// it has of any of them.
+#[must_use]
+pub fn capacity<'a>(
+    view: &View,
+    shard: &Shard,
+    services: impl IntoIterator<Item = &'a id::Service>,
+) -> usize {
+    let counts = services.into_iter().map(|service| {
+        let usable = view.usable(service);
+        usable.filter(|it| shard.holds(&it.zone)).count()
+    });
+    counts.min().unwrap_or(0)
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,7 @@
 //! Requests and replies.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use base::id;
 use config::Document;
@@ -67,8 +68,8 @@
     Timeline(Vec<timeline::Event>),
     /// Progress or end of the steps of a request.
     Steps(steps::Progress),
-    /// Rows of the store, oldest first.
-    Rows(Vec<mirror::Row>),
+    /// Rows of the store, oldest first, and how long ago they were known to be complete.
+    Rows(Vec<mirror::Row>, Option<Duration>),
 }
 
 /// Asks for the current view.
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -6,11 +6,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stages::Handle;
+use stages::Shard;
 use stages::Step;
 
 /// Asks for the results of a request's steps. Times are counted from the sending of the message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Prepare {
+    /// Shard whose upstreams run them.
+    pub shard: Shard,
     /// Id of the request.
     pub request: String,
     /// Input of steps that read no results.
@@ -32,8 +35,8 @@
 /// What the owner of the steps answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Progress {
-    /// The steps are queued.
-    Accepted,
+    /// The steps are queued; the time in which the queue ahead of them drains.
+    Accepted(Duration),
     /// All results exist.
     Prepared {
         /// The results that the request itself reads.
