--- a/crates/forwarding/src/stop.rs
+++ b/crates/forwarding/src/stop.rs
@@ -7,10 +7,11 @@
 /// Requests that arrive this long after the stop began are refused: the balancer has turned away by
 /// then, and a long stream could not end before the process must.
 const ACCEPT_FOR: Duration = Duration::from_millis(2_800);
-/// Time kept back from the grace time to close connections and exit.
-const EXIT_MARGIN: Duration = Duration::from_millis(1_200);
-/// Time kept back from that to send the answers of requests that are still waiting.
-const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the grace time that is kept back to close connections and exit.
+const EXIT_PART: u32 = 16;
+/// Part of the grace time before its end at which requests in flight are given up. A long stream may
+/// be broken off only in the last sixth.
+const ANSWER_PART: u32 = 12;
 
 /// A graceful stop that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,13 +36,12 @@
     /// When every request must have its answer.
     #[must_use]
     pub fn answers_until(&self) -> Instant {
-        let time = self.grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN);
-        self.since + time
+        self.since + (self.grace - self.grace / ANSWER_PART)
     }
 
     /// When the process closes what is left and exits.
     #[must_use]
     pub fn exits_at(&self) -> Instant {
-        self.since + self.grace.saturating_sub(EXIT_MARGIN)
+        self.since + (self.grace - self.grace / EXIT_PART)
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -483,6 +483,9 @@
         Ok(connected) => connected,
         Err(cause) => {
             let retry_after = ask.retry_after(RETRY_AFTER);
+            slog::info!(node.logger(), "not_sent"; "request" => &ask.request, "cause" => %cause,
+                "placed_at" => engine.as_ref().map(id::Upstream::as_str),
+                "prompt" => ask.prompt().map(|it| format!("{it:x}")));
             return Err(pending.end(cause, retry_after));
         }
     };
@@ -499,6 +502,8 @@
     slog::info!(node.logger(), "sent"; "request" => &ask.request,
         "upstream" => upstream.name.as_str(), "upstream_version" => upstream.version,
         "kept" => channel.is_kept, "repeat" => is_repeat, "results" => handles.len(),
+        "placed" => engine.as_ref() == Some(&upstream.name),
+        "prompt" => ask.prompt().map(|it| format!("{it:x}")),
         "left_ms" => left.as_millis() as u64);
     let response = tokio::select! {
         biased;
@@ -681,10 +686,8 @@
         match opened {
             // What was decided before the connection was made is checked again.
             Ok(channel) if node.view().still_usable(&upstream) => {
-                let is_open = node
-                    .limits()
-                    .is_open(&node.view(), &upstream, Instant::now());
-                if is_open {
+                let is_placed = tries == 0 && wish.engine == Some(&upstream.name);
+                if may_send(node, &upstream, is_placed) {
                     return Ok((upstream, channel));
                 }
             }
@@ -703,6 +706,15 @@
     }
 }
 
+/// Whether the cold limit allows a request now: by the owner that placed it, or by this instance's
+/// own share.
+fn may_send(node: &Node, upstream: &Upstream, is_placed: bool) -> bool {
+    let view = node.view();
+    let limits = node.limits();
+    let is_granted = is_placed && limits.is_owned(&view, &upstream.service);
+    is_granted || limits.is_open(&view, upstream, Instant::now())
+}
+
 /// What is known of where a request should go.
 #[derive(Clone, Copy, Debug, Default)]
 struct Wish<'a> {
@@ -731,16 +743,17 @@
     tries: u32,
 ) -> Result<Arc<Upstream>, Cause> {
     let view = node.view();
-    let order = order(node, ask, service, wish, Gates::Kept)?;
     let is_owned = node.limits().is_owned(&view, service);
     let wished = wish
         .engine
-        .filter(|it| tries == 0 && Some(*it) != wish.except);
-    let wished = wished.filter(|it| is_owned || order.contains(it));
-    let wished = wished.filter(|it| {
-        let upstream = view.upstreams.get(*it);
-        upstream.is_some_and(|it| view.is_usable(it))
-    });
+        .filter(|it| tries == 0 && Some(*it) != wish.except)
+        .and_then(|it| view.upstreams.get(it))
+        .filter(|it| view.is_usable(it));
+    if let Some(upstream) = wished.filter(|_| is_owned) {
+        return Ok(upstream.clone());
+    }
+    let order = order(node, ask, service, wish, Gates::Kept)?;
+    let wished = wished.map(|it| &it.name).filter(|it| order.contains(it));
     let chosen = wished.or(order.first()).ok_or(Cause::ColdLimit)?;
     let chosen = view.upstreams.get(chosen);
     chosen.cloned().ok_or(Cause::NoUpstream)
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -1,6 +1,7 @@
 //! Limits and evidence that all requests of this instance share.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use base::id;
@@ -23,6 +24,8 @@
     bounds: Bounds,
     budgets: BTreeMap<id::Service, Budget>,
     gates: BTreeMap<id::Upstream, Gate>,
+    /// Upstreams that this instance may send to without their owner.
+    fallbacks: BTreeSet<id::Upstream>,
     health: BTreeMap<id::Upstream, Health>,
     /// Requests that crashed upstreams.
     pub quarantine: Quarantine,
@@ -38,6 +41,7 @@
             bounds,
             budgets: BTreeMap::new(),
             gates: BTreeMap::new(),
+            fallbacks: BTreeSet::new(),
             health: BTreeMap::new(),
             quarantine: Quarantine::default(),
             sends: 0,
@@ -88,11 +92,8 @@
         if let Some(share) = bound.divided(view.members.len()) {
             return is_open(share);
         }
-        let (count, share) = bound.fallback();
-        let members = view.members.values().map(Arc::as_ref);
-        let order = ownership::order(upstream.name.as_str(), members);
-        let mut allowed = order.into_iter().take(count);
-        allowed.any(|it| it.instance == self.instance) && is_open(share)
+        let (_, share) = bound.fallback();
+        self.fallbacks.contains(&upstream.name) && is_open(share)
     }
 
     /// Whether the owners of shards keep the cold limits of a service's upstreams.
@@ -124,14 +125,33 @@
         }
     }
 
-    /// Forgets upstreams that are no longer registered.
+    /// Forgets upstreams that are no longer registered, and finds those that this instance may send
+    /// to without their owner.
     pub fn retain(&mut self, view: &View) {
+        self.fallbacks = self.find_fallbacks(view);
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.gates.retain(|name, _| is_known(name));
         self.health
             .retain(|name, it| is_known(name) || it.in_flight > 0);
     }
 
+    fn find_fallbacks(&self, view: &View) -> BTreeSet<id::Upstream> {
+        let members = view.members.len();
+        let is_fallback = |upstream: &Upstream| {
+            let bound = cold_bound(&self.bounds, view, &upstream.service);
+            let Some(bound) = bound.filter(|it| it.divided(members).is_none()) else {
+                return false;
+            };
+            let (count, _) = bound.fallback();
+            let members = view.members.values().map(Arc::as_ref);
+            let order = ownership::order(upstream.name.as_str(), members);
+            let mut allowed = order.into_iter().take(count);
+            allowed.any(|it| it.instance == self.instance)
+        };
+        let upstreams = view.upstreams.values().filter(|it| is_fallback(it));
+        upstreams.map(|it| it.name.clone()).collect()
+    }
+
     fn budget(&mut self, service: &id::Service) -> &mut Budget {
         let bound = retry::Bound {
             ratio: self.bounds.retry_ratio,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -40,6 +40,8 @@
 
 #[derive(Debug, Default)]
 struct Contact {
+    /// Start of the member that the connection belongs to.
+    incarnation: u64,
     answered: Option<Instant>,
     suspected_until: Option<Instant>,
 }
@@ -77,9 +79,24 @@
         request: Request,
     ) -> Result<peer::Replies, peer::Error> {
         let client = self.client.get().ok_or(peer::Error::Unreachable)?;
+        if self.has_restarted(member) {
+            // The connection to its former process would swallow the request.
+            client.forget(member.address).await;
+        }
         client.open(member.address, request).await
     }
 
+    /// Whether the member has started anew since the last call.
+    fn has_restarted(&self, member: &Member) -> bool {
+        let mut contacts = self.contacts();
+        let contact = contacts.entry(member.instance.clone()).or_default();
+        let before = std::mem::replace(&mut contact.incarnation, member.incarnation);
+        if before != member.incarnation {
+            contact.suspected_until = None;
+        }
+        before != 0 && before != member.incarnation
+    }
+
     /// Notes an answer.
     pub fn answered(&self, instance: &id::Instance) {
         let mut contacts = self.contacts();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -167,7 +167,7 @@
     }
 
     fn child(&self, idx: usize) -> eyre::Result<Child> {
-        let ports = ports()?;
+        let ports = site::ports()?;
         let zone = if idx.is_multiple_of(2) { "a" } else { "b" };
         let name = format!("n{idx}");
         let text = site::settings(&name, zone, self.store.address, ports);
@@ -387,20 +387,6 @@
     asked
 }
 
-/// Ports that were free a moment ago; the third one is for UDP.
-fn ports() -> eyre::Result<[u16; 4]> {
-    let mut tcp = Vec::new();
-    for _ in 0..3 {
-        tcp.push(std::net::TcpListener::bind("127.0.0.1:0")?);
-    }
-    let udp = std::net::UdpSocket::bind("127.0.0.1:0")?;
-    let mut ports = Vec::new();
-    for listener in &tcp {
-        ports.push(listener.local_addr()?.port());
-    }
-    Ok([ports[0], ports[1], udp.local_addr()?.port(), ports[2]])
-}
-
 /// The node program beside the running one.
 ///
 /// # Errors
