Hold lapsed upstreams only while nobody hears from the store

Change: the store counts as away when the rows were complete 2.5 s ago or more by any instance's word; registrations lapse after 3.6 s of silence. Every instance reads for itself before it knows members.

Ruled out: rows missing behind newer ones (the row arrived 42 ms after the store's acknowledgement).

--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -2,6 +2,7 @@
 //!
 //! A registration that is deleted while the store is away may only have lapsed: its upstream is back
 //! within two seconds of the store's return, if it lives. Such upstreams stay in use for that time.
+//! A store that is away for this instance alone is not away: others confirm the rows.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +19,10 @@
 /// Time after the store's return within which live upstreams are registered again.
 const LAPSE_HOLD: Duration = Duration::from_millis(2_100);
 
+/// The store counts as away when nobody has had an answer for this long. Registrations lapse after
+/// three heartbeats, 3.6 s, of silence, so a shorter outage lets none lapse.
+const AWAY_MIN: Duration = Duration::from_millis(2_500);
+
 /// What one row changed.
 #[derive(Clone, Debug, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -47,9 +52,9 @@
 pub struct Beliefs {
     view: View,
     lapsed: BTreeMap<id::Upstream, Instant>,
-    /// When the store answered again after it did not.
-    store_returned: Option<Instant>,
-    is_store_away: bool,
+    /// When the rows were complete again after the store had been away.
+    returned: Option<Instant>,
+    is_away: bool,
 }
 
 impl Beliefs {
@@ -59,25 +64,18 @@
         Arc::new(self.view.clone())
     }
 
-    /// The store gave no answer; returns whether that is news.
-    pub fn store_lost(&mut self) -> bool {
-        let is_news = !self.is_store_away;
-        self.is_store_away = true;
-        is_news
-    }
-
-    /// The store answered; returns whether that is news.
-    pub fn store_answered(&mut self, now: Instant) -> bool {
-        if !self.is_store_away {
-            return false;
-        }
-        self.is_store_away = false;
-        self.store_returned = Some(now);
-        // The hold counts from the return, not from when the deletion was first seen.
-        for until in self.lapsed.values_mut() {
-            *until = now + LAPSE_HOLD;
+    /// Notes how long ago the rows were known to be complete, from the store or from another
+    /// instance.
+    pub fn set_age(&mut self, age: Option<Duration>, now: Instant) {
+        let is_away = age.is_some_and(|it| it >= AWAY_MIN);
+        if self.is_away && !is_away {
+            self.returned = Some(now);
+            // The hold counts from the return, not from when the deletion was first seen.
+            for until in self.lapsed.values_mut() {
+                *until = now + LAPSE_HOLD;
+            }
         }
-        true
+        self.is_away = is_away;
     }
 
     /// Takes in rows that were news.
@@ -94,7 +92,7 @@
 
     /// Drops the lapsed upstreams that were not registered again in time.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
-        if self.is_store_away {
+        if self.is_away {
             return Vec::new();
         }
         let expired = self.lapsed.iter().filter(|(_, until)| **until <= now);
@@ -167,9 +165,9 @@
         if !self.view.upstreams.contains_key(&name) {
             return None;
         }
-        let held_until = self.store_returned.map(|it| it + LAPSE_HOLD);
+        let held_until = self.returned.map(|it| it + LAPSE_HOLD);
         let held_until = held_until.filter(|it| *it > now);
-        if !self.is_store_away && held_until.is_none() {
+        if !self.is_away && held_until.is_none() {
             self.view.upstreams.remove(&name);
             return Some(Change::UpstreamGone(name));
         }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -118,21 +118,26 @@
     };
     let batch = client.feed(table, position, wait).await?;
     node.advance(table, batch.rows, batch.version);
-    if table == Table::Operators {
-        node.note_complete(Duration::ZERO);
-    }
+    note_complete(node, table);
     Ok(())
 }
 
 async fn read(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
     let batch = client.read(table).await?;
     node.replace(table, batch.rows, batch.version);
+    note_complete(node, table);
     Ok(())
 }
 
+/// The operators' table is asked for most often, and stands for all.
+fn note_complete(node: &Node, table: Table) {
+    if table == Table::Operators {
+        node.note_complete(Duration::ZERO);
+    }
+}
+
 fn store_answered(node: &Node) {
-    let is_news = node.store().beliefs.store_answered(Instant::now());
-    if is_news {
+    if node.note_store_answer(true) {
         slog::info!(node.logger(), "store_back");
         node.note_store_return();
     }
@@ -140,8 +145,7 @@
 
 fn store_lost(node: &Node, table: Table, err: &store::Error) {
     node.telemetry.count("store.failures", 1);
-    let is_news = node.store().beliefs.store_lost();
-    if is_news {
+    if node.note_store_answer(false) {
         slog::warn!(node.logger(), "store_lost"; "table" => %table, "reason" => %err);
     }
 }
@@ -257,8 +261,9 @@
 fn is_reader(node: &Node) -> bool {
     let readers = readers(node);
     let count = reader_count(readers.len());
-    let mut readers = readers.iter().take(count);
-    readers.any(|it| *it == node.settings.instance)
+    let mut first = readers.iter().take(count);
+    // Before it knows any member, each instance reads for itself.
+    readers.is_empty() || first.any(|it| *it == node.settings.instance)
 }
 
 /// The `idx`-th source of rows: the readers, from a place that differs between instances, then all
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -43,6 +43,14 @@
     pub beliefs: Beliefs,
     /// When the rows were last known to be complete.
     complete: Option<Instant>,
+    /// Whether this instance's own calls to the store fail.
+    is_unanswered: bool,
+}
+
+impl Store {
+    fn age(&self, now: Instant) -> Option<Duration> {
+        self.complete.map(|it| now.saturating_duration_since(it))
+    }
 }
 
 /// Time in which the queue of a shard drains, and when the shard said so.
@@ -123,7 +131,7 @@
     /// How long ago the rows were known to be complete, from the store or from other instances.
     #[must_use]
     pub fn rows_age(&self) -> Option<Duration> {
-        self.store().complete.map(|it| it.elapsed())
+        self.store().age(Instant::now())
     }
 
     /// Whether the rows were complete a moment ago.
@@ -132,11 +140,23 @@
         self.rows_age().is_some_and(|it| it < ROWS_FRESH)
     }
 
+    /// Notes whether a call of this instance to the store was answered; returns whether that changed.
+    pub fn note_store_answer(&self, is_answered: bool) -> bool {
+        let mut store = self.store();
+        let is_change = store.is_unanswered == is_answered;
+        store.is_unanswered = !is_answered;
+        is_change
+    }
+
     /// Notes that the rows were complete `age` ago.
     pub fn note_complete(&self, age: Duration) {
         let mut store = self.store();
-        let at = Instant::now().checked_sub(age);
-        store.complete = store.complete.max(at);
+        let now = Instant::now();
+        for complete in [store.complete, now.checked_sub(age)] {
+            store.complete = store.complete.max(complete);
+            let age = store.age(now);
+            store.beliefs.set_age(age, now);
+        }
     }
 
     /// Limits and evidence. Never held across an await.
@@ -226,7 +246,10 @@
     fn update(&self, change: impl FnOnce(&mut Store, Instant) -> Vec<Change>) {
         let (changes, view) = {
             let mut store = self.store();
-            let changes = change(&mut store, Instant::now());
+            let now = Instant::now();
+            let age = store.age(now);
+            store.beliefs.set_age(age, now);
+            let changes = change(&mut store, now);
             if changes.is_empty() {
                 return;
             }
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -4,5 +4,6 @@
 mod bad_input;
 mod beliefs;
 mod fixture;
+mod lapse;
 mod stop;
 mod streams;
