--- /dev/null
+++ b/crates/node/src/ask.rs
@@ -0,0 +1,141 @@
+//! A request as its client sent it, and the time that it has.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use base::hash;
+use base::id;
+use bytes::Bytes;
+use catalog::Route;
+use catalog::Workspace;
+use forwarding::stop::Stop;
+use http::HeaderMap;
+use http::Method;
+use platform::front::Head;
+use tokio::time::Instant;
+
+use crate::clock;
+
+/// Kept connections idle for longer are not used for requests that cannot be repeated: a reset
+/// after the first byte would leave their outcome unknown.
+const IDLE_UNREPEATABLE: Duration = Duration::from_millis(200);
+/// The same for requests that can be repeated.
+const IDLE_REPEATABLE: Duration = Duration::from_millis(900);
+/// Time between looks at what a waiting request has left.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Shared tokens of a prompt from which on reading them again costs more than moving results
+/// between zones: 2.5 results of 1.5 MB against 2,500 tokens at the prices of both users.
+const HOME_TOKENS_MIN: u64 = 1_000;
+/// Time kept back from the deadline to answer within it.
+pub(crate) const ANSWER_MARGIN: Duration = Duration::from_millis(20);
+
+/// A request as its client sent it, with what the configuration says of it.
+#[derive(Debug)]
+pub struct Ask {
+    /// Id of the client attempt.
+    pub request: String,
+    /// What its headers say.
+    pub head: Head,
+    /// Method.
+    pub method: Method,
+    /// Path and query, byte by byte.
+    pub target: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Route,
+    /// Workspace of its key.
+    pub workspace: Option<Workspace>,
+    /// Whether the configuration has workspaces.
+    pub has_keys: bool,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When its header had been read.
+    pub received: Instant,
+    /// Suspension of the machine until then.
+    pub suspended: Duration,
+    /// Path, workspace and body.
+    pub fingerprint: id::Fingerprint,
+    /// The stop of this process, once it has begun.
+    pub stop: Arc<OnceLock<Stop>>,
+}
+
+impl Ask {
+    /// Time that the request has left, within this process's stop and without the time in which the machine was suspended.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        let client = self.head.deadline.unwrap_or(self.route.timeout);
+        let total = client.min(self.route.timeout);
+        let slept = clock::suspended().saturating_sub(self.suspended);
+        let left = total.saturating_sub(self.received.elapsed() + slept);
+        let stop = self.stop.get().map(Stop::answers_until);
+        let until_stop = stop.map(|it| it.saturating_duration_since(Instant::now()));
+        left.min(until_stop.unwrap_or(left))
+    }
+
+    /// Completes when the request has less than [`ANSWER_MARGIN`] left. A stop that begins, or a
+    /// suspension, shortens the time on the way.
+    pub async fn expired(&self) {
+        loop {
+            let left = self.left().saturating_sub(ANSWER_MARGIN);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(EXPIRY_INTERVAL)).await;
+        }
+    }
+
+    /// When the answer must have been given.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        Instant::now() + self.left()
+    }
+
+    /// When the answer is of full use.
+    #[must_use]
+    pub fn aim(&self) -> Instant {
+        self.received + self.route.goal
+    }
+
+    /// Identifies the part of the prompt that requests of one session or document share.
+    #[must_use]
+    pub fn prompt(&self) -> Option<u64> {
+        let parts = &self.head.prompt;
+        let shared = parts.len().checked_sub(2).or(parts.len().checked_sub(1))?;
+        let ids = parts[..=shared].iter().map(|it| it.id.as_str());
+        Some(hash::of_strs(ids))
+    }
+
+    /// Whether the engine that keeps the shared part of the prompt is worth going to in any zone.
+    #[must_use]
+    pub fn has_home(&self) -> bool {
+        let parts = &self.head.prompt;
+        let shared = parts.iter().take(parts.len().saturating_sub(1));
+        shared.map(|it| it.tokens).sum::<u64>() >= HOME_TOKENS_MIN
+    }
+
+    /// Whether the request may run more than once.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.route.kind.is_repeatable()
+    }
+
+    /// How long a kept connection may have been idle.
+    #[must_use]
+    pub fn idle_max(&self) -> Duration {
+        if self.is_repeatable() {
+            IDLE_REPEATABLE
+        } else {
+            IDLE_UNREPEATABLE
+        }
+    }
+
+    /// A time to come back that the client honours: within a third of what it has left.
+    #[must_use]
+    pub fn retry_after(&self, wanted: Duration) -> Duration {
+        wanted.min(self.left().mul_f64(0.3))
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,9 +25,9 @@
 use salvo::http::header;
 use tokio::time::Instant;
 
+use crate::ask::Ask;
 use crate::clock;
 use crate::forward;
-use crate::forward::Ask;
 use crate::forward::Body;
 use crate::forward::Reply;
 use crate::state::Node;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! `catalog`, `mirror`) and the outside. A request lives in its front handler: when the client goes,
 //! the handler is dropped, and with it every connection, plan and wait of the request.
 
+pub mod ask;
 pub mod beliefs;
 pub mod channel;
 pub mod clock;
@@ -19,3 +20,4 @@
 pub mod serve;
 pub mod state;
 pub mod stop;
+pub mod target;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,9 +12,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::ask::Ask;
 use crate::channel::Channel;
 use crate::forward;
-use crate::forward::Ask;
 use crate::forward::Sending;
 use crate::prepare::Ready;
 use crate::state::InFlight;
--- /dev/null
+++ b/crates/node/src/target.rs
@@ -0,0 +1,251 @@
+//! Where a request goes: what its owner is asked for, the choice of an upstream, the connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::hash;
+use base::id;
+use catalog::Upstream;
+use forwarding::choice;
+use forwarding::life::Cause;
+use stages::Shard;
+use stages::Step;
+use tokio::time::Instant;
+use wire::steps::Engines;
+use wire::steps::Prepare;
+
+use crate::ask::ANSWER_MARGIN;
+use crate::ask::Ask;
+use crate::channel::Channel;
+use crate::prepare::Wanted;
+use crate::state::Node;
+
+/// Upstreams that are tried without the request having run anywhere.
+pub(crate) const UNSENT_TRIES_MAX: u32 = 5;
+/// Time between looks at cold limits that are all used up.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
+/// Part of the goal for which a request waits for a cold limit.
+const COLD_WAIT: f64 = 0.4;
+/// Engines that the owner may choose from, of each zone where the zone matters.
+const ENGINE_CHOICES: usize = 3;
+/// Time from the last step to the first event before any was measured.
+const ENGINE_TIME: Duration = Duration::from_millis(250);
+
+/// What the owner is asked for: the steps of a request that has any, and an engine.
+pub(crate) fn wanted(node: &Node, ask: &Ask, service: &id::Service) -> Option<Wanted> {
+    let steps = steps(ask);
+    let is_engine = ask.prompt().is_some();
+    if steps.is_empty() && !is_engine {
+        return None;
+    }
+    let engines = if is_engine {
+        engines(node, ask, service)
+    } else {
+        Engines::default()
+    };
+    let home = engines.choices.first().filter(|_| engines.has_home);
+    Some(Wanted {
+        prepare: Prepare {
+            shard: Shard::Whole,
+            request: ask.request.clone(),
+            key: ask.head.piece_key.clone(),
+            zone: home.map(|it| it.1.clone()),
+            priority: ask.priority,
+            aim: Duration::ZERO,
+            deadline: Duration::ZERO,
+            tail: ENGINE_TIME,
+            steps,
+            engines,
+        },
+        aim: ask.aim(),
+        deadline: ask.deadline(),
+    })
+}
+
+/// The best engines; of each zone, where the zone of the results is to decide.
+fn engines(node: &Node, ask: &Ask, service: &id::Service) -> Engines {
+    let view = node.view();
+    let order = order(node, ask, service, &Wish::default(), Gates::Ignored).unwrap_or_default();
+    let has_home = ask.has_home();
+    let mut choices: Vec<(id::Upstream, id::Zone)> = Vec::new();
+    for name in order {
+        let Some(upstream) = view.upstreams.get(&name) else {
+            continue;
+        };
+        let of_zone = choices.iter().filter(|it| it.1 == upstream.zone);
+        if of_zone.count() < ENGINE_CHOICES {
+            choices.push((name, upstream.zone.clone()));
+        }
+    }
+    Engines { has_home, choices }
+}
+
+fn steps(ask: &Ask) -> Vec<Step> {
+    let mut places: Vec<Option<usize>> = Vec::new();
+    let mut steps: Vec<Step> = Vec::new();
+    for (number, step) in ask.route.steps.iter().enumerate() {
+        let pieces = ask.head.pieces.get(number).copied().unwrap_or(0);
+        if pieces == 0 {
+            places.push(None);
+            continue;
+        }
+        places.push(Some(steps.len()));
+        let after = step.after.iter();
+        let after = after.filter_map(|it| places.get(*it).copied().flatten());
+        steps.push(Step {
+            number,
+            service: step.service.clone(),
+            after: after.collect(),
+            pieces,
+            result_bytes: step.result_bytes,
+        });
+    }
+    steps
+}
+
+/// Chooses an upstream and connects to it.
+pub(crate) async fn connect(
+    node: &Arc<Node>,
+    ask: &Ask,
+    service: &id::Service,
+    wish: &Wish<'_>,
+) -> Result<(Arc<Upstream>, Channel), Cause> {
+    let mut tries = 0;
+    let cold_until = Instant::now() + ask.route.goal.mul_f64(COLD_WAIT);
+    loop {
+        let upstream = match choose(node, ask, service, wish, tries) {
+            Ok(upstream) => upstream,
+            Err(Cause::ColdLimit) if Instant::now() < cold_until => {
+                tokio::time::sleep(COLD_PAUSE).await;
+                continue;
+            }
+            Err(cause) => return Err(cause),
+        };
+        let opened = node
+            .pool
+            .open(upstream.address, ask.idle_max(), open_max(node, &upstream))
+            .await;
+        match opened {
+            // What was decided before the connection was made is checked again.
+            Ok(channel) if node.view().still_usable(&upstream) => {
+                let is_placed = tries == 0 && wish.engine == Some(&upstream.name);
+                if may_send(node, &upstream, is_placed) {
+                    return Ok((upstream, channel));
+                }
+            }
+            Ok(_) => {}
+            Err(err) => {
+                let mut limits = node.limits();
+                limits.health(&upstream.name).unreachable(Instant::now());
+                slog::info!(node.logger(), "unreachable"; "request" => &ask.request,
+                    "upstream" => upstream.name.as_str(), "reason" => %err);
+            }
+        }
+        tries += 1;
+        if tries >= UNSENT_TRIES_MAX || ask.left() <= ANSWER_MARGIN {
+            return Err(Cause::NoUpstream);
+        }
+    }
+}
+
+/// Whether the cold limit allows a request now: by the owner that placed it, or by this instance's
+/// own share.
+fn may_send(node: &Node, upstream: &Upstream, is_placed: bool) -> bool {
+    let view = node.view();
+    let limits = node.limits();
+    let is_granted = is_placed && limits.is_owned(&view, &upstream.service);
+    is_granted || limits.is_open(&view, upstream, Instant::now())
+}
+
+/// What is known of where a request should go.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Wish<'a> {
+    /// Zone of its results.
+    pub(crate) zone: Option<&'a id::Zone>,
+    /// Engine that the owner of its steps chose.
+    pub(crate) engine: Option<&'a id::Upstream>,
+    /// Upstream that failed it before.
+    pub(crate) except: Option<&'a id::Upstream>,
+}
+
+/// Whether cold limits count when upstreams are ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gates {
+    /// Only upstreams that this instance may send to now.
+    Kept,
+    /// All upstreams: whoever places the request keeps the limits.
+    Ignored,
+}
+
+fn choose(
+    node: &Node,
+    ask: &Ask,
+    service: &id::Service,
+    wish: &Wish<'_>,
+    tries: u32,
+) -> Result<Arc<Upstream>, Cause> {
+    let view = node.view();
+    let is_owned = node.limits().is_owned(&view, service);
+    let wished = wish
+        .engine
+        .filter(|it| tries == 0 && Some(*it) != wish.except)
+        .and_then(|it| view.upstreams.get(it))
+        .filter(|it| view.is_usable(it));
+    if let Some(upstream) = wished.filter(|_| is_owned) {
+        return Ok(upstream.clone());
+    }
+    let order = order(node, ask, service, wish, Gates::Kept)?;
+    let wished = wished.map(|it| &it.name).filter(|it| order.contains(it));
+    let chosen = wished.or(order.first()).ok_or(Cause::ColdLimit)?;
+    let chosen = view.upstreams.get(chosen);
+    chosen.cloned().ok_or(Cause::NoUpstream)
+}
+
+/// Upstreams that the request may be sent to now, the best first.
+fn order(
+    node: &Node,
+    ask: &Ask,
+    service: &id::Service,
+    wish: &Wish<'_>,
+    gates: Gates,
+) -> Result<Vec<id::Upstream>, Cause> {
+    let view = node.view();
+    let now = Instant::now();
+    let mut usable: Vec<&Arc<Upstream>> = view.usable(service).collect();
+    if usable.is_empty() {
+        return Err(Cause::NoUpstream);
+    }
+    if usable.len() > 1 {
+        usable.retain(|it| Some(&it.name) != wish.except);
+    }
+    let prompt = ask.prompt();
+    let near = match prompt {
+        Some(_) if ask.has_home() => None,
+        Some(_) => wish.zone,
+        None => Some(&node.settings.zone),
+    };
+    let mut limits = node.limits();
+    let candidates: Vec<choice::Candidate<'_>> = usable
+        .iter()
+        .map(|it| {
+            let candidate = limits.candidate(&view, it, near, now);
+            let is_open = candidate.is_open || gates == Gates::Ignored;
+            choice::Candidate {
+                is_open,
+                ..candidate
+            }
+        })
+        .collect();
+    let spread = hash::of_strs([ask.request.as_str()]);
+    let order = choice::order(&candidates, prompt, spread);
+    Ok(order.into_iter().cloned().collect())
+}
+
+/// This instance's share of the connections that an upstream accepts.
+fn open_max(node: &Node, upstream: &Upstream) -> usize {
+    let view = node.view();
+    let catalog = view.catalog.as_ref();
+    let service = catalog.and_then(|it| it.services.get(&upstream.service));
+    let all = service.map_or(u32::MAX, |it| it.connections_max);
+    (all as usize / node.member_count()).max(1)
+}
--- a/crates/xtask/src/measure.rs
+++ b/crates/xtask/src/measure.rs
@@ -228,7 +228,7 @@
     costs
 }
 
-/// Begins the disturbance of a scenario.
+/// Begins the trouble of a scenario.
 async fn disturb(cluster: &mut Cluster, scenario: Scenario) {
     match scenario {
         Scenario::Calm | Scenario::Burst | Scenario::Flood => {}
@@ -256,7 +256,7 @@
     }
 }
 
-/// Ends the disturbance of a scenario.
+/// Ends the trouble of a scenario.
 async fn settle(cluster: &mut Cluster, scenario: Scenario) {
     match scenario {
         Scenario::ZoneDrain => {
