Reserve less room for each connection between instances

The transport inserts a table entry for every stream that the peer may open, in both directions and at both ends, when a connection is made: 8,192 streams came to 748 kB for each end and milliseconds of processor time, times two for each of 57 peers. Change: only servers accept streams, 1,024 of them, and none that go one way. Ruled out: requests in flight (8 of them at the peak), plans (98), tasks (358), logs.

--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -26,7 +26,9 @@
 /// A silent connection is given up after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const KEEP_ALIVE: Duration = Duration::from_millis(1500);
-const STREAMS_MAX: u32 = 8192;
+/// Requests that one peer may have open at another; further ones wait. The transport reserves room
+/// for all of them when a connection is made: 8,192 took half a megabyte an end.
+const STREAMS_MAX: u32 = 1_024;
 
 /// Why the transport cannot start.
 #[derive(Debug, strum::Display)]
@@ -236,9 +238,11 @@
     Arc::new(rustls::crypto::ring::default_provider())
 }
 
-fn transport() -> Arc<quinn::TransportConfig> {
+/// `streams_max` is the number of streams that the other end may open.
+fn transport(streams_max: u32) -> Arc<quinn::TransportConfig> {
     let mut transport = quinn::TransportConfig::default();
-    transport.max_concurrent_bidi_streams(STREAMS_MAX.into());
+    transport.max_concurrent_bidi_streams(streams_max.into());
+    transport.max_concurrent_uni_streams(0u32.into());
     transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
     Arc::new(transport)
@@ -258,7 +262,8 @@
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let crypto = QuicClientConfig::try_from(tls).map_err(tls_error)?;
     let mut config = quinn::ClientConfig::new(Arc::new(crypto));
-    config.transport_config(transport());
+    // Only clients open streams.
+    config.transport_config(transport(0));
     Ok(config)
 }
 
@@ -276,6 +281,6 @@
     tls.alpn_protocols = vec![ALPN.to_vec()];
     let crypto = QuicServerConfig::try_from(tls).map_err(tls_error)?;
     let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
-    config.transport_config(transport());
+    config.transport_config(transport(STREAMS_MAX));
     Ok(config)
 }
