Refuse requests that crash upstreams, at every instance

Change: a request is refused once three upstreams that it broke off from have lost their registration. An upstream that only lost an answer keeps it, so frequent reads are not refused when answers are lost. A whole answer clears the suspicion; instances pass cleared requests on with losses. Retry-After is the time in which losses are forgotten. Streams are not resumed for a quarantined request. Ruled out: counting broken connections alone (lost answers on 84 upstreams at once would refuse popular reads; the second test in node/tests/it/poison.rs).

--- a/crates/forwarding/src/poison.rs
+++ b/crates/forwarding/src/poison.rs
@@ -1,11 +1,12 @@
 //! Requests that crash the upstreams that run them.
 //!
-//! A request that was running when its connection broke is a suspect. One that did so at several
-//! different upstreams is refused from then on. Members tell each other of every such break, since
-//! the request comes again at any of them.
+//! A request whose connection broke is a suspect. It is refused once several upstreams that it broke
+//! off from have lost their registration: one that only lost an answer keeps it. A whole answer
+//! clears the suspicion, since requests with the same content can be frequent and run into ordinary
+//! crashes. Instances tell each other of losses and of cleared requests, since a request comes again
+//! at any of them.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use base::id;
@@ -14,25 +15,33 @@
 /// Different upstreams that must have been lost; ordinary crashes hit one request this often only
 /// by rare chance.
 const CRASHES_MAX: usize = 3;
-/// Suspicion is forgotten after this time.
+/// Losses and whole answers are forgotten after this time.
 const MEMORY: Duration = Duration::from_secs(60);
-/// Crashes this recent are passed on; longer than it takes every instance to ask once.
+/// News this recent is passed on; longer than it takes every instance to ask once.
 const RECENT: Duration = Duration::from_secs(2);
-/// Crashes that one message passes on.
+/// Losses, and cleared requests, that one message passes on.
 const RECENT_MAX: usize = 128;
-/// Suspects that are kept; the oldest are dropped first.
-const SUSPECTS_MAX: usize = 4_096;
+/// Suspects and whole answers that are kept; the oldest are dropped first.
+const ENTRIES_MAX: usize = 4_096;
 
 #[derive(Debug)]
 struct Suspect {
-    crashed: BTreeSet<id::Upstream>,
+    lost: BTreeMap<id::Upstream, Instant>,
     latest: Instant,
 }
 
-/// Requests under suspicion.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    latest: Instant,
+    /// When it last ended a suspicion.
+    cleared: Option<Instant>,
+}
+
+/// Requests under suspicion, and those that were answered.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<id::Fingerprint, Suspect>,
+    answered: BTreeMap<id::Fingerprint, Answered>,
 }
 
 impl Quarantine {
@@ -43,45 +52,99 @@
         upstream: id::Upstream,
         now: Instant,
     ) -> bool {
-        self.suspects
-            .retain(|_, it| now.saturating_duration_since(it.latest) < MEMORY);
-        if self.suspects.len() >= SUSPECTS_MAX {
-            let oldest = self.suspects.iter().min_by_key(|(_, it)| it.latest);
-            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.suspects.remove(&oldest);
-            }
+        let answered = self.answered.get(&fingerprint);
+        if answered.is_some_and(|it| is_within(it.latest, MEMORY, now)) {
+            return false;
         }
+        make_room(&mut self.suspects, |it| it.latest, now);
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect {
-            crashed: BTreeSet::new(),
+            lost: BTreeMap::new(),
             latest: now,
         });
-        let is_news = suspect.crashed.insert(upstream);
+        let is_news = !suspect.lost.contains_key(&upstream);
         if is_news {
+            suspect.lost.insert(upstream, now);
             suspect.latest = now;
         }
         is_news
     }
 
-    /// Crashes that other instances may not have heard of.
+    /// Notes that an upstream answered the request and lives.
+    pub fn answered(&mut self, fingerprint: id::Fingerprint, now: Instant) {
+        let is_suspect = self.suspects.remove(&fingerprint).is_some();
+        if !self.answered.contains_key(&fingerprint) {
+            make_room(&mut self.answered, |it| it.latest, now);
+        }
+        let entry = self.answered.entry(fingerprint).or_insert(Answered {
+            latest: now,
+            cleared: None,
+        });
+        entry.latest = now;
+        if is_suspect {
+            entry.cleared = Some(now);
+        }
+    }
+
+    /// Losses that other instances may not have heard of.
     #[must_use]
     pub fn recent(&self, now: Instant) -> Vec<(id::Fingerprint, id::Upstream)> {
-        let recent = self
-            .suspects
-            .iter()
-            .filter(|(_, it)| now.saturating_duration_since(it.latest) < RECENT);
-        let crashes = recent.flat_map(|(fingerprint, suspect)| {
-            suspect.crashed.iter().map(|it| (*fingerprint, it.clone()))
+        let losses = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
+            let lost = suspect.lost.iter();
+            lost.map(|(upstream, at)| (*fingerprint, upstream, *at))
         });
-        crashes.take(RECENT_MAX).collect()
+        let recent = losses.filter(|it| is_within(it.2, RECENT, now));
+        let recent = recent.map(|(fingerprint, upstream, _)| (fingerprint, upstream.clone()));
+        recent.take(RECENT_MAX).collect()
     }
 
-    /// Whether the request must not be sent any more.
+    /// Cleared requests that other instances may still suspect.
     #[must_use]
-    pub fn is_refused(&self, fingerprint: id::Fingerprint, now: Instant) -> bool {
-        let suspect = self.suspects.get(&fingerprint);
-        suspect.is_some_and(|it| {
-            let is_recent = now.saturating_duration_since(it.latest) < MEMORY;
-            is_recent && it.crashed.len() >= CRASHES_MAX
-        })
+    pub fn cleared(&self, now: Instant) -> Vec<id::Fingerprint> {
+        let is_recent = |it: &Answered| {
+            it.cleared
+                .is_some_and(|cleared| is_within(cleared, RECENT, now))
+        };
+        let cleared = self.answered.iter().filter(|(_, it)| is_recent(it));
+        cleared
+            .map(|(fingerprint, _)| *fingerprint)
+            .take(RECENT_MAX)
+            .collect()
+    }
+
+    /// Whether the request must not be sent any more.
+    pub fn is_refused(
+        &self,
+        fingerprint: id::Fingerprint,
+        is_registered: impl Fn(&id::Upstream) -> bool,
+        now: Instant,
+    ) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return false;
+        };
+        let lost = suspect.lost.keys().filter(|it| !is_registered(it));
+        is_within(suspect.latest, MEMORY, now) && lost.count() >= CRASHES_MAX
+    }
+}
+
+fn is_within(at: Instant, span: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) < span
+}
+
+/// Drops what is out of date, and the oldest entry of a full map.
+fn make_room<T>(
+    entries: &mut BTreeMap<id::Fingerprint, T>,
+    latest: impl Fn(&T) -> Instant,
+    now: Instant,
+) {
+    if entries.len() < ENTRIES_MAX {
+        return;
+    }
+    entries.retain(|_, it| is_within(latest(it), MEMORY, now));
+    if entries.len() < ENTRIES_MAX {
+        return;
+    }
+    let oldest = entries.iter().min_by_key(|(_, it)| latest(it));
+    if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+        entries.remove(&oldest);
     }
 }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -206,11 +206,7 @@
             if !news.rows.is_empty() {
                 node.merge(news.rows);
             }
-            let now = Instant::now();
-            for (fingerprint, upstream) in news.crashes {
-                let quarantine = &mut node.limits().quarantine;
-                quarantine.crashed(fingerprint, upstream, now);
-            }
+            merge_losses(node, news.crashes, news.cleared);
             let Some(age) = news.age else {
                 return false;
             };
@@ -225,6 +221,22 @@
     }
 }
 
+fn merge_losses(
+    node: &Node,
+    crashes: Vec<(id::Fingerprint, id::Upstream)>,
+    cleared: Vec<id::Fingerprint>,
+) {
+    let now = Instant::now();
+    let quarantine = &mut node.limits().quarantine;
+    for (fingerprint, upstream) in crashes {
+        quarantine.crashed(fingerprint, upstream, now);
+    }
+    // An answer outweighs losses, whatever came first.
+    for fingerprint in cleared {
+        quarantine.answered(fingerprint, now);
+    }
+}
+
 /// Numbers of the peers that are followed.
 pub fn peers() -> impl Iterator<Item = usize> {
     0..PEERS
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -42,6 +42,8 @@
 
 /// Time to come back that is told where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(400);
+/// A quarantined request is of no use again before its crashes are forgotten.
+const QUARANTINE_RETRY: Duration = Duration::from_secs(60);
 /// Another instance takes the request at once.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Shortest time before a repeatable request without an answer is sent elsewhere.
@@ -144,6 +146,9 @@
     let mut tries = 0;
     let mut last: Option<id::Upstream> = None;
     loop {
+        if is_quarantined(node, ask) {
+            return Err(pending.end(Cause::Quarantined, QUARANTINE_RETRY));
+        }
         if let Some(wanted) = wanted(node, ask, &service).filter(|_| results.is_none()) {
             let prepared = tokio::select! {
                 biased;
@@ -204,6 +209,9 @@
     sends: u32,
     last_event: Option<u64>,
 ) -> Option<(Channel, Incoming, Sending)> {
+    if is_quarantined(node, ask) {
+        return None;
+    }
     if sends >= ask.route.attempts || !take_retry(node, &lost.service) {
         return None;
     }
@@ -391,6 +399,14 @@
     follow::report_crash(node, fingerprint, upstream);
 }
 
+/// Whether the request has crashed too many upstreams.
+fn is_quarantined(node: &Node, ask: &Ask) -> bool {
+    let view = node.view();
+    let is_registered = |it: &id::Upstream| view.upstreams.contains_key(it);
+    let quarantine = &node.limits().quarantine;
+    quarantine.is_refused(ask.fingerprint, is_registered, Instant::now())
+}
+
 async fn not_run(
     node: &Node,
     ask: &Ask,
@@ -440,6 +456,9 @@
         Err(_) => return Ok(lost(node, ask, &sending, life, Cause::Deadline)),
     };
     sending.answered(status.is_server_error());
+    node.limits()
+        .quarantine
+        .answered(ask.fingerprint, Instant::now());
     if !answer.is_last {
         channel.keep(answer.keep_alive).await;
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -230,10 +230,16 @@
         view.mark_unchanged();
         let rows = node.store().mirror.since(positions);
         if !rows.is_empty() || Instant::now() >= until || !node.is_fresh() {
+            let now = Instant::now();
+            let (crashes, cleared) = {
+                let quarantine = &node.limits().quarantine;
+                (quarantine.recent(now), quarantine.cleared(now))
+            };
             let news = News {
                 rows,
                 age: node.rows_age(),
-                crashes: node.limits().quarantine.recent(Instant::now()),
+                crashes,
+                cleared,
             };
             return reply(&replies, Reply::Rows(Box::new(news))).await;
         }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -210,6 +210,10 @@
     }
 
     async fn finish(mut self) {
+        self.node
+            .limits()
+            .quarantine
+            .answered(self.ask.fingerprint, tokio::time::Instant::now());
         let took = self.ask.received.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
             "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod beliefs;
 mod fixture;
 mod lapse;
+mod poison;
 mod stop;
 mod streams;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -81,6 +81,8 @@
     pub age: Option<Duration>,
     /// Recent losses of upstreams while they ran a request.
     pub crashes: Vec<(id::Fingerprint, id::Upstream)>,
+    /// Requests that were under suspicion and have been answered since.
+    pub cleared: Vec<id::Fingerprint>,
 }
 
 /// Asks for the current view.
