Free the inputs of a call once it has read them

Upstreams fetch inputs first when a call's turn comes. Change: inputs are freed after half of the call's fixed time, at upstreams whose calls have been prompt for 2 s; otherwise calls of another owner may go before. A call that fails has its inputs made again.

--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -26,6 +26,13 @@
 const ROOM_PART: f64 = 0.85;
 /// An upstream that reported no room gets no more results to keep for this time.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(200);
+/// Part of a call's fixed time after which its inputs have been read: they are fetched first, and
+/// thirty megabytes take 25 ms on the slowest stated links.
+const READ_PART: f64 = 0.5;
+/// A call that takes more than this multiple of its stated time may have queued.
+const PROMPT_FACTOR: f64 = 1.3;
+/// After a change of owners the former one's calls come for about as long as its requests may wait.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
 /// Covers connecting and both ways between zones.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(150);
 
@@ -51,6 +58,8 @@
     /// Measured over stated time of calls.
     slowness: f64,
     sampled: Option<Instant>,
+    /// Since when no call has been rejected or can have queued.
+    prompt_since: Option<Instant>,
     paused_until: Option<Instant>,
     rejections: u32,
     /// Until when it is taken for full, whatever this owner keeps there.
@@ -84,6 +93,7 @@
             bytes: 0,
             slowness: 1.0,
             sampled: None,
+            prompt_since: None,
             paused_until: None,
             rejections: 0,
             full_until: None,
@@ -207,6 +217,14 @@
         Duration::from_secs_f64(self.wait_time)
     }
 
+    /// When a call that is sent now will have read its inputs; unknown at an upstream that has not
+    /// been prompt for a while: calls of another owner may go before.
+    pub(crate) fn reads_inputs(&self, upstream: &id::Upstream, now: Instant) -> Option<Instant> {
+        let prompt_since = self.slots.get(upstream)?.prompt_since?;
+        let is_settled = now.saturating_duration_since(prompt_since) >= SETTLING_TIME;
+        is_settled.then_some(now + self.pool.call.mul_f64(READ_PART))
+    }
+
     pub(crate) fn timeout(&self, upstream: &id::Upstream, pieces: usize, now: Instant) -> Duration {
         let slowness = self.slots.get(upstream).map_or(1.0, |it| it.slowness(now));
         self.stated(pieces)
@@ -233,6 +251,11 @@
             return;
         };
         slot.rejections = 0;
+        slot.prompt_since = if took <= stated * PROMPT_FACTOR {
+            slot.prompt_since.or(Some(now))
+        } else {
+            None
+        };
         let before = slot.slowness(now);
         // Pieces of some steps take less than the stated time, so speed is never below it.
         let sample = (took / stated).max(1.0);
@@ -251,6 +274,7 @@
         };
         let pause = REJECTED_PAUSE * 2_u32.saturating_pow(slot.rejections);
         slot.rejections += 1;
+        slot.prompt_since = None;
         slot.paused_until = Some(now + pause.min(REJECTED_PAUSE_MAX));
     }
 
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -160,6 +160,7 @@
 
     /// Forms the calls that can be sent now.
     pub fn dispatch(&mut self, now: Instant) -> Vec<Call> {
+        self.free_read(now);
         let queues = self.queues(now);
         let ends = self.expected_ends(&queues, now);
         self.expire(&ends, now);
@@ -219,6 +220,20 @@
         self.fleets.values().find_map(|it| it.slots.get(upstream))
     }
 
+    /// Frees inputs that running calls have read.
+    fn free_read(&mut self, now: Instant) {
+        let active = self.plans.values_mut().filter(|it| !it.is_delivered);
+        let read: Vec<_> = active.flat_map(|it| it.take_read(now)).collect();
+        self.free(read);
+    }
+
+    fn free(&mut self, results: Vec<(id::Upstream, Handle, u64)>) {
+        for (upstream, handle, bytes) in results {
+            self.free_bytes(&upstream, bytes);
+            self.unused.push((upstream, handle));
+        }
+    }
+
     fn free_bytes(&mut self, upstream: &id::Upstream, bytes: u64) {
         let slots = self.fleets.values_mut();
         for slot in slots.filter_map(|it| it.slots.get_mut(upstream)) {
--- a/crates/stages/src/planner/active.rs
+++ b/crates/stages/src/planner/active.rs
@@ -10,7 +10,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Piece {
     Waiting,
-    Called,
+    /// In a call, which has read its inputs at the given time; unknown where the call may queue.
+    Called(Option<Instant>),
     Made(id::Upstream, Handle),
     /// Was made, and dropped once everything that reads it existed.
     Dropped,
@@ -31,6 +32,15 @@
         pieces.all(|it| matches!(it, Piece::Made(..) | Piece::Dropped))
     }
 
+    /// Whether no piece needs its inputs any more.
+    fn has_read(&self, now: Instant) -> bool {
+        self.pieces.iter().all(|it| match it {
+            Piece::Waiting => false,
+            Piece::Called(read) => read.is_some_and(|it| it <= now),
+            Piece::Made(..) | Piece::Dropped => true,
+        })
+    }
+
     pub(super) fn waiting(&self) -> usize {
         let waiting = self.pieces.iter().filter(|it| **it == Piece::Waiting);
         waiting.count()
@@ -51,7 +61,8 @@
     /// called.
     pub(super) fn restore_inputs(&mut self, now: Instant) {
         for idx in (0..self.steps.len()).rev() {
-            if self.steps[idx].is_done() {
+            // Calls in progress have read theirs, or fail and come here again.
+            if self.steps[idx].waiting() == 0 {
                 continue;
             }
             for input in self.plan.steps[idx].after.clone() {
@@ -74,13 +85,13 @@
         }
     }
 
-    /// Takes the results that only finished steps read.
-    pub(super) fn take_read(&mut self) -> Vec<(id::Upstream, Handle, u64)> {
+    /// Takes the results that everything which needs them has read.
+    pub(super) fn take_read(&mut self, now: Instant) -> Vec<(id::Upstream, Handle, u64)> {
         let mut read = Vec::new();
         for idx in 0..self.steps.len() {
             let steps = self.plan.steps.iter().zip(&self.steps);
             let mut readers = steps.filter(|(it, _)| it.after.contains(&idx)).peekable();
-            if readers.peek().is_none() || !readers.all(|(_, it)| it.is_done()) {
+            if readers.peek().is_none() || !readers.all(|(_, it)| it.has_read(now)) {
                 continue;
             }
             for piece in &mut self.steps[idx].pieces {
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -164,6 +164,7 @@
         let fleet = self.fleets.get_mut(service)?;
         waits.into_iter().for_each(|it| fleet.waited(it));
         let timeout = fleet.timeout(&upstream, pieces, now);
+        let read = fleet.reads_inputs(&upstream, now);
         let until = now + fleet.stated(pieces);
         if let Some(slot) = fleet.slots.get_mut(&upstream) {
             slot.calls += 1;
@@ -171,7 +172,7 @@
         }
         let mut items = Vec::with_capacity(pieces);
         for (plan, step, count) in taken {
-            items.extend(self.call_pieces(plan, step, count, until, now));
+            items.extend(self.call_pieces(plan, step, count, read, until, now));
         }
         self.next += 1;
         let in_flight = InFlight {
@@ -226,6 +227,7 @@
         id: PlanId,
         step: usize,
         count: usize,
+        read: Option<Instant>,
         until: Instant,
         now: Instant,
     ) -> Vec<Item> {
@@ -240,7 +242,7 @@
         let waiting = waiting.filter(|(_, it)| **it == Piece::Waiting).take(count);
         let mut items = Vec::with_capacity(count);
         for (piece, state) in waiting {
-            *state = Piece::Called;
+            *state = Piece::Called(read);
             items.push(Item {
                 plan: id,
                 step,
--- a/crates/stages/src/planner/outcome.rs
+++ b/crates/stages/src/planner/outcome.rs
@@ -37,12 +37,12 @@
             }
             Outcome::Rejected | Outcome::Unreachable => {
                 for item in &call.items {
-                    self.wait_again(item);
+                    self.wait_again(item, now);
                 }
             }
             Outcome::Lost => {
                 for item in &call.items {
-                    self.fail(item);
+                    self.fail(item, now);
                 }
             }
         }
@@ -104,9 +104,9 @@
                 if let Some(fleet) = self.fleets.get_mut(&call.service) {
                     fleet.out_of_room(&call.upstream, now);
                 }
-                self.wait_again(item);
+                self.wait_again(item, now);
             }
-            Err(ItemFailure::Failed) => self.fail(item),
+            Err(ItemFailure::Failed) => self.fail(item, now),
         }
     }
 
@@ -120,11 +120,8 @@
         }
         active.mark_ready(now);
         let is_done = active.steps.iter().all(Progress::is_done);
-        let read = active.take_read();
-        for (upstream, handle, bytes) in read {
-            self.free_bytes(&upstream, bytes);
-            self.unused.push((upstream, handle));
-        }
+        let read = active.take_read(now);
+        self.free(read);
         if !is_done {
             return;
         }
@@ -163,14 +160,15 @@
         }
     }
 
-    fn wait_again(&mut self, item: &Item) {
+    fn wait_again(&mut self, item: &Item, now: Instant) {
         if let Some(active) = self.plans.get_mut(&item.plan) {
             active.steps[item.step].pieces[item.piece] = Piece::Waiting;
+            active.restore_inputs(now);
         }
     }
 
-    fn fail(&mut self, item: &Item) {
-        self.wait_again(item);
+    fn fail(&mut self, item: &Item, now: Instant) {
+        self.wait_again(item, now);
         let Some(active) = self.plans.get_mut(&item.plan) else {
             return;
         };
@@ -182,7 +180,7 @@
 
     /// Makes the results that a piece reads anew: which of them is gone is not known.
     fn remake_inputs(&mut self, item: &Item, now: Instant) {
-        self.fail(item);
+        self.fail(item, now);
         let Some(active) = self.plans.get_mut(&item.plan) else {
             return;
         };
@@ -199,9 +197,6 @@
             }
         }
         active.restore_inputs(now);
-        for (upstream, handle, bytes) in dropped {
-            self.free_bytes(&upstream, bytes);
-            self.unused.push((upstream, handle));
-        }
+        self.free(dropped);
     }
 }
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -429,3 +429,67 @@
     let call = only(planner.dispatch(now + ms(240)));
     assert_eq!(call.items[0].request, "in time");
 }
+
+/// Submits a request with two steps and finishes the first; returns the call of the second.
+fn second_call(planner: &mut Planner, request: &str, now: Instant) -> (PlanId, Call) {
+    let steps = vec![step("first", 0, &[], 2, 10), step("second", 1, &[0], 2, 10)];
+    let id = submit(planner, plan(request, steps, now), now);
+    let first = only(planner.dispatch(now));
+    planner.finish(first.id, done(&first), now);
+    (id, only(planner.dispatch(now)))
+}
+
+/// Results that running calls had read took two thirds of the room of the middle service
+/// (ccfao-fees-grown trouble-2): calls held 38 of 60 pieces while hundreds of requests waited.
+#[test]
+fn inputs_are_freed_when_the_call_has_read_them() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    planner.configure(&service("second"), POOL, vec![replica("s1", "a")], now);
+    let (_, call) = second_call(&mut planner, "r", now);
+    planner.dispatch(now + ms(150));
+    assert!(
+        planner.take_unused().is_empty(),
+        "calls of another owner may go before"
+    );
+    planner.finish(call.id, done(&call), now + ms(210));
+    let later = now + ms(2_210);
+    assert_eq!(planner.take_unused().len(), 2);
+    planner.take_ended();
+
+    let (id, call) = second_call(&mut planner, "s", later);
+    planner.dispatch(later + ms(90));
+    assert!(planner.take_unused().is_empty(), "it may still read them");
+    planner.dispatch(later + ms(100));
+    assert_eq!(planner.take_unused().len(), 2);
+    planner.finish(call.id, done(&call), later + ms(210));
+    let ended = planner.take_ended();
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].0, id);
+    assert!(ended[0].1.is_ok());
+}
+
+#[test]
+fn inputs_that_were_freed_are_made_again_for_a_lost_call() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    planner.configure(&service("second"), POOL, vec![replica("s1", "a")], now);
+    let (_, call) = second_call(&mut planner, "a", now);
+    planner.finish(call.id, done(&call), now + ms(210));
+    planner.take_ended();
+    let later = now + ms(2_210);
+    let (_, call) = second_call(&mut planner, "r", later);
+    planner.dispatch(later + ms(100));
+    assert_eq!(planner.take_unused().len(), 4);
+    planner.finish(call.id, Outcome::Lost, later + ms(300));
+    let call = only(planner.dispatch(later + ms(300)));
+    assert_eq!(call.items[0].number, 0);
+    planner.finish(call.id, done(&call), later + ms(520));
+    let call = only(planner.dispatch(later + ms(1_301)));
+    let Input::Results(inputs) = &call.items[0].input else {
+        panic!("the second step reads results");
+    };
+    assert_eq!(inputs.len(), 2);
+    planner.finish(call.id, done(&call), later + ms(1_520));
+    assert!(matches!(&planner.take_ended()[..], [(_, Ok(_))]));
+}
