Let instances that start together find the owners of steps

Change: a silent peer is passed over for 250 ms, doubling up to 2 s; an instance is ready once it can ask others; owners are gone through twice before an instance runs steps itself; a server of peers that is dropped closes its connections (its address stayed in use, and requests were accepted by a process part that nobody drove: streams::an_owner_that_is_gone_is_replaced); forgetting a connection does not wait for one that is being made. Ruled out: orphaned calls of the former owners (they end within 1.1 s, the rejections came after 1.5 s).

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -32,8 +32,12 @@
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// A peer that answered this recently is not asked again whether it lives.
 const ALIVE_MEMORY: Duration = Duration::from_millis(300);
-/// A peer that did not answer is passed over for this time.
-const SUSPICION: Duration = Duration::from_secs(2);
+/// A peer that did not answer once is passed over for this time, and for twice as long after each
+/// further silence. Instances that start together are not all there in the first moment: those that
+/// pass each other over for longer all run the same steps on their own.
+const SUSPICION_MIN: Duration = Duration::from_millis(250);
+/// Longest time for which a peer is passed over; its row lapses soon after if it is gone.
+const SUSPICION_MAX: Duration = Duration::from_secs(2);
 /// A question for newer rows is answered after this time at the latest, so that the asker learns how
 /// fresh its rows are.
 const ROWS_WAIT: Duration = Duration::from_millis(400);
@@ -44,6 +48,8 @@
     incarnation: u64,
     answered: Option<Instant>,
     suspected_until: Option<Instant>,
+    /// Silences since its last answer.
+    silences: u32,
 }
 
 /// Connections to other instances and what is known of their lives.
@@ -60,6 +66,12 @@
         let _ = self.client.set(client);
     }
 
+    /// Whether other instances can be asked.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.client.get().is_some()
+    }
+
     /// Whether a member did not answer lately.
     #[must_use]
     pub fn is_suspected(&self, instance: &id::Instance) -> bool {
@@ -93,6 +105,7 @@
         let before = std::mem::replace(&mut contact.incarnation, member.incarnation);
         if before != member.incarnation {
             contact.suspected_until = None;
+            contact.silences = 0;
         }
         before != 0 && before != member.incarnation
     }
@@ -103,6 +116,7 @@
         let contact = contacts.entry(instance.clone()).or_default();
         contact.answered = Some(Instant::now());
         contact.suspected_until = None;
+        contact.silences = 0;
     }
 
     /// Notes that a member did not answer in time; returns whether that is news.
@@ -112,7 +126,11 @@
             let contact = contacts.entry(member.instance.clone()).or_default();
             let now = Instant::now();
             let is_news = contact.suspected_until.is_none_or(|it| it <= now);
-            contact.suspected_until = Some(now + SUSPICION);
+            if is_news {
+                let pause = SUSPICION_MIN * 2_u32.saturating_pow(contact.silences);
+                contact.silences += 1;
+                contact.suspected_until = Some(now + pause.min(SUSPICION_MAX));
+            }
             is_news
         };
         if let Some(client) = self.client.get() {
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -36,6 +36,10 @@
 const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Remote owners that are tried before this instance runs the steps itself.
 const REMOTE_OWNERS_MAX: usize = 3;
+/// Times that the owners are gone through: those that are just starting answer the second time.
+const ROUNDS_MAX: usize = 2;
+/// Pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
 /// Keeps the results of a request. Dropping it frees them.
 pub enum Lease {
@@ -91,17 +95,20 @@
 pub async fn run(node: &Arc<Node>, wanted: &Wanted) -> Result<Ready, Refusal> {
     let shard = choose_shard(node, wanted).ok_or(Refusal::NoUpstream)?;
     let wanted = &wanted.for_shard(shard.clone());
-    for member in owners(node, &shard).into_iter().take(REMOTE_OWNERS_MAX) {
-        if member.instance == node.settings.instance {
-            break;
+    for round in 0..ROUNDS_MAX {
+        if round > 0 {
+            tokio::time::sleep(ROUND_PAUSE).await;
         }
-        match ask(node, &member, wanted).await {
-            Some(answer) => return answer,
-            None => {
-                if node.peers.silent(&member).await {
-                    slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
-                        "request" => &wanted.prepare.request);
-                }
+        for member in owners(node, &shard).into_iter().take(REMOTE_OWNERS_MAX) {
+            if member.instance == node.settings.instance {
+                return run_here(node, wanted, shard).await;
+            }
+            if let Some(answer) = ask(node, &member, wanted).await {
+                return answer;
+            }
+            if node.peers.silent(&member).await {
+                slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
+                    "request" => &wanted.prepare.request);
             }
         }
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -179,7 +179,9 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        !self.is_leaving() && view.catalog.is_some() && !view.upstreams.is_empty()
+        // One that cannot ask the owners of steps would run them on its own beside them.
+        let is_able = self.peers.is_connected();
+        is_able && !self.is_leaving() && view.catalog.is_some() && !view.upstreams.is_empty()
     }
 
     /// Whether the process is stopping.
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod beliefs;
 mod fixture;
 mod lapse;
+mod peers;
 mod poison;
 mod stop;
 mod streams;
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -77,7 +77,11 @@
         let Some(slot) = slot else {
             return;
         };
-        if let Some(connection) = slot.lock().await.take() {
+        // While it is locked a new connection is being made.
+        let Ok(mut slot) = slot.try_lock() else {
+            return;
+        };
+        if let Some(connection) = slot.take() {
             connection.close(0u32.into(), b"silent");
         }
     }
@@ -191,6 +195,13 @@
     }
 }
 
+impl Drop for Server {
+    /// Connections would otherwise go on being served, and the address stay in use.
+    fn drop(&mut self) {
+        self.endpoint.close(0u32.into(), b"stop");
+    }
+}
+
 async fn serve_connection(incoming: quinn::Incoming, handler: Arc<dyn Handler>) {
     let Ok(connection) = incoming.await else {
         return;
