Forget answer times that nothing corrects

An instance that once saw an engine read a long prompt took it for slow for good: it sent nothing there that would have corrected it; and the owner followed the noise of first events, at 150 ms for a prompt that takes longer to read. Change: answer times older than 3 s do not order upstreams; a move of a prompt costs 400 ms. Ruled out: keeping the home engine for results made in another zone (two owners would place requests at one engine, beyond their share of its cold limit).

--- a/crates/forwarding/src/board.rs
+++ b/crates/forwarding/src/board.rs
@@ -19,8 +19,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time that one more waiting request adds: the prefill of a prompt of some thousand tokens.
 const WAITING_COST: Duration = Duration::from_millis(60);
-/// What a prompt costs that another engine must read again.
-const AFFINITY_COST: Duration = Duration::from_millis(150);
+/// What a prompt costs that another engine must read again: some thousand tokens take about this
+/// long. A lower cost made the owner follow the noise of first events, each of which moved a prompt.
+const AFFINITY_COST: Duration = Duration::from_millis(400);
 /// Time to a first event before any was measured.
 const USUAL: Duration = Duration::from_millis(200);
 
--- a/crates/forwarding/src/health.rs
+++ b/crates/forwarding/src/health.rs
@@ -14,6 +14,9 @@
 const SAMPLE_WEIGHT: f64 = 0.25;
 /// Half-life of the memory of failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
+/// An answer time that is older than this says nothing of the speed of now. An upstream that is
+/// avoided for it gets no requests that would correct it.
+const ANSWER_MEMORY: Duration = Duration::from_secs(3);
 /// An upstream with a request unanswered for this multiple of its usual time is taken for silent.
 const SILENCE_FACTOR: f64 = 5.0;
 /// Shortest time that counts as silence.
@@ -29,6 +32,7 @@
     failure_rate: f64,
     sampled: Option<Instant>,
     answer_time: Option<f64>,
+    answered: Option<Instant>,
     /// Sending times of requests without a first byte of an answer.
     unanswered: Vec<(u64, Instant)>,
 }
@@ -47,6 +51,7 @@
             let took = now.saturating_duration_since(sent).as_secs_f64();
             let before = self.answer_time.unwrap_or(took);
             self.answer_time = Some(before + SAMPLE_WEIGHT * (took - before));
+            self.answered = Some(now);
         }
         if !is_failure {
             self.pause = None;
@@ -97,6 +102,14 @@
         self.answer_time.map(Duration::from_secs_f64)
     }
 
+    /// [`Health::answer_time`], if it is recent enough to compare upstreams by.
+    #[must_use]
+    pub fn recent_answer_time(&self, now: Instant) -> Option<Duration> {
+        let answered = self.answered?;
+        let is_recent = now.saturating_duration_since(answered) < ANSWER_MEMORY;
+        self.answer_time().filter(|_| is_recent)
+    }
+
     fn is_silent(&self, now: Instant) -> bool {
         let usual = self.answer_time.unwrap_or_default() * SILENCE_FACTOR;
         let limit = Duration::from_secs_f64(usual).max(SILENCE_MIN);
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -198,6 +198,19 @@
     an_upstream_elsewhere_is_passed_over: |it| it.is_near = false;
 }
 
+/// An engine that had read one long prompt was avoided for good: three sends in five of a prompt went
+/// to another engine than the one before (ccfao-fees-grown trouble-2).
+#[test]
+fn an_old_answer_time_does_not_count() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.sent(1, now);
+    health.answered(1, false, now + ms(700));
+    assert_eq!(health.recent_answer_time(now + ms(800)), Some(ms(700)));
+    assert_eq!(health.recent_answer_time(now + ms(3_700)), None);
+    assert_eq!(health.answer_time(), Some(ms(700)));
+}
+
 #[test]
 fn requests_with_one_prompt_go_to_one_engine() {
     let names = ["a", "b", "c", "d"].map(upstream);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -121,7 +121,7 @@
             in_flight: health.in_flight,
             slots: upstream.slots,
             failure_rate: health.failure_rate(now),
-            answer_time: health.answer_time(),
+            answer_time: health.recent_answer_time(now),
         }
     }
 
