--- /dev/null
+++ b/crates/node/tests/it/crashes.rs
@@ -0,0 +1,190 @@
+//! Requests that crash upstreams which start again, over several instances.
+
+use std::time::Duration;
+
+use platform_standin::client;
+use platform_standin::crash;
+use platform_standin::crash::Crashes;
+use platform_standin::crash::Ending;
+use platform_standin::crash::Plan;
+use platform_standin::crash::Return;
+use platform_standin::site::KEY;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::fixture::Fixture;
+use crate::fixture::Node;
+use crate::fixture::eventually;
+
+/// Crashes after which a request is known to crash upstreams.
+const KNOWN_AFTER: usize = 3;
+/// Bound of the users: within this time of the third crash, every instance knows.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Bound of the users: sends after that time.
+const FURTHER_MAX: usize = 3;
+/// Longest time that a client waits.
+const CLIENT_DEADLINE: Duration = Duration::from_secs(1);
+
+/// What happens while the request comes again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Event {
+    Nothing,
+    /// All instances are killed and start anew at this time.
+    RestartAll(Duration),
+}
+
+struct Case {
+    nodes: usize,
+    upstreams: usize,
+    /// Time between two requests.
+    interval: Duration,
+    target: &'static str,
+    returns: Return,
+    ending: Ending,
+    back_after: Duration,
+    event: Event,
+    length: Duration,
+}
+
+impl Default for Case {
+    fn default() -> Case {
+        Case {
+            nodes: 5,
+            upstreams: 8,
+            interval: Duration::from_millis(100),
+            target: "GET /read/poison",
+            returns: Return::SameName,
+            ending: Ending::Reset,
+            back_after: Duration::from_millis(700),
+            event: Event::Nothing,
+            length: Duration::from_secs(9),
+        }
+    }
+}
+
+async fn ask(front: std::net::SocketAddr, target: &'static str, id: String) -> u16 {
+    let key = format!("authorization: Bearer {KEY}");
+    let id = format!("x-request-id: {id}");
+    let headers = [key.as_str(), id.as_str(), "x-deadline-ms: 1000"];
+    let answer = client::ask(front, target, &headers, b"");
+    let answer = tokio::time::timeout(CLIENT_DEADLINE, answer).await;
+    answer.map_or(0, |it| it.status)
+}
+
+/// Has the request sent for the whole length, in turn to every instance.
+async fn repeat(fixture: &mut Fixture, case: &Case) {
+    let start = Instant::now();
+    let mut asked = JoinSet::new();
+    let mut event = case.event;
+    for idx in 0_usize.. {
+        if start.elapsed() >= case.length {
+            break;
+        }
+        if let Event::RestartAll(at) = event
+            && start.elapsed() >= at
+        {
+            event = Event::Nothing;
+            restart_all(fixture).await;
+        }
+        let front = fixture.nodes[idx % case.nodes].front;
+        asked.spawn(ask(front, case.target, format!("p{idx}")));
+        tokio::time::sleep(case.interval).await;
+    }
+    while asked.join_next().await.is_some() {}
+}
+
+async fn restart_all(fixture: &mut Fixture) {
+    let count = fixture.nodes.len();
+    for node in std::mem::take(&mut fixture.nodes) {
+        node.kill();
+    }
+    for idx in 0..count {
+        let zone = if idx.is_multiple_of(2) { "a" } else { "b" };
+        let node = Node::start(&format!("n{idx}"), zone, fixture.site.store_address);
+        fixture.nodes.push(node);
+    }
+    for node in &fixture.nodes {
+        eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    }
+}
+
+/// Sends that came later than the users' bound after the third crash.
+fn further(crashes: &Crashes) -> usize {
+    let crashes = crashes.all();
+    let Some(third) = crashes.get(KNOWN_AFTER - 1) else {
+        return 0;
+    };
+    let late = crashes.iter().filter(|it| it.at > third.at + CONTACT);
+    late.count()
+}
+
+async fn check(case: Case) {
+    let mut fixture = Fixture::start(case.nodes).await;
+    for idx in 0..2 {
+        fixture.site.deregister(idx);
+    }
+    let plan = Plan::builder()
+        .service("ledger")
+        .count(case.upstreams)
+        .returns(case.returns)
+        .ending(case.ending)
+        .back_after(case.back_after)
+        .lapse(Duration::from_millis(3_600))
+        .build();
+    let crashes = crash::start(&fixture.site.store, &plan).await;
+    let crashes = crashes.expect("ports for upstreams");
+    let front = fixture.nodes[0].front;
+    let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
+    eventually("an upstream", Duration::from_secs(5), is_served).await;
+
+    repeat(&mut fixture, &case).await;
+    assert!(crashes.all().len() >= KNOWN_AFTER, "{:?}", crashes.all());
+    let further = further(&crashes);
+    assert!(
+        further <= FURTHER_MAX,
+        "{further} sends after it was known, {} crashes in all",
+        crashes.all().len()
+    );
+    let front = fixture.nodes[0].front;
+    let is_served = || async { ask(front, "GET /read/other", "e".to_owned()).await == 200 };
+    eventually("other requests", Duration::from_secs(8), is_served).await;
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: $case:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[tokio::test]
+            async fn $name() {
+                check($case).await;
+            }
+        )*
+    };
+}
+
+cases! {
+    /// Guards against crashes that do not count because the upstream is registered again.
+    poison_is_refused_though_upstreams_return_under_their_names: Case::default();
+    /// Guards against crashes that do not count before the registrations lapse.
+    poison_is_refused_before_registrations_lapse: Case {
+        returns: Return::NewName,
+        back_after: Duration::from_millis(500),
+        ..Case::default()
+    };
+    /// Guards against crashes that leave no trace because they end in silence.
+    poison_that_silences_upstreams_is_refused: Case {
+        upstreams: 20,
+        interval: Duration::from_millis(500),
+        target: "POST /post/poison",
+        ending: Ending::Silence,
+        back_after: Duration::from_secs(30),
+        ..Case::default()
+    };
+    /// Guards against crashes that no instance remembers once all have restarted.
+    poison_is_refused_after_all_instances_restarted: Case {
+        returns: Return::NewName,
+        event: Event::RestartAll(Duration::from_secs(6)),
+        length: Duration::from_secs(14),
+        ..Case::default()
+    };
+}
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod beliefs;
 mod connections;
+mod crashes;
 mod fixture;
 mod lapse;
 mod peers;
