--- a/crates/forwarding/src/poison.rs
+++ b/crates/forwarding/src/poison.rs
@@ -69,8 +69,8 @@
         is_news
     }
 
-    /// Notes that an upstream answered the request and lives.
-    pub fn answered(&mut self, fingerprint: id::Fingerprint, now: Instant) {
+    /// Notes that an upstream answered the request and lives; returns whether it was a suspect.
+    pub fn answered(&mut self, fingerprint: id::Fingerprint, now: Instant) -> bool {
         let is_suspect = self.suspects.remove(&fingerprint).is_some();
         if !self.answered.contains_key(&fingerprint) {
             make_room(&mut self.answered, |it| it.latest, now);
@@ -83,6 +83,14 @@
         if is_suspect {
             entry.cleared = Some(now);
         }
+        is_suspect
+    }
+
+    /// Upstreams that were lost while they ran the request.
+    #[must_use]
+    pub fn losses(&self, fingerprint: id::Fingerprint) -> Vec<id::Upstream> {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or_else(Vec::new, |it| it.lost.keys().cloned().collect())
     }
 
     /// Losses that other instances may not have heard of.
--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -25,7 +25,9 @@
     for event in events.split_whitespace() {
         match event.strip_prefix('+') {
             Some(millis) => now += ms(millis.parse().expect("milliseconds")),
-            None if event == "ok" => quarantine.answered(POISON, now),
+            None if event == "ok" => {
+                quarantine.answered(POISON, now);
+            }
             None => {
                 quarantine.crashed(POISON, upstream(event), now);
             }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -17,6 +17,7 @@
 use wire::keys::Pem;
 
 use crate::state::Node;
+use crate::suspicion;
 
 /// A feed without news is asked anew after this time.
 const FEED_WAIT: Duration = Duration::from_secs(8);
@@ -229,14 +230,12 @@
     crashes: Vec<(id::Fingerprint, id::Upstream)>,
     cleared: Vec<id::Fingerprint>,
 ) {
-    let now = Instant::now();
-    let quarantine = &mut node.limits().quarantine;
     for (fingerprint, upstream) in crashes {
-        quarantine.crashed(fingerprint, upstream, now);
+        suspicion::learned(node, fingerprint, upstream);
     }
     // An answer outweighs losses, whatever came first.
     for fingerprint in cleared {
-        quarantine.answered(fingerprint, now);
+        suspicion::survived(node, fingerprint, "peer");
     }
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -335,7 +335,8 @@
 fn lost(node: &Arc<Node>, ask: &Ask, sending: &Sending, life: Life<Sent>, cause: Cause) -> Attempt {
     sending.broke();
     slog::warn!(node.logger(), "lost"; "request" => &ask.request,
-        "upstream" => sending.upstream.name.as_str(), "cause" => %cause);
+        "fingerprint" => %ask.fingerprint, "upstream" => sending.upstream.name.as_str(),
+        "started_ms" => sending.upstream.started_ms, "cause" => %cause);
     if cause == Cause::ConnectionLost {
         suspicion::crashed(node, ask.fingerprint, &sending.upstream.name);
     }
@@ -391,7 +392,7 @@
         Err(_) => return Ok(lost(node, ask, &sending, life, Cause::Deadline)),
     };
     sending.answered(status.is_server_error());
-    suspicion::survived(node, ask.fingerprint);
+    suspicion::survived(node, ask.fingerprint, "own");
     if !answer.is_last {
         channel.keep(answer.keep_alive).await;
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -26,6 +26,7 @@
 use wire::steps::Progress;
 
 use crate::state::Node;
+use crate::suspicion;
 
 /// A peer that does not answer within this time is passed over; between zones an answer takes 4 ms,
 /// and a peer whose processor share is used up stands still for up to 100 ms.
@@ -180,9 +181,7 @@
                 Request::Prepare(prepare) => serve_steps(&node, *prepare, replies).await,
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
                 Request::Crashed(fingerprint, upstream) => {
-                    let now = Instant::now();
-                    let quarantine = &mut node.limits().quarantine;
-                    quarantine.crashed(fingerprint, upstream, now);
+                    suspicion::learned(&node, fingerprint, upstream);
                 }
                 Request::Ping => reply(&replies, Reply::Done).await,
                 // The other requests are for the dispatchers of the product's own deployments.
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -211,7 +211,7 @@
     }
 
     async fn finish(mut self) {
-        suspicion::survived(&self.node, self.ask.fingerprint);
+        suspicion::survived(&self.node, self.ask.fingerprint, "own");
         let took = self.ask.received.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
             "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
