Hold crashes against an incarnation, and decide them once

Cause: a loss was kept by the upstream's name and counted only while that name was not registered. A name that is registered again proves nothing: it is another incarnation. The registrations of the moment were asked anew for each request, so evidence came and went with them.

Now `id::Incarnation`, name and start, stands for an upstream in all evidence, and a loss is decided once: for good when the registration of its incarnation ends within the time in which a crash shows, dropped when it outlives that time. While the store is away nothing is decided. A send still on its way when the registration ends is a loss too.

Whole answers end a suspicion for losses of earlier sends. A request that was answered lately counts its losses only as far as they came one after the other: a crash of many upstreams at once hits a frequent request several times and must not refuse it. This follows a logical depth that travels with each loss, so it needs no clocks of other instances. An answer that is newer than a loss is told to whoever told of the loss.

Ruled out: clearing by the registry alone (late and gone while the store is away); counting every loss of a frequent request (refuses it after one crash of many upstreams).

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -11,6 +11,8 @@
 use serde::Deserializer;
 use serde::Serialize;
 use serde::Serializer;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
 
 /// Longest accepted name in bytes.
 pub const NAME_MAX: usize = 128;
@@ -30,6 +32,9 @@
     /// The text is not a hexadecimal number of 64 bits.
     #[strum(to_string = "not a hexadecimal number of 64 bits")]
     BadNumber,
+    /// The text does not end with the time of a start.
+    #[strum(to_string = "no '@' with the Unix milliseconds of a start")]
+    NoStart,
 }
 
 impl std::error::Error for ParseError {}
@@ -168,6 +173,35 @@
     };
 }
 
+/// One start of an upstream: it may come back under the name that it had.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct Incarnation {
+    /// Name.
+    pub upstream: Upstream,
+    /// Unix milliseconds of the start.
+    pub started_ms: u64,
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.upstream, self.started_ms)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Incarnation, ParseError> {
+        let (upstream, started_ms) = text.split_once('@').ok_or(ParseError::NoStart)?;
+        Ok(Incarnation {
+            upstream: upstream.parse()?,
+            started_ms: started_ms.parse().map_err(|_| ParseError::NoStart)?,
+        })
+    }
+}
+
 number! {
     /// One attempt of one stage at one upstream.
     Attempt
--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -40,6 +40,17 @@
     pub version: u64,
 }
 
+impl Upstream {
+    /// Its name and start.
+    #[must_use]
+    pub fn incarnation(&self) -> id::Incarnation {
+        id::Incarnation {
+            upstream: self.name.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+}
+
 /// One instance of this system.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -86,6 +97,13 @@
         of_service.filter(move |it| it.service == *service && self.is_usable(it))
     }
 
+    /// Whether the upstream of this name and start is registered.
+    #[must_use]
+    pub fn is_registered(&self, incarnation: &id::Incarnation) -> bool {
+        let known = self.upstreams.get(&incarnation.upstream);
+        known.is_some_and(|it| it.started_ms == incarnation.started_ms)
+    }
+
     /// Whether the upstream of this name and start may still get new work.
     #[must_use]
     pub fn still_usable(&self, upstream: &Upstream) -> bool {
--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -313,7 +313,7 @@
                 }
                 Request::Ping => Reply::Done,
                 // These are for the nodes of the users' platform.
-                Request::Prepare(_) | Request::Rows(_) | Request::Crashed(..) => return,
+                Request::Prepare(_) | Request::Rows(_) | Request::Losses(_) => return,
             };
             // An asker that has gone needs no reply.
             let _ = replies.send(reply).await;
--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -54,6 +54,8 @@
     lapsed: BTreeMap<id::Upstream, Instant>,
     /// When the rows were complete again after the store had been away.
     returned: Option<Instant>,
+    /// Since when the rows have been complete without a gap.
+    complete_since: Option<Instant>,
     is_away: bool,
 }
 
@@ -76,6 +78,16 @@
             }
         }
         self.is_away = is_away;
+        self.complete_since = match age {
+            Some(_) if !is_away => self.complete_since.or(Some(now)),
+            _ => None,
+        };
+    }
+
+    /// Since when the rows have been complete without a gap, if they are.
+    #[must_use]
+    pub fn complete_since(&self) -> Option<Instant> {
+        self.complete_since
     }
 
     /// Takes in rows that were news.
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -6,6 +6,7 @@
 use base::hash;
 use base::id;
 use catalog::Member;
+use forwarding::poison::Source;
 use mirror::Table;
 use platform::rows;
 use platform::store;
@@ -207,7 +208,11 @@
             if !news.rows.is_empty() {
                 node.merge(news.rows);
             }
-            merge_losses(node, news.crashes, news.cleared);
+            suspicion::learned(node, &news.losses, Source::Peer);
+            // An answer outweighs losses, whatever came first.
+            for (fingerprint, age) in news.cleared {
+                suspicion::survived(node, fingerprint, age, Source::Peer);
+            }
             let Some(age) = news.age else {
                 return false;
             };
@@ -225,38 +230,18 @@
     }
 }
 
-fn merge_losses(
-    node: &Node,
-    crashes: Vec<(id::Fingerprint, id::Upstream)>,
-    cleared: Vec<id::Fingerprint>,
-) {
-    for (fingerprint, upstream) in crashes {
-        suspicion::learned(node, fingerprint, upstream);
-    }
-    // An answer outweighs losses, whatever came first.
-    for fingerprint in cleared {
-        suspicion::survived(node, fingerprint, "peer");
-    }
-}
-
 /// Numbers of the peers that are followed.
 pub fn peers() -> impl Iterator<Item = usize> {
     0..PEERS
 }
 
-/// Tells the instances that others follow of a crash.
-pub fn report_crash(node: &Arc<Node>, fingerprint: id::Fingerprint, upstream: &id::Upstream) {
+/// The other instances that read the store and that others follow.
+pub(crate) fn read_ahead(node: &Node) -> Vec<Arc<Member>> {
     let names = readers(node);
     let count = reader_count(names.len());
     let others = node.others();
-    for member in names.iter().take(count).filter_map(|it| others.get(it)) {
-        let (node, member) = (node.clone(), member.clone());
-        let request = Request::Crashed(fingerprint, upstream.clone());
-        // Best effort: a member that does not hear of it counts one crash less.
-        tokio::spawn(async move {
-            let _ = node.peers.open(&member, request).await;
-        });
-    }
+    let first = names.iter().take(count);
+    first.filter_map(|it| others.get(it).cloned()).collect()
 }
 
 /// Instances that are not suspected, those that read the store first.
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -12,6 +12,7 @@
 use forwarding::life::Life;
 use forwarding::life::Pending;
 use forwarding::life::Sent;
+use forwarding::poison::Source;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -43,6 +44,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(400);
 /// A quarantined request is of no use again before its crashes are forgotten.
 const QUARANTINE_RETRY: Duration = Duration::from_secs(60);
+/// The same while another instance may yet tell of an answer that clears the request.
+const ACQUITTAL_RETRY: Duration = Duration::from_secs(1);
 /// Another instance takes the request at once.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Shortest time before a repeatable request without an answer is sent elsewhere.
@@ -99,8 +102,13 @@
     let mut tries = 0;
     let mut last: Option<id::Upstream> = None;
     loop {
-        if suspicion::is_quarantined(node, ask) {
-            return Err(pending.end(Cause::Quarantined, QUARANTINE_RETRY));
+        if let Some(standing) = suspicion::refusal(node, ask) {
+            let retry_after = if standing.is_fresh {
+                ask.retry_after(ACQUITTAL_RETRY)
+            } else {
+                QUARANTINE_RETRY
+            };
+            return Err(pending.end(Cause::Quarantined, retry_after));
         }
         if let Some(wanted) = wanted(node, ask, &service).filter(|_| results.is_none()) {
             let prepared = tokio::select! {
@@ -162,7 +170,7 @@
     sends: u32,
     last_event: Option<u64>,
 ) -> Option<(Channel, Incoming, Sending)> {
-    if suspicion::is_quarantined(node, ask) {
+    if suspicion::refusal(node, ask).is_some() {
         return None;
     }
     if sends >= ask.route.attempts || !take_retry(node, &lost.service) {
@@ -273,7 +281,10 @@
         Err(channel::Error::Silent) => {
             return Ok(lost(node, ask, &sending, life, Cause::Deadline));
         }
-        Err(_) => return Ok(Attempt::NotRun(life.not_run(), Cause::NoUpstream)),
+        Err(_) => {
+            sending.concluded();
+            return Ok(Attempt::NotRun(life.not_run(), Cause::NoUpstream));
+        }
     };
     let answer = Answer::read(response.status(), response.headers());
     let is_own = answer.request.as_deref() == Some(&ask.request);
@@ -338,7 +349,7 @@
         "fingerprint" => %ask.fingerprint, "upstream" => sending.upstream.name.as_str(),
         "started_ms" => sending.upstream.started_ms, "cause" => %cause);
     if cause == Cause::ConnectionLost {
-        suspicion::crashed(node, ask.fingerprint, &sending.upstream.name);
+        suspicion::lost(sending);
     }
     Attempt::Lost(life, cause)
 }
@@ -355,6 +366,7 @@
     slog::info!(node.logger(), "not_run"; "request" => &ask.request,
         "upstream" => sending.upstream.name.as_str(), "status" => answer.status.as_u16());
     sending.answered(true);
+    sending.concluded();
     let body = response.into_body().collect();
     let body = tokio::time::timeout(ask.left(), body).await;
     if matches!(body, Ok(Ok(_))) && !answer.is_last {
@@ -392,7 +404,8 @@
         Err(_) => return Ok(lost(node, ask, &sending, life, Cause::Deadline)),
     };
     sending.answered(status.is_server_error());
-    suspicion::survived(node, ask.fingerprint, "own");
+    sending.concluded();
+    suspicion::survived(node, ask.fingerprint, Duration::ZERO, Source::Own);
     if !answer.is_last {
         channel.keep(answer.keep_alive).await;
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 
 use base::id;
 use catalog::Member;
+use forwarding::poison::Source;
 use futures_util::future::BoxFuture;
 use stages::Plan;
 use stages::Prepared;
@@ -180,9 +181,7 @@
             match request {
                 Request::Prepare(prepare) => serve_steps(&node, *prepare, replies).await,
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
-                Request::Crashed(fingerprint, upstream) => {
-                    suspicion::learned(&node, fingerprint, upstream);
-                }
+                Request::Losses(losses) => suspicion::learned(&node, &losses, Source::Peer),
                 Request::Ping => reply(&replies, Reply::Done).await,
                 // The other requests are for the dispatchers of the product's own deployments.
                 _ => {}
@@ -248,14 +247,14 @@
         let rows = node.store().mirror.since(positions);
         if !rows.is_empty() || Instant::now() >= until || !node.is_fresh() {
             let now = Instant::now();
-            let (crashes, cleared) = {
+            let (losses, cleared) = {
                 let quarantine = &node.limits().quarantine;
                 (quarantine.recent(now), quarantine.cleared(now))
             };
             let news = News {
                 rows,
                 age: node.rows_age(),
-                crashes,
+                losses,
                 cleared,
             };
             return reply(&replies, Reply::Rows(Box::new(news))).await;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use forwarding::poison::Source;
 use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -178,11 +179,7 @@
         self.sending.broke();
         self.channel = None;
         self.buffer.clear();
-        suspicion::crashed(
-            &self.node,
-            self.ask.fingerprint,
-            &self.sending.upstream.name,
-        );
+        suspicion::lost(&self.sending);
         if !forward::is_resumable(self.ask.route.kind) {
             return Err(Error::Broken);
         }
@@ -211,7 +208,9 @@
     }
 
     async fn finish(mut self) {
-        suspicion::survived(&self.node, self.ask.fingerprint, "own");
+        self.sending.concluded();
+        let fingerprint = self.ask.fingerprint;
+        suspicion::survived(&self.node, fingerprint, Duration::ZERO, Source::Own);
         let took = self.ask.received.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
             "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -16,15 +16,23 @@
 
 /// Evidence about one send; ends with it.
 pub struct Sending {
-    node: Arc<Node>,
+    /// This instance.
+    pub(crate) node: Arc<Node>,
     /// The upstream.
     pub upstream: Arc<Upstream>,
-    send: u64,
+    /// Number of the send.
+    pub(crate) send: u64,
 }
 
 impl Sending {
-    fn begin(node: &Arc<Node>, upstream: &Arc<Upstream>) -> Sending {
-        let send = node.limits().sent(&upstream.name, Instant::now());
+    fn begin(node: &Arc<Node>, ask: &Ask, upstream: &Arc<Upstream>) -> Sending {
+        let sent = Instant::now();
+        let mut limits = node.limits();
+        let send = limits.sent(&upstream.name, sent);
+        limits
+            .quarantine
+            .begin(send, ask.fingerprint, upstream.incarnation(), sent);
+        drop(limits);
         Sending {
             node: node.clone(),
             upstream: upstream.clone(),
@@ -32,12 +40,18 @@
         }
     }
 
+    /// Notes the first byte of an answer.
     pub(crate) fn answered(&self, is_failure: bool) {
         let mut limits = self.node.limits();
         let health = limits.health(&self.upstream.name);
         health.answered(self.send, is_failure, Instant::now());
     }
 
+    /// Notes that the send has ended and that its upstream was not lost.
+    pub(crate) fn concluded(&self) {
+        self.node.limits().quarantine.ended(self.send);
+    }
+
     /// Notes that the send broke.
     pub fn broke(&self) {
         let mut limits = self.node.limits();
@@ -55,6 +69,7 @@
 
 impl Drop for Sending {
     fn drop(&mut self) {
+        self.concluded();
         let mut limits = self.node.limits();
         limits.health(&self.upstream.name).ended(self.send);
     }
@@ -88,5 +103,5 @@
     if let Ok(target) = ask.target.parse() {
         *request.uri_mut() = target;
     }
-    (request, Sending::begin(node, upstream))
+    (request, Sending::begin(node, ask, upstream))
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::peers::Handler;
 use crate::peers::Peers;
 use crate::state::Node;
+use crate::suspicion;
 
 /// The settings file is compared with what was read this often, since it may change unannounced.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
@@ -101,6 +102,10 @@
     supervisor.spawn("expire", Restart::Always, move || {
         follow::expire(expiring.clone())
     });
+    let suspecting = node.clone();
+    supervisor.spawn("suspicion", Restart::Always, move || {
+        suspicion::run(suspecting.clone())
+    });
     let owner = node.owner.clone();
     supervisor.spawn("owner", Restart::Always, move || owner.clone().run());
     let (joining, store) = (node.clone(), store.clone());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,6 +19,7 @@
 use platform::settings::Settings;
 use stages::Shard;
 use telemetry::Telemetry;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -28,6 +29,7 @@
 use crate::limits::Limits;
 use crate::owner::Owner;
 use crate::peers::Peers;
+use crate::suspicion;
 
 /// Rows that were complete this long ago count as fresh: longer than a feed without news and two
 /// instances that pass its answer on. A change must be in force within 2 s; this leaves time to
@@ -77,6 +79,8 @@
     shard_waits: Mutex<ShardWaits>,
     stop: Arc<OnceLock<Stop>>,
     in_flight: AtomicUsize,
+    /// Woken when what is held against requests has changed.
+    pub(crate) suspicions: Notify,
 }
 
 impl Node {
@@ -93,6 +97,7 @@
             shard_waits: Mutex::default(),
             stop: Arc::default(),
             in_flight: AtomicUsize::new(0),
+            suspicions: Notify::new(),
             settings,
             telemetry,
             owner,
@@ -263,6 +268,15 @@
         self.limits().retain(&view);
         self.owner.configure(&view);
         self.view.send_replace(view);
+        suspicion::settle(self);
+    }
+
+    /// Since when registrations are followed without a gap; `None` while the store is away.
+    pub(crate) fn followed_since(&self, now: Instant) -> Option<Instant> {
+        let mut store = self.store();
+        let age = store.age(now);
+        store.beliefs.set_age(age, now);
+        store.beliefs.complete_since()
     }
 
     fn log_change(&self, change: &Change, version: u64) {
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -1,76 +1,143 @@
-//! Requests that are suspected of crashing the upstreams that run them.
+//! What is held against requests that are suspected of crashing the upstreams that run them.
+//!
+//! Losses that count are told to the other instances.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::id;
+use forwarding::poison::Loss;
+use forwarding::poison::Registry;
+use forwarding::poison::Source;
+use forwarding::poison::Standing;
 use tokio::time::Instant;
+use wire::Request;
 
 use crate::ask::Ask;
 use crate::follow;
+use crate::sending::Sending;
 use crate::state::Node;
 
-/// Puts a request under suspicion, here and at the other instances.
-pub(crate) fn crashed(node: &Arc<Node>, fingerprint: id::Fingerprint, upstream: &id::Upstream) {
-    let is_news = {
-        let quarantine = &mut node.limits().quarantine;
-        quarantine.crashed(fingerprint, upstream.clone(), Instant::now())
-    };
-    if !is_news {
+/// A registration ends after this many heartbeats of silence.
+const LAPSE_HEARTBEATS: u32 = 3;
+/// Time from the end of a registration until every instance knows, through a feed and two others.
+const LAPSE_SLACK: Duration = Duration::from_millis(1_500);
+/// Losses that one crash causes are told together.
+const BATCH_TIME: Duration = Duration::from_millis(30);
+/// Notes that a send ended without an answer, unless it has ended before.
+pub(crate) fn lost(sending: &Sending) {
+    let node = &sending.node;
+    let loss = node.limits().quarantine.lost(sending.send, Instant::now());
+    let Some(loss) = loss else {
         return;
-    }
-    log_suspicion(node, fingerprint, upstream, "own");
-    follow::report_crash(node, fingerprint, upstream);
+    };
+    settle(node);
+    log_loss(node, &loss, Source::Own);
 }
 
-/// Takes over a loss that another instance has seen.
-pub(crate) fn learned(node: &Node, fingerprint: id::Fingerprint, upstream: id::Upstream) {
-    let is_news = {
-        let quarantine = &mut node.limits().quarantine;
-        quarantine.crashed(fingerprint, upstream.clone(), Instant::now())
-    };
-    if is_news {
-        log_suspicion(node, fingerprint, &upstream, "peer");
+/// Takes over losses from elsewhere.
+pub(crate) fn learned(node: &Node, losses: &[Loss], source: Source) {
+    for loss in losses {
+        let is_news = {
+            let quarantine = &mut node.limits().quarantine;
+            quarantine.learn(loss, source, Instant::now())
+        };
+        if is_news {
+            log_loss(node, loss, source);
+        }
+    }
+    if !losses.is_empty() {
+        settle(node);
     }
 }
 
-/// Ends the suspicion against a request: an upstream has answered it and lives.
-pub(crate) fn survived(node: &Node, fingerprint: id::Fingerprint, source: &str) {
+/// Ends the suspicion against a request: an upstream answered it `age` ago.
+pub(crate) fn survived(node: &Node, fingerprint: id::Fingerprint, age: Duration, source: Source) {
+    let now = Instant::now();
+    let at = now.checked_sub(age).unwrap_or(now);
     let was_suspect = {
         let quarantine = &mut node.limits().quarantine;
-        quarantine.answered(fingerprint, Instant::now())
+        match source {
+            Source::Own => quarantine.answered(fingerprint, at, now),
+            Source::Peer | Source::Store => quarantine.acquitted(fingerprint, at, now),
+        }
     };
     if was_suspect {
         node.telemetry.count("suspects.cleared", 1);
         slog::info!(node.logger(), "suspect_cleared"; "fingerprint" => %fingerprint,
-            "source" => source);
+            "source" => %source);
+        node.suspicions.notify_one();
     }
 }
 
-/// Whether the request has crashed too many upstreams.
-pub(crate) fn is_quarantined(node: &Node, ask: &Ask) -> bool {
-    let view = node.view();
-    let is_registered = |it: &id::Upstream| view.upstreams.contains_key(it);
-    let losses = node.limits().quarantine.losses(ask.fingerprint);
-    if losses.is_empty() {
-        return false;
+/// What is held against a request that has crashed too many upstreams.
+pub(crate) fn refusal(node: &Node, ask: &Ask) -> Option<Standing> {
+    if !node.limits().quarantine.is_suspected(ask.fingerprint) {
+        return None;
     }
-    let is_refused = {
-        let quarantine = &node.limits().quarantine;
-        quarantine.is_refused(ask.fingerprint, is_registered, Instant::now())
-    };
-    let registered = losses.iter().filter(|it| is_registered(it)).count();
+    settle(node);
+    let standing = standing(node, ask.fingerprint);
     slog::info!(node.logger(), "suspect_checked"; "request" => &ask.request,
-        "fingerprint" => %ask.fingerprint, "losses" => losses.len(), "registered" => registered,
-        "rows_age_ms" => node.rows_age().map(|it| it.as_millis() as u64), "refused" => is_refused);
-    is_refused
+        "fingerprint" => %ask.fingerprint, "losses" => standing.losses,
+        "counted" => standing.counted, "depth" => standing.depth,
+        "answered_lately" => standing.is_answered,
+        "rows_age_ms" => node.rows_age().map(|it| it.as_millis() as u64),
+        "refused" => standing.is_refused(), "fresh" => standing.is_fresh);
+    standing.is_refused().then_some(standing)
 }
 
-fn log_suspicion(node: &Node, fingerprint: id::Fingerprint, upstream: &id::Upstream, source: &str) {
-    let losses = node.limits().quarantine.losses(fingerprint).len();
+/// Tells other instances of losses, for ever.
+pub(crate) async fn run(node: Arc<Node>) {
+    loop {
+        node.suspicions.notified().await;
+        tokio::time::sleep(BATCH_TIME).await;
+        announce(&node);
+    }
+}
+
+/// Decides losses by the registrations of now.
+pub(crate) fn settle(node: &Node) {
+    let now = Instant::now();
     let view = node.view();
-    let registered = view.upstreams.get(upstream);
-    node.telemetry.count_of("suspects.losses", source, 1);
-    slog::info!(node.logger(), "suspected"; "fingerprint" => %fingerprint, "source" => source,
-        "upstream" => upstream.as_str(), "started_ms" => registered.map(|it| it.started_ms),
-        "losses" => losses);
+    let registry = Registry {
+        view: &view,
+        followed_since: node.followed_since(now),
+        lapse: node.settings.heartbeat * LAPSE_HEARTBEATS + LAPSE_SLACK,
+    };
+    let is_pending = {
+        let quarantine = &mut node.limits().quarantine;
+        quarantine.settle(&registry, now);
+        quarantine.is_pending()
+    };
+    if is_pending {
+        node.suspicions.notify_one();
+    }
+}
+
+fn standing(node: &Node, fingerprint: id::Fingerprint) -> Standing {
+    let quarantine = &mut node.limits().quarantine;
+    quarantine.standing(fingerprint, Instant::now())
+}
+
+fn announce(node: &Arc<Node>) {
+    let losses = node.limits().quarantine.take_announcements(Instant::now());
+    if losses.is_empty() {
+        return;
+    }
+    for member in follow::read_ahead(node) {
+        let (node, losses) = (node.clone(), losses.clone());
+        // Best effort: a member that does not hear of it asks others, or finds it in the store.
+        tokio::spawn(async move {
+            let _ = node.peers.open(&member, Request::Losses(losses)).await;
+        });
+    }
+}
+
+fn log_loss(node: &Node, loss: &Loss, source: Source) {
+    let standing = standing(node, loss.fingerprint);
+    node.telemetry.count_of("suspects.losses", source.into(), 1);
+    slog::info!(node.logger(), "suspected"; "fingerprint" => %loss.fingerprint,
+        "source" => %source, "upstream" => loss.incarnation.upstream.as_str(),
+        "started_ms" => loss.incarnation.started_ms, "evidence" => %loss.evidence,
+        "losses" => standing.losses, "counted" => standing.counted, "depth" => standing.depth);
 }
--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -42,6 +42,7 @@
     returns: Return,
     ending: Ending,
     back_after: Duration,
+    fails_after: Option<usize>,
     event: Event,
     length: Duration,
 }
@@ -56,6 +57,7 @@
             returns: Return::SameName,
             ending: Ending::Reset,
             back_after: Duration::from_millis(700),
+            fails_after: None,
             event: Event::Nothing,
             length: Duration::from_secs(9),
         }
@@ -130,6 +132,7 @@
         .ending(case.ending)
         .back_after(case.back_after)
         .lapse(Duration::from_millis(3_600))
+        .maybe_fails_after(case.fails_after)
         .build();
     let crashes = crash::start(&fixture.site.store, &plan).await;
     let crashes = crashes.expect("ports for upstreams");
@@ -180,6 +183,14 @@
         back_after: Duration::from_secs(30),
         ..Case::default()
     };
+    /// Guards against a failure of an upstream that acquits the request for a minute.
+    poison_is_refused_though_an_upstream_failed_it: Case {
+        returns: Return::NewName,
+        back_after: Duration::from_millis(500),
+        fails_after: Some(1),
+        length: Duration::from_secs(10),
+        ..Case::default()
+    };
     /// Guards against crashes that no instance remembers once all have restarted.
     poison_is_refused_after_all_instances_restarted: Case {
         returns: Return::NewName,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,6 +5,7 @@
 
 use base::id;
 use config::Document;
+use forwarding::poison::Loss;
 use serde::Deserialize;
 use serde::Serialize;
 use telemetry::timeline;
@@ -39,8 +40,8 @@
     Prepare(Box<steps::Prepare>),
     /// Rows of the store newer than the positions; waits a while for one.
     Rows(Vec<(mirror::Table, u64)>),
-    /// An upstream was lost while it ran a request.
-    Crashed(id::Fingerprint, id::Upstream),
+    /// Upstreams were lost while they ran requests.
+    Losses(Vec<Loss>),
     /// Whether the process answers.
     Ping,
 }
@@ -80,9 +81,9 @@
     /// How long ago the rows were known to be complete.
     pub age: Option<Duration>,
     /// Recent losses of upstreams while they ran a request.
-    pub crashes: Vec<(id::Fingerprint, id::Upstream)>,
-    /// Requests that were under suspicion and have been answered since.
-    pub cleared: Vec<id::Fingerprint>,
+    pub losses: Vec<Loss>,
+    /// Requests that were under suspicion and have been answered since, and how long ago.
+    pub cleared: Vec<(id::Fingerprint, Duration)>,
 }
 
 /// Asks for the current view.
