Count a crash as soon as its upstream takes no connection

Cause: a registration ends three heartbeats after a crash, later while the store is away, so the only evidence was 3 to 4 s old when it came.

An upstream that lost a request is now asked for a connection at once, at most once a second; the connection is kept for later requests. One that takes none counts as crashed until its registration outlives the time in which a crash shows. Connections that fail for other requests tell the same.

A lost answer of an upstream that lives costs one connection that is used again; nothing is asked of health paths, which take a slot and are priced.

--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -108,6 +108,15 @@
         if let Some(channel) = self.take_idle(address, idle_max) {
             return Ok(channel);
         }
+        self.connect(address, open_max).await
+    }
+
+    /// A new connection to `address`, while this instance has fewer than `open_max`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be made.
+    pub async fn connect(&self, address: SocketAddr, open_max: usize) -> Result<Channel, Error> {
         self.count_open(address, open_max)?;
         let guard = OpenGuard {
             pool: self.clone(),
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::id;
 use catalog::Upstream;
@@ -21,6 +22,9 @@
 /// of many instances never have two at the same moment.
 const CONNECTIONS_MIN: usize = 2;
 
+/// One upstream is asked for a connection at most this often, however many requests it lost.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Limits and evidence.
 #[derive(Debug)]
 pub struct Limits {
@@ -33,6 +37,8 @@
     health: BTreeMap<id::Upstream, Health>,
     /// Requests that crashed upstreams.
     pub quarantine: Quarantine,
+    /// When upstreams were last asked for a connection after a loss.
+    probes: BTreeMap<id::Incarnation, Instant>,
     sends: u64,
 }
 
@@ -48,6 +54,7 @@
             fallbacks: BTreeSet::new(),
             health: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            probes: BTreeMap::new(),
             sends: 0,
         }
     }
@@ -70,6 +77,16 @@
         self.budget(service).take(members, now)
     }
 
+    /// Whether an upstream may be asked for a connection after a loss; if so, it counts as asked.
+    pub fn take_probe(&mut self, incarnation: &id::Incarnation, now: Instant) -> bool {
+        let last = self.probes.get(incarnation);
+        let is_due = last.is_none_or(|it| now.saturating_duration_since(*it) >= PROBE_INTERVAL);
+        if is_due {
+            self.probes.insert(incarnation.clone(), now);
+        }
+        is_due
+    }
+
     /// What is known of an upstream.
     pub fn health(&mut self, upstream: &id::Upstream) -> &mut Health {
         self.health.entry(upstream.clone()).or_default()
@@ -135,6 +152,7 @@
         self.fallbacks = self.find_fallbacks(view);
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.gates.retain(|name, _| is_known(name));
+        self.probes.retain(|it, _| view.is_registered(it));
         self.health
             .retain(|name, it| is_known(name) || it.in_flight > 0);
     }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -1,11 +1,13 @@
 //! What is held against requests that are suspected of crashing the upstreams that run them.
 //!
-//! Losses that count are told to the other instances.
+//! An upstream that lost a request is asked for a connection at once: its registration ends only
+//! seconds after a crash. Losses that count are told to the other instances.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::id;
+use catalog::Upstream;
 use forwarding::poison::Loss;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
@@ -14,9 +16,11 @@
 use wire::Request;
 
 use crate::ask::Ask;
+use crate::channel;
 use crate::follow;
 use crate::sending::Sending;
 use crate::state::Node;
+use crate::target;
 
 /// A registration ends after this many heartbeats of silence.
 const LAPSE_HEARTBEATS: u32 = 3;
@@ -26,13 +30,30 @@
 const BATCH_TIME: Duration = Duration::from_millis(30);
 /// Notes that a send ended without an answer, unless it has ended before.
 pub(crate) fn lost(sending: &Sending) {
-    let node = &sending.node;
+    let (node, upstream) = (&sending.node, &sending.upstream);
     let loss = node.limits().quarantine.lost(sending.send, Instant::now());
     let Some(loss) = loss else {
         return;
     };
     settle(node);
     log_loss(node, &loss, Source::Own);
+    probe(node, upstream);
+}
+
+/// Notes that an upstream took no connection.
+pub(crate) fn unreachable(node: &Node, upstream: &Upstream) {
+    let now = Instant::now();
+    let mut limits = node.limits();
+    limits.health(&upstream.name).unreachable(now);
+    limits.quarantine.unreachable(&upstream.incarnation(), now);
+    drop(limits);
+    node.suspicions.notify_one();
+}
+
+/// Notes that an upstream took a connection.
+pub(crate) fn reachable(node: &Node, upstream: &Upstream) {
+    let quarantine = &mut node.limits().quarantine;
+    quarantine.reachable(&upstream.incarnation());
 }
 
 /// Takes over losses from elsewhere.
@@ -119,6 +140,33 @@
     quarantine.standing(fingerprint, Instant::now())
 }
 
+/// Asks an upstream for a connection, which later requests use.
+fn probe(node: &Arc<Node>, upstream: &Arc<Upstream>) {
+    let is_due = {
+        let mut limits = node.limits();
+        limits.take_probe(&upstream.incarnation(), Instant::now())
+    };
+    if !is_due {
+        return;
+    }
+    let (node, upstream) = (node.clone(), upstream.clone());
+    tokio::spawn(async move {
+        let open_max = target::open_max(&node, &upstream);
+        match node.pool.connect(upstream.address, open_max).await {
+            Ok(channel) => {
+                reachable(&node, &upstream);
+                channel.keep(None).await;
+            }
+            Err(channel::Error::TooMany) => {}
+            Err(err) => {
+                slog::info!(node.logger(), "probe_failed"; "upstream" => upstream.name.as_str(),
+                    "started_ms" => upstream.started_ms, "reason" => %err);
+                unreachable(&node, &upstream);
+            }
+        }
+    });
+}
+
 fn announce(node: &Arc<Node>) {
     let losses = node.limits().quarantine.take_announcements(Instant::now());
     if losses.is_empty() {
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -20,6 +20,7 @@
 use crate::limits;
 use crate::prepare::Wanted;
 use crate::state::Node;
+use crate::suspicion;
 
 /// Upstreams that are tried without the request having run anywhere.
 pub(crate) const UNSENT_TRIES_MAX: u32 = 5;
@@ -134,6 +135,9 @@
         match opened {
             // What was decided before the connection was made is checked again.
             Ok(channel) if node.view().still_usable(&upstream) => {
+                if !channel.is_kept {
+                    suspicion::reachable(node, &upstream);
+                }
                 let is_placed = tries == 0 && wish.engine == Some(&upstream.name);
                 if may_send(node, &upstream, is_placed) {
                     return Ok((upstream, channel));
@@ -142,8 +146,7 @@
             Ok(_) => {}
             Err(err) => {
                 if err.is_evidence() {
-                    let mut limits = node.limits();
-                    limits.health(&upstream.name).unreachable(Instant::now());
+                    suspicion::unreachable(node, &upstream);
                 }
                 slog::info!(node.logger(), "unreachable"; "request" => &ask.request,
                     "upstream" => upstream.name.as_str(), "reason" => %err);
@@ -251,7 +254,7 @@
 }
 
 /// This instance's share of the connections that an upstream accepts.
-fn open_max(node: &Node, upstream: &Upstream) -> usize {
+pub(crate) fn open_max(node: &Node, upstream: &Upstream) -> usize {
     let view = node.view();
     let catalog = view.catalog.as_ref();
     let service = catalog.and_then(|it| it.services.get(&upstream.service));
