Note crashes that end in silence, in a cut answer or after the client left

Cause: only a lost connection left a trace. A send that timed out, whose client had gone, whose answer was none, or whose stream broke before its first event was dropped without one.

A send that is dropped before its end is now a loss by itself, whatever the way: evidence about it is the guard that every way out drops. It counts once the registration ends or no connection is to be had; one is asked for if the upstream has answered nothing since the send, or if the request has lost another upstream.

--- a/crates/forwarding/src/health.rs
+++ b/crates/forwarding/src/health.rs
@@ -96,6 +96,12 @@
         self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
     }
 
+    /// Whether a request was answered after `since`.
+    #[must_use]
+    pub fn has_answered(&self, since: Instant) -> bool {
+        self.answered.is_some_and(|it| it > since)
+    }
+
     /// Average time to the first byte of an answer, once there was one.
     #[must_use]
     pub fn answer_time(&self) -> Option<Duration> {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -35,6 +35,7 @@
 use crate::sending::outgoing;
 use crate::state::Node;
 use crate::suspicion;
+use crate::suspicion::Ending;
 use crate::target::UNSENT_TRIES_MAX;
 use crate::target::Wish;
 use crate::target::connect;
@@ -348,9 +349,11 @@
     slog::warn!(node.logger(), "lost"; "request" => &ask.request,
         "fingerprint" => %ask.fingerprint, "upstream" => sending.upstream.name.as_str(),
         "started_ms" => sending.upstream.started_ms, "cause" => %cause);
-    if cause == Cause::ConnectionLost {
-        suspicion::lost(sending);
-    }
+    let ending = match cause {
+        Cause::Deadline => Ending::Silent,
+        _ => Ending::Broken,
+    };
+    suspicion::lost(sending, ending);
     Attempt::Lost(life, cause)
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::state::InFlight;
 use crate::state::Node;
 use crate::suspicion;
+use crate::suspicion::Ending;
 
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -91,8 +92,13 @@
                 true
             }
             Ok(Read::End) => true,
-            Err(_) => {
+            Err(err) => {
                 self.sending.broke();
+                let ending = match err {
+                    Error::Broken => Ending::Broken,
+                    Error::Deadline => Ending::Silent,
+                };
+                suspicion::lost(&self.sending, ending);
                 false
             }
         }
@@ -179,7 +185,7 @@
         self.sending.broke();
         self.channel = None;
         self.buffer.clear();
-        suspicion::lost(&self.sending);
+        suspicion::lost(&self.sending, Ending::Broken);
         if !forward::is_resumable(self.ask.route.kind) {
             return Err(Error::Broken);
         }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -13,8 +13,10 @@
 
 use crate::ask::Ask;
 use crate::state::Node;
+use crate::suspicion;
+use crate::suspicion::Ending;
 
-/// Evidence about one send; ends with it.
+/// Evidence about one send; ends with it. One that is dropped before its end counts as lost.
 pub struct Sending {
     /// This instance.
     pub(crate) node: Arc<Node>,
@@ -22,6 +24,8 @@
     pub upstream: Arc<Upstream>,
     /// Number of the send.
     pub(crate) send: u64,
+    /// When it began.
+    pub(crate) sent: Instant,
 }
 
 impl Sending {
@@ -37,6 +41,7 @@
             node: node.clone(),
             upstream: upstream.clone(),
             send,
+            sent,
         }
     }
 
@@ -69,7 +74,8 @@
 
 impl Drop for Sending {
     fn drop(&mut self) {
-        self.concluded();
+        // Its client has left, or its time is over.
+        suspicion::lost(self, Ending::Silent);
         let mut limits = self.node.limits();
         limits.health(&self.upstream.name).ended(self.send);
     }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -28,16 +28,33 @@
 const LAPSE_SLACK: Duration = Duration::from_millis(1_500);
 /// Losses that one crash causes are told together.
 const BATCH_TIME: Duration = Duration::from_millis(30);
+/// How a send ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Ending {
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// Nobody waited for the answer any longer.
+    Silent,
+}
+
 /// Notes that a send ended without an answer, unless it has ended before.
-pub(crate) fn lost(sending: &Sending) {
+pub(crate) fn lost(sending: &Sending, ending: Ending) {
     let (node, upstream) = (&sending.node, &sending.upstream);
     let loss = node.limits().quarantine.lost(sending.send, Instant::now());
     let Some(loss) = loss else {
         return;
     };
     settle(node);
-    log_loss(node, &loss, Source::Own);
-    probe(node, upstream);
+    let standing = log_loss(node, &loss, Source::Own, Some(ending));
+    let has_answered = node
+        .limits()
+        .health(&upstream.name)
+        .has_answered(sending.sent);
+    // Slow upstreams answer others meanwhile, and their requests have lost no other upstream.
+    if ending == Ending::Broken || !has_answered || standing.losses > 1 {
+        probe(node, upstream);
+    }
 }
 
 /// Notes that an upstream took no connection.
@@ -64,7 +81,7 @@
             quarantine.learn(loss, source, Instant::now())
         };
         if is_news {
-            log_loss(node, loss, source);
+            log_loss(node, loss, source, None);
         }
     }
     if !losses.is_empty() {
@@ -181,11 +198,13 @@
     }
 }
 
-fn log_loss(node: &Node, loss: &Loss, source: Source) {
+fn log_loss(node: &Node, loss: &Loss, source: Source, ending: Option<Ending>) -> Standing {
     let standing = standing(node, loss.fingerprint);
     node.telemetry.count_of("suspects.losses", source.into(), 1);
     slog::info!(node.logger(), "suspected"; "fingerprint" => %loss.fingerprint,
-        "source" => %source, "upstream" => loss.incarnation.upstream.as_str(),
+        "source" => %source, "ending" => ending.map(|it| it.to_string()),
+        "upstream" => loss.incarnation.upstream.as_str(),
         "started_ms" => loss.incarnation.started_ms, "evidence" => %loss.evidence,
         "losses" => standing.losses, "counted" => standing.counted, "depth" => standing.depth);
+    standing
 }
