Keep the losses of suspects in the store

Cause: losses were held in memory and passed on for two seconds. An instance that starts, thaws or was cut off learned nothing older, and one that reaches the store and no other instance learned nothing at all, though the rule holds for just those that reach the store.

From the second loss that counts on, an instance writes its own losses of a request as rows of the members' table, one transaction for a batch, and every instance finds them there with the rows that it reads anyway. Rows do not publish the view anew. Whoever clears the request deletes its rows; rows that are out of date go by their writer, or by the first reader where the writer is gone.

Ruled out: a row for every loss (a crash of an engine would write one for each of its requests); one row a request (writers would race for it).

--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -10,6 +10,7 @@
 
 use base::id;
 use catalog::View;
+use forwarding::poison::Loss;
 use mirror::Row;
 use mirror::Table;
 use platform::rows;
@@ -45,6 +46,18 @@
     Member(id::Instance),
     /// An instance of this system left.
     MemberGone(id::Instance),
+    /// An instance has lost an upstream while it ran a request.
+    Loss(Loss),
+    /// A loss does not count any more.
+    LossDropped(id::Fingerprint, id::Incarnation),
+}
+
+impl Change {
+    /// Whether requests are decided from the view anew.
+    #[must_use]
+    pub fn is_of_view(&self) -> bool {
+        !matches!(self, Change::Loss(_) | Change::LossDropped(..))
+    }
 }
 
 /// Beliefs and what they rest on.
@@ -189,6 +202,9 @@
     }
 
     fn apply_member(&mut self, row: &Row) -> Option<Change> {
+        if let Some((fingerprint, incarnation)) = rows::loss_name(&row.key) {
+            return Some(loss(fingerprint, incarnation, row));
+        }
         let name = rows::member_name(&row.key)?;
         let Some(value) = row.value.as_deref() else {
             self.view.members.remove(&name);
@@ -203,3 +219,13 @@
         }
     }
 }
+
+fn loss(fingerprint: id::Fingerprint, incarnation: id::Incarnation, row: &Row) -> Change {
+    let Some(value) = row.value.as_deref() else {
+        return Change::LossDropped(fingerprint, incarnation);
+    };
+    match rows::loss(fingerprint, incarnation, value) {
+        Ok(loss) => Change::Loss(loss),
+        Err(err) => Change::Unreadable(format!("{}: {err}", row.key)),
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -244,6 +244,11 @@
     first.filter_map(|it| others.get(it).cloned()).collect()
 }
 
+/// Whether this instance is the first of those that read the store.
+pub(crate) fn is_first_reader(node: &Node) -> bool {
+    readers(node).first() == Some(&node.settings.instance)
+}
+
 /// Instances that are not suspected, those that read the store first.
 fn readers(node: &Node) -> Vec<id::Instance> {
     let view = node.view();
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -102,9 +102,9 @@
     supervisor.spawn("expire", Restart::Always, move || {
         follow::expire(expiring.clone())
     });
-    let suspecting = node.clone();
+    let (suspecting, saving) = (node.clone(), store.clone());
     supervisor.spawn("suspicion", Restart::Always, move || {
-        suspicion::run(suspecting.clone())
+        suspicion::run(suspecting.clone(), saving.clone())
     });
     let owner = node.owner.clone();
     supervisor.spawn("owner", Restart::Always, move || owner.clone().run());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -265,10 +265,12 @@
         for change in &changes {
             self.log_change(change, view.version);
         }
-        self.limits().retain(&view);
-        self.owner.configure(&view);
-        self.view.send_replace(view);
-        suspicion::settle(self);
+        if changes.iter().any(Change::is_of_view) {
+            self.limits().retain(&view);
+            self.owner.configure(&view);
+            self.view.send_replace(view);
+        }
+        suspicion::apply(self, &changes);
     }
 
     /// Since when registrations are followed without a gap; `None` while the store is away.
@@ -288,6 +290,10 @@
             }
             Change::Evacuated(zone) | Change::Returned(zone) => zone.to_string(),
             Change::Member(name) | Change::MemberGone(name) => name.to_string(),
+            Change::Loss(loss) => format!("{} {}", loss.fingerprint, loss.incarnation),
+            Change::LossDropped(fingerprint, incarnation) => {
+                format!("{fingerprint} {incarnation}")
+            }
         };
         slog::info!(self.logger(), "{}", change; "what" => what, "store_version" => version);
     }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -1,7 +1,9 @@
 //! What is held against requests that are suspected of crashing the upstreams that run them.
 //!
 //! An upstream that lost a request is asked for a connection at once: its registration ends only
-//! seconds after a crash. Losses that count are told to the other instances.
+//! seconds after a crash. Losses that count are told to the other instances, and those of requests
+//! with several go into the store, where instances find them that start later, were cut off, or
+//! reach no other instance.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,13 +11,17 @@
 use base::id;
 use catalog::Upstream;
 use forwarding::poison::Loss;
+use forwarding::poison::Obsolete;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
 use forwarding::poison::Standing;
+use platform::rows;
+use platform::store;
 use tokio::time::Instant;
 use wire::Request;
 
 use crate::ask::Ask;
+use crate::beliefs::Change;
 use crate::channel;
 use crate::follow;
 use crate::sending::Sending;
@@ -28,6 +34,13 @@
 const LAPSE_SLACK: Duration = Duration::from_millis(1_500);
 /// Losses that one crash causes are told together.
 const BATCH_TIME: Duration = Duration::from_millis(30);
+/// Pause after a write to the store; doubled after each one that fails, up to [`WRITE_PAUSE_MAX`].
+/// It is taken once for every [`MEMBERS_PER_WRITE`] members, so that all of them together stay below a
+/// fifth of the writes that the store takes.
+const WRITE_PAUSE: Duration = Duration::from_millis(250);
+const WRITE_PAUSE_MAX: Duration = Duration::from_secs(4);
+const MEMBERS_PER_WRITE: usize = 16;
+
 /// How a send ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -124,17 +137,47 @@
     standing.is_refused().then_some(standing)
 }
 
-/// Tells other instances of losses, for ever.
-pub(crate) async fn run(node: Arc<Node>) {
+/// Takes in what rows tell of losses, and what their changes decide.
+pub(crate) fn apply(node: &Node, changes: &[Change]) {
+    let losses = changes.iter().filter_map(|it| match it {
+        Change::Loss(loss) => Some(loss.clone()),
+        _ => None,
+    });
+    let losses: Vec<Loss> = losses.collect();
+    for change in changes {
+        if let Change::LossDropped(fingerprint, incarnation) = change {
+            let quarantine = &mut node.limits().quarantine;
+            quarantine.forget(*fingerprint, incarnation);
+        }
+    }
+    learned(node, &losses, Source::Store);
+    settle(node);
+}
+
+/// Tells other instances and the store of losses, for ever.
+pub(crate) async fn run(node: Arc<Node>, client: store::Client) {
+    let mut pause = WRITE_PAUSE;
     loop {
         node.suspicions.notified().await;
         tokio::time::sleep(BATCH_TIME).await;
         announce(&node);
+        let writers = node.member_count().div_ceil(MEMBERS_PER_WRITE) as u32;
+        match save(&node, &client).await {
+            Ok(false) => continue,
+            Ok(true) => pause = WRITE_PAUSE,
+            Err(err) => {
+                slog::warn!(node.logger(), "losses_not_saved"; "reason" => %err);
+                pause = (pause * 2).min(WRITE_PAUSE_MAX);
+            }
+        }
+        // There may be more, or the same again.
+        node.suspicions.notify_one();
+        tokio::time::sleep(pause * writers).await;
     }
 }
 
 /// Decides losses by the registrations of now.
-pub(crate) fn settle(node: &Node) {
+fn settle(node: &Node) {
     let now = Instant::now();
     let view = node.view();
     let registry = Registry {
@@ -198,6 +241,42 @@
     }
 }
 
+/// Writes to the store what it should have; returns whether there was anything.
+async fn save(node: &Node, client: &store::Client) -> Result<bool, store::Error> {
+    let (mut losses, obsolete) = {
+        let quarantine = &mut node.limits().quarantine;
+        (
+            quarantine.unsaved(Instant::now()),
+            quarantine.take_obsolete(),
+        )
+    };
+    losses.truncate(store::TRANSACTION_ROWS_MAX / 2);
+    let removes = obsolete_keys(node, obsolete);
+    if losses.is_empty() && removes.is_empty() {
+        return Ok(false);
+    }
+    let puts = losses.iter().filter_map(|it| {
+        let key = rows::loss_key(it.fingerprint, &it.incarnation);
+        Some((key, rows::encode_loss(it).ok()?))
+    });
+    let puts: Vec<(String, Vec<u8>)> = puts.collect();
+    client.write(&puts, &removes).await?;
+    node.limits().quarantine.saved(&losses);
+    slog::info!(node.logger(), "losses_saved"; "written" => puts.len(), "deleted" => removes.len());
+    Ok(true)
+}
+
+/// Keys of rows that this instance should delete. Rows that are left over if that fails only tell of
+/// losses that every instance has decided by itself.
+fn obsolete_keys(node: &Node, obsolete: Obsolete) -> Vec<String> {
+    let mut names = obsolete.own;
+    if !obsolete.others.is_empty() && follow::is_first_reader(node) {
+        names.extend(obsolete.others);
+    }
+    let keys = names.iter().map(|it| rows::loss_key(it.0, &it.1));
+    keys.take(store::TRANSACTION_ROWS_MAX / 2).collect()
+}
+
 fn log_loss(node: &Node, loss: &Loss, source: Source, ending: Option<Ending>) -> Standing {
     let standing = standing(node, loss.fingerprint);
     node.telemetry.count_of("suspects.losses", source.into(), 1);
