Let only a whole success clear a request of crashes

Cause: any whole answer ended the suspicion at every instance, also an upstream's failure and a stream without an event. An upstream that is sick fails requests that it never began to run, so one 500 among the crashes cleared them all: crashes::a_failure_acquits_no_request got 502 502 500 502 502 without this, 502 502 500 502 503 with it.

Only a signed answer that is no server error, and a stream that ended after an event, clear a request now. A failure is still no loss.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -408,7 +408,10 @@
     };
     sending.answered(status.is_server_error());
     sending.concluded();
-    suspicion::survived(node, ask.fingerprint, Duration::ZERO, Source::Own);
+    // A failure may come from an upstream that never began to run the request.
+    if answer.is_signed && !status.is_server_error() {
+        suspicion::survived(node, ask.fingerprint, Duration::ZERO, Source::Own);
+    }
     if !answer.is_last {
         channel.keep(answer.keep_alive).await;
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -215,8 +215,10 @@
 
     async fn finish(mut self) {
         self.sending.concluded();
-        let fingerprint = self.ask.fingerprint;
-        suspicion::survived(&self.node, fingerprint, Duration::ZERO, Source::Own);
+        if self.last_event.is_some() {
+            let fingerprint = self.ask.fingerprint;
+            suspicion::survived(&self.node, fingerprint, Duration::ZERO, Source::Own);
+        }
         let took = self.ask.received.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
             "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -153,6 +153,38 @@
     eventually("other requests", Duration::from_secs(8), is_served).await;
 }
 
+/// Guards against a failure of an upstream that never ran the request and yet acquits it.
+#[tokio::test]
+async fn a_failure_acquits_no_request() {
+    let fixture = Fixture::start(1).await;
+    for idx in 0..2 {
+        fixture.site.deregister(idx);
+    }
+    let plan = Plan::builder()
+        .service("ledger")
+        .count(6)
+        .returns(Return::NewName)
+        .ending(Ending::Reset)
+        .back_after(Duration::from_secs(60))
+        .lapse(Duration::from_millis(3_600))
+        .fails_after(2)
+        .build();
+    let crashes = crash::start(&fixture.site.store, &plan).await;
+    let crashes = crashes.expect("ports for upstreams");
+    let front = fixture.nodes[0].front;
+    let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
+    eventually("an upstream", Duration::from_secs(5), is_served).await;
+
+    let mut statuses = Vec::new();
+    for idx in 0..5 {
+        statuses.push(ask(front, "POST /post/poison", format!("p{idx}")).await);
+        // The node asks the upstream for a connection meanwhile.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(statuses, [502, 502, 500, 502, 503]);
+    assert_eq!(crashes.all().len(), KNOWN_AFTER);
+}
+
 macro_rules! cases {
     ($($(#[$doc:meta])* $name:ident: $case:expr;)*) => {
         $(
