Take an upstream out of use when it says that it leaves

New rule of the users: an upstream that leaves says so in all its answers, and an instance that has passed one on sends it nothing more after the drain time, in touch with the store or not.

The adapter decodes the word, of plain answers, streams and calls of steps. It becomes a belief about that incarnation: its phase is draining in the view, so everything that already asks the view whether an upstream is usable follows. A registration that still says ready does not undo it; a later start does.

--- a/crates/node/src/beliefs.rs
+++ b/crates/node/src/beliefs.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Phase;
 use catalog::View;
 use forwarding::poison::Loss;
 use mirror::Row;
@@ -34,6 +35,8 @@
     Unreadable(String),
     /// An upstream was registered or changed.
     Upstream(id::Upstream),
+    /// An upstream says that it is about to stop, before its registration does.
+    UpstreamLeaving(id::Upstream),
     /// An upstream is gone.
     UpstreamGone(id::Upstream),
     /// A registration was deleted while the store was away.
@@ -65,6 +68,8 @@
 pub struct Beliefs {
     view: View,
     lapsed: BTreeMap<id::Upstream, Instant>,
+    /// Starts of upstreams that say they are about to stop.
+    leaving: BTreeMap<id::Upstream, u64>,
     /// When the rows were complete again after the store had been away.
     returned: Option<Instant>,
     /// Since when the rows have been complete without a gap.
@@ -109,6 +114,18 @@
         changes.collect()
     }
 
+    /// Takes over that an upstream is about to stop; returns the change, if it is one.
+    pub fn leave(&mut self, incarnation: &id::Incarnation) -> Option<Change> {
+        let known = self.view.upstreams.get_mut(&incarnation.upstream)?;
+        if known.incarnation() != *incarnation || known.phase == Phase::Draining {
+            return None;
+        }
+        Arc::make_mut(known).phase = Phase::Draining;
+        let name = incarnation.upstream.clone();
+        self.leaving.insert(name.clone(), incarnation.started_ms);
+        Some(Change::UpstreamLeaving(name))
+    }
+
     /// When a lapsed upstream is next taken for gone.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
@@ -125,6 +142,7 @@
         for name in &expired {
             self.lapsed.remove(name);
             self.view.upstreams.remove(name);
+            self.leaving.remove(name);
         }
         expired.into_iter().map(Change::UpstreamGone).collect()
     }
@@ -173,7 +191,7 @@
         let Some(value) = row.value.as_deref() else {
             return self.apply_deregistration(name, now);
         };
-        let upstream = match rows::upstream(&row.key, row.version, value) {
+        let mut upstream = match rows::upstream(&row.key, row.version, value) {
             Ok(upstream) => upstream,
             Err(err) => {
                 // A registration that cannot be read names no upstream to use.
@@ -182,6 +200,13 @@
             }
         };
         self.lapsed.remove(&name);
+        // A registration may be written after the upstream has said that it leaves.
+        match self.leaving.get(&name) {
+            Some(started) if *started == upstream.started_ms => upstream.phase = Phase::Draining,
+            _ => {
+                self.leaving.remove(&name);
+            }
+        }
         self.view.upstreams.insert(name.clone(), Arc::new(upstream));
         Some(Change::Upstream(name))
     }
@@ -194,6 +219,7 @@
         let held_until = held_until.filter(|it| *it > now);
         if !self.is_away && held_until.is_none() {
             self.view.upstreams.remove(&name);
+            self.leaving.remove(&name);
             return Some(Change::UpstreamGone(name));
         }
         let until = held_until.unwrap_or(now + LAPSE_HOLD);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -197,6 +197,9 @@
     let response = tokio::time::timeout(ask.left(), channel.send(request));
     let response = response.await.ok()?.ok()?;
     let answer = Answer::read(response.status(), response.headers());
+    if answer.is_leaving {
+        node.leave_upstream(&upstream.incarnation());
+    }
     let is_usable = answer.status.is_success()
         && answer.is_signed
         && answer.request.as_deref() == Some(&ask.request);
@@ -288,6 +291,9 @@
         }
     };
     let answer = Answer::read(response.status(), response.headers());
+    if answer.is_leaving {
+        node.leave_upstream(&upstream.incarnation());
+    }
     let is_own = answer.request.as_deref() == Some(&ask.request);
     if !is_own && !answer.is_not_run {
         slog::warn!(node.logger(), "foreign_answer"; "request" => &ask.request,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,6 +9,7 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Upstream;
 use catalog::View;
 use forwarding::board::Board;
 use forwarding::board::Ticket;
@@ -29,6 +29,7 @@
 use stages::shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -49,12 +50,20 @@
     board: Board,
     /// Shares of engines' cold limits, where the owner keeps them.
     cold: BTreeMap<id::Upstream, cold::Share>,
-    addresses: BTreeMap<id::Upstream, SocketAddr>,
+    upstreams: BTreeMap<id::Upstream, Arc<Upstream>>,
+}
+
+/// What calls tell of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// One says that it is about to stop.
+    Leaving(id::Incarnation),
 }
 
 struct Shared {
     state: Mutex<State>,
     changed: Notify,
+    findings: mpsc::UnboundedSender<Finding>,
     client: steps::Client,
     bounds: Bounds,
     telemetry: Telemetry,
@@ -103,19 +112,26 @@
 }
 
 impl Owner {
-    /// An owner that sends its calls by `client`.
+    /// An owner that sends its calls by `client`, and what they tell; at most one finding a call.
     #[must_use]
-    pub fn new(client: steps::Client, bounds: Bounds, telemetry: Telemetry) -> Owner {
+    pub fn new(
+        client: steps::Client,
+        bounds: Bounds,
+        telemetry: Telemetry,
+    ) -> (Owner, mpsc::UnboundedReceiver<Finding>) {
+        let (findings, found) = mpsc::unbounded_channel();
         let shared = Shared {
             state: Mutex::default(),
             changed: Notify::new(),
+            findings,
             client,
             bounds,
             telemetry,
         };
-        Owner {
+        let owner = Owner {
             shared: Arc::new(shared),
-        }
+        };
+        (owner, found)
     }
 
     /// Takes a plan on.
@@ -170,13 +186,7 @@
         for shard in shards {
             state.planners.entry(shard).or_default();
         }
-        for upstream in view.upstreams.values() {
-            let name = upstream.name.clone();
-            state.addresses.insert(name, upstream.address);
-        }
-        state
-            .addresses
-            .retain(|name, _| view.upstreams.contains_key(name));
+        state.upstreams = view.upstreams.clone();
         state.board.retain(|name| view.upstreams.contains_key(name));
         state.cold = cold_shares(&self.shared.bounds, view);
         let now = Instant::now();
@@ -235,8 +245,8 @@
         let mut plans = 0;
         for (shard, planner) in &mut state.planners {
             for call in planner.dispatch(now) {
-                let address = state.addresses.get(&call.upstream).copied();
-                self.send(tasks, shard.clone(), call, address);
+                let upstream = state.upstreams.get(&call.upstream).cloned();
+                self.send(tasks, shard.clone(), call, upstream);
             }
             for (id, answer) in planner.take_ended() {
                 if let Some(waiter) = state.waiters.remove(&(shard.clone(), id)) {
@@ -269,25 +279,28 @@
         tasks: &mut JoinSet<Ended>,
         shard: Shard,
         call: Call,
-        address: Option<SocketAddr>,
+        upstream: Option<Arc<Upstream>>,
     ) {
         let shared = self.shared.clone();
         tasks.spawn(async move {
-            let Some(address) = address else {
+            let Some(upstream) = upstream else {
                 return Ended::Call(shard, call.id, Outcome::Unreachable);
             };
-            let name = call.upstream.as_str();
+            let (address, name) = (upstream.address, upstream.name.as_str());
             let sent = Instant::now();
             let client = &shared.client;
-            let outcome = client.run(address, name, &call.items, call.timeout).await;
-            log_call(&shared.telemetry, &call, &outcome, sent.elapsed());
-            Ended::Call(shard, call.id, outcome)
+            let reply = client.run(address, name, &call.items, call.timeout).await;
+            log_call(&shared.telemetry, &call, &reply.outcome, sent.elapsed());
+            if reply.is_leaving {
+                shared.found(Finding::Leaving(upstream.incarnation()));
+            }
+            Ended::Call(shard, call.id, reply.outcome)
         });
     }
 
     fn free(&self, tasks: &mut JoinSet<Ended>, unused: BTreeMap<id::Upstream, Vec<Handle>>) {
         for (upstream, handles) in unused {
-            let address = self.lock().addresses.get(&upstream).copied();
+            let address = self.lock().upstreams.get(&upstream).map(|it| it.address);
             let Some(address) = address else {
                 continue;
             };
@@ -322,6 +335,13 @@
     }
 }
 
+impl Shared {
+    fn found(&self, finding: Finding) {
+        // Nobody listens once the process stops.
+        let _ = self.findings.send(finding);
+    }
+}
+
 impl Lease {
     /// Waits for the results.
     ///
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -16,11 +16,14 @@
 use supervisor::Supervisor;
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc;
 
 use crate::follow;
 use crate::front::Front;
 use crate::front::Metrics;
 use crate::front::Ready;
+use crate::owner::Finding;
 use crate::owner::Owner;
 use crate::peers::Handler;
 use crate::peers::Peers;
@@ -46,7 +49,7 @@
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
     let store = store::Client::new(settings.store)?;
-    let owner = Owner::new(
+    let (owner, findings) = Owner::new(
         platform::steps::Client::new()?,
         settings.bounds,
         telemetry.clone(),
@@ -68,6 +71,10 @@
     let router = Router::with_path("{**rest}").goal(Metrics(registry));
     serve_side(&mut supervisor, "metrics", node.settings.metrics, router)?;
     spawn_tasks(&mut supervisor, &node, &store, path);
+    let (finding, findings) = (node.clone(), Arc::new(Mutex::new(findings)));
+    supervisor.spawn("findings", Restart::Always, move || {
+        take_findings(finding.clone(), findings.clone())
+    });
 
     let stop = async {
         stop.await;
@@ -118,6 +125,16 @@
     });
 }
 
+/// Takes over what calls of steps tell of upstreams.
+async fn take_findings(node: Arc<Node>, findings: Arc<Mutex<mpsc::UnboundedReceiver<Finding>>>) {
+    let mut findings = findings.lock().await;
+    while let Some(finding) = findings.recv().await {
+        match finding {
+            Finding::Leaving(incarnation) => node.leave_upstream(&incarnation),
+        }
+    }
+}
+
 /// Joins the other instances: certificates, the server for their requests, the own row.
 async fn join(node: Arc<Node>, store: store::Client) {
     let keys = follow::keys(&node, &store).await;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -244,6 +244,11 @@
         });
     }
 
+    /// An upstream that says in an answer that it is about to stop.
+    pub fn leave_upstream(&self, incarnation: &id::Incarnation) {
+        self.update(|store, _| store.beliefs.leave(incarnation).into_iter().collect());
+    }
+
     /// Takes lapsed upstreams for gone whose time is over; returns when to look again.
     pub fn expire(&self) -> Option<Instant> {
         self.update(|store, now| store.beliefs.expire(now));
@@ -285,9 +290,10 @@
         let what = match change {
             Change::Configured(version) => version.to_string(),
             Change::Unreadable(reason) => reason.clone(),
-            Change::Upstream(name) | Change::UpstreamGone(name) | Change::UpstreamLapsed(name) => {
-                name.to_string()
-            }
+            Change::Upstream(name)
+            | Change::UpstreamLeaving(name)
+            | Change::UpstreamGone(name)
+            | Change::UpstreamLapsed(name) => name.to_string(),
             Change::Evacuated(zone) | Change::Returned(zone) => zone.to_string(),
             Change::Member(name) | Change::MemberGone(name) => name.to_string(),
             Change::Loss(loss) => format!("{} {}", loss.fingerprint, loss.incarnation),
--- a/crates/node/tests/it/lapse.rs
+++ b/crates/node/tests/it/lapse.rs
@@ -81,3 +81,26 @@
     beliefs.expire(now + Duration::from_secs(10));
     assert!(is_used(&beliefs));
 }
+
+/// Guards against an upstream that is used again because its registration still calls it ready.
+#[test]
+fn an_upstream_that_says_it_leaves_is_out_of_use_until_it_starts_anew() {
+    let now = Instant::now();
+    let mut beliefs = beliefs(now);
+    let is_usable = |beliefs: &Beliefs| {
+        let view = beliefs.view();
+        let mut upstreams = view.upstreams.values();
+        upstreams.any(|it| view.is_usable(it))
+    };
+    let of_another_start = "u@2".parse().expect("an incarnation");
+    assert_eq!(beliefs.leave(&of_another_start), None);
+    assert!(is_usable(&beliefs));
+    let incarnation = "u@1".parse().expect("an incarnation");
+    assert!(beliefs.leave(&incarnation).is_some());
+    assert_eq!(beliefs.leave(&incarnation), None, "no news");
+    beliefs.apply(&[row(2, Some(REGISTRATION))], now);
+    assert!(!is_usable(&beliefs));
+    let started_anew = String::from_utf8_lossy(REGISTRATION).replace("\"born\":1", "\"born\":2");
+    beliefs.apply(&[row(3, Some(started_anew.as_bytes()))], now);
+    assert!(is_usable(&beliefs));
+}
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -11,3 +11,4 @@
 mod poison;
 mod stop;
 mod streams;
+mod words;
--- /dev/null
+++ b/crates/node/tests/it/words.rs
@@ -0,0 +1,147 @@
+//! What upstreams say of themselves in answers: that they leave, and that they want nothing for a while.
+
+use std::time::Duration;
+
+use platform_standin::upstream::BUSY_MS;
+use platform_standin::upstream::Fault;
+
+use crate::fixture::Fixture;
+use crate::fixture::eventually;
+
+/// Bound of the users on requests to a busy upstream after its word.
+const SLACK: Duration = Duration::from_millis(500);
+const BUSY: Duration = Duration::from_millis(BUSY_MS);
+
+/// Sends a request that may go to any upstream of `service`; each id has a prompt of its own.
+async fn ask(fixture: &Fixture, service: &str, id: &str) -> u16 {
+    let prompt = format!("x-prompt-prefix: {}:10,bb:20", hex(id));
+    let (target, more): (&str, &[&str]) = match service {
+        "ledger" => ("GET /read/1", &[]),
+        "engine" => (
+            "POST /summary/1",
+            &["x-model: m", "x-token-count: 30,6", &prompt],
+        ),
+        _ => (
+            "POST /draft/1",
+            &[
+                "x-model: m",
+                "x-token-count: 30,6",
+                &prompt,
+                "x-chunks: 2",
+                "x-chunk-key: k",
+            ],
+        ),
+    };
+    fixture.ask(target, id, more).await.status
+}
+
+fn hex(text: &str) -> String {
+    text.bytes().map(|it| format!("{it:02x}")).collect()
+}
+
+/// Index of the first upstream of a service.
+fn first(fixture: &Fixture, service: &str) -> usize {
+    let mut upstreams = fixture.site.upstreams.iter();
+    upstreams.position(|it| it.1 == service).expect("one")
+}
+
+async fn check_leaving(service: &str) {
+    let fixture = Fixture::start(1).await;
+    let upstream = &fixture.site.upstreams[first(&fixture, service)].0;
+    upstream.leave();
+    let mut number = 0;
+    let has_arrived = || {
+        number += 1;
+        let id = format!("a{number}");
+        let fixture = &fixture;
+        async move {
+            ask(fixture, service, &id).await;
+            upstream.arrivals() > 0
+        }
+    };
+    eventually("an arrival", Duration::from_secs(5), has_arrived).await;
+    let arrivals = upstream.arrivals();
+    for idx in 0..20 {
+        assert_eq!(ask(&fixture, service, &format!("b{idx}")).await, 200);
+    }
+    assert_eq!(upstream.arrivals(), arrivals);
+}
+
+async fn check_busy(service: &str) {
+    let fixture = Fixture::start(1).await;
+    let upstream = &fixture.site.upstreams[first(&fixture, service)].0;
+    upstream.set_fault(Fault::Busy, None);
+    let mut number = 0;
+    let has_arrived = || {
+        number += 1;
+        let id = format!("a{number}");
+        let fixture = &fixture;
+        async move {
+            ask(fixture, service, &id).await;
+            upstream.arrivals() > 0
+        }
+    };
+    eventually("an arrival", Duration::from_secs(5), has_arrived).await;
+    let told = tokio::time::Instant::now();
+    upstream.set_fault(Fault::None, None);
+    let arrivals = upstream.arrivals();
+    let mut number = 0;
+    while told.elapsed() < BUSY - SLACK / 2 {
+        number += 1;
+        assert_eq!(ask(&fixture, service, &format!("b{number}")).await, 200);
+    }
+    assert_eq!(upstream.arrivals(), arrivals);
+
+    let is_used_again = || {
+        number += 1;
+        let id = format!("c{number}");
+        let fixture = &fixture;
+        async move {
+            ask(fixture, service, &id).await;
+            upstream.arrivals() > arrivals
+        }
+    };
+    eventually("an arrival later", Duration::from_secs(8), is_used_again).await;
+}
+
+macro_rules! services {
+    ($($leaving:ident, $busy:ident: $service:literal;)*) => {
+        $(
+            /// Guards against requests to an upstream that says it leaves.
+            #[tokio::test]
+            async fn $leaving() {
+                check_leaving($service).await;
+            }
+
+            /// Guards against requests to an upstream before the time that it asked for is over.
+            #[tokio::test]
+            async fn $busy() {
+                check_busy($service).await;
+            }
+        )*
+    };
+}
+
+services! {
+    a_leaving_plain_upstream_gets_nothing, a_busy_plain_upstream_gets_nothing: "ledger";
+    a_leaving_engine_gets_nothing, a_busy_engine_gets_nothing: "engine";
+    a_leaving_step_upstream_gets_nothing, a_busy_step_upstream_gets_nothing: "steps";
+}
+
+/// Guards against a wait for upstreams that all want nothing: the client is told when to come back.
+#[tokio::test]
+async fn a_request_is_refused_at_once_while_all_upstreams_are_busy() {
+    let fixture = Fixture::start(1).await;
+    fixture.set_fault("ledger", Fault::Busy, None);
+    let first = fixture.ask("GET /read/1", "a", &[]).await;
+    assert_eq!(first.status, 503, "{}", first.head);
+    let asked = tokio::time::Instant::now();
+    let answer = fixture.ask("GET /read/1", "b", &[]).await;
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert!(asked.elapsed() < Duration::from_millis(300));
+    // Clients wait for at most a third of the 2 s that the route gives them.
+    assert!(answer.head.contains("retry-after: 0.6"), "{}", answer.head);
+    let upstreams = fixture.site.upstreams.iter();
+    let arrivals = upstreams.filter(|it| it.1 == "ledger");
+    assert_eq!(arrivals.map(|it| it.0.arrivals()).sum::<u64>(), 2);
+}
