Send an upstream nothing for the time that it asks for

New rule of the users: an upstream that turns a request away with 503 may add Retry-After, and wants nothing from this instance for so long.

The instance leaves the upstream out of every choice until then; an engine that an owner placed the request at is passed over as well. The owner of steps sends it no calls, also after its shards change. Where all upstreams of a service want nothing, the request is refused at once and told when the first may be asked again, within what its client honours; steps that cannot wait so long are refused when they come.

An upstream's word outlasts its registration, which may lapse and return.

--- a/crates/forwarding/src/health.rs
+++ b/crates/forwarding/src/health.rs
@@ -29,6 +29,7 @@
     pub in_flight: u32,
     pause: Option<Duration>,
     paused_until: Option<Instant>,
+    held_off_until: Option<Instant>,
     failure_rate: f64,
     sampled: Option<Instant>,
     answer_time: Option<f64>,
@@ -80,6 +81,17 @@
         self.sample(true, now);
     }
 
+    /// Takes over that the upstream wants nothing for a time.
+    pub fn hold_off(&mut self, time: Duration, now: Instant) {
+        self.held_off_until = now.checked_add(time).max(self.held_off_until);
+    }
+
+    /// Until when the upstream must get nothing, if it must not get anything now.
+    #[must_use]
+    pub fn held_off_until(&self, now: Instant) -> Option<Instant> {
+        self.held_off_until.filter(|it| *it > now)
+    }
+
     /// Whether requests should go elsewhere for now.
     #[must_use]
     pub fn is_paused(&self, now: Instant) -> bool {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -200,6 +200,9 @@
     if answer.is_leaving {
         node.leave_upstream(&upstream.incarnation());
     }
+    if let Some(time) = answer.hold_off {
+        sending.hold_off(time);
+    }
     let is_usable = answer.status.is_success()
         && answer.is_signed
         && answer.request.as_deref() == Some(&ask.request);
@@ -207,6 +210,21 @@
     is_usable.then(|| (channel, response.into_body(), sending))
 }
 
+/// When an upstream of a service can be asked again, if all of them want nothing for now.
+fn retry_after(node: &Node, service: &id::Service) -> Duration {
+    let view = node.view();
+    let now = Instant::now();
+    let mut limits = node.limits();
+    let mut until = view.usable(service).map(|it| {
+        let health = limits.health(&it.name);
+        health.held_off_until(now).unwrap_or(now)
+    });
+    let first = until.next();
+    let earliest = first.map(|it| until.fold(it, Instant::min));
+    let wait = earliest.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+    wait.max(RETRY_AFTER)
+}
+
 fn take_retry(node: &Node, service: &id::Service) -> bool {
     let members = node.member_count();
     let is_taken = node.limits().take_retry(service, members, Instant::now());
@@ -248,7 +266,7 @@
     let (upstream, mut channel) = match connected {
         Ok(connected) => connected,
         Err(cause) => {
-            let retry_after = ask.retry_after(RETRY_AFTER);
+            let retry_after = ask.retry_after(retry_after(node, service));
             slog::info!(node.logger(), "not_sent"; "request" => &ask.request, "cause" => %cause,
                 "placed_at" => engine.as_ref().map(id::Upstream::as_str),
                 "prompt" => ask.prompt().map(|it| format!("{it:x}")));
@@ -294,6 +312,9 @@
     if answer.is_leaving {
         node.leave_upstream(&upstream.incarnation());
     }
+    if let Some(time) = answer.hold_off {
+        sending.hold_off(time);
+    }
     let is_own = answer.request.as_deref() == Some(&ask.request);
     if !is_own && !answer.is_not_run {
         slog::warn!(node.logger(), "foreign_answer"; "request" => &ask.request,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -153,8 +153,10 @@
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.gates.retain(|name, _| is_known(name));
         self.probes.retain(|it, _| view.is_registered(it));
-        self.health
-            .retain(|name, it| is_known(name) || it.in_flight > 0);
+        let now = Instant::now();
+        self.health.retain(|name, it| {
+            is_known(name) || it.in_flight > 0 || it.held_off_until(now).is_some()
+        });
     }
 
     fn find_fallbacks(&self, view: &View) -> BTreeSet<id::Upstream> {
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -51,6 +51,8 @@
     /// Shares of engines' cold limits, where the owner keeps them.
     cold: BTreeMap<id::Upstream, cold::Share>,
     upstreams: BTreeMap<id::Upstream, Arc<Upstream>>,
+    /// Upstreams that want no calls for now, and until when.
+    held_off: BTreeMap<id::Upstream, Instant>,
 }
 
 /// What calls tell of upstreams.
@@ -199,6 +201,15 @@
                 planner.configure(&service.name, pool, replicas, now);
             }
         }
+        let State {
+            planners, held_off, ..
+        } = &mut *state;
+        held_off.retain(|_, until| *until > now);
+        for planner in planners.values_mut() {
+            for (upstream, until) in &*held_off {
+                planner.hold_off(upstream, *until);
+            }
+        }
         drop(state);
         self.shared.changed.notify_one();
     }
@@ -291,6 +302,9 @@
             let client = &shared.client;
             let reply = client.run(address, name, &call.items, call.timeout).await;
             log_call(&shared.telemetry, &call, &reply.outcome, sent.elapsed());
+            if let Some(time) = reply.hold_off {
+                shared.hold_off(&upstream.name, time);
+            }
             if reply.is_leaving {
                 shared.found(Finding::Leaving(upstream.incarnation()));
             }
@@ -336,6 +350,21 @@
 }
 
 impl Shared {
+    /// Takes over that an upstream wants no calls for a time.
+    fn hold_off(&self, upstream: &id::Upstream, time: Duration) {
+        slog::info!(self.telemetry.logger(), "held_off"; "upstream" => upstream.as_str(),
+            "time_ms" => time.as_millis() as u64);
+        let Some(until) = Instant::now().checked_add(time) else {
+            return;
+        };
+        let state = self.state.lock();
+        let state = &mut *state.unwrap_or_else(PoisonError::into_inner);
+        state.held_off.insert(upstream.clone(), until);
+        for planner in state.planners.values_mut() {
+            planner.hold_off(upstream, until);
+        }
+    }
+
     fn found(&self, finding: Finding) {
         // Nobody listens once the process stops.
         let _ = self.findings.send(finding);
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -1,6 +1,7 @@
 //! One send to an upstream: what goes out, and the evidence that it leaves.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use catalog::Upstream;
@@ -52,6 +53,15 @@
         health.answered(self.send, is_failure, Instant::now());
     }
 
+    /// Notes that the upstream wants nothing for a time.
+    pub(crate) fn hold_off(&self, time: Duration) {
+        slog::info!(self.node.logger(), "held_off"; "upstream" => self.upstream.name.as_str(),
+            "time_ms" => time.as_millis() as u64);
+        let mut limits = self.node.limits();
+        let health = limits.health(&self.upstream.name);
+        health.hold_off(time, Instant::now());
+    }
+
     /// Notes that the send has ended and that its upstream was not lost.
     pub(crate) fn concluded(&self) {
         self.node.limits().quarantine.ended(self.send);
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -202,7 +202,7 @@
         .engine
         .filter(|it| tries == 0 && !wish.except.contains(it))
         .and_then(|it| view.upstreams.get(it))
-        .filter(|it| view.is_usable(it));
+        .filter(|it| view.is_usable(it) && !is_held_off(node, it));
     if let Some(upstream) = wished.filter(|_| is_owned) {
         return Ok(upstream.clone());
     }
@@ -213,6 +213,13 @@
     chosen.cloned().ok_or(Cause::NoUpstream)
 }
 
+/// Whether an upstream wants nothing from this instance for now.
+fn is_held_off(node: &Node, upstream: &Upstream) -> bool {
+    let mut limits = node.limits();
+    let health = limits.health(&upstream.name);
+    health.held_off_until(Instant::now()).is_some()
+}
+
 /// Upstreams that the request may be sent to now, the best first.
 fn order(
     node: &Node,
@@ -236,6 +243,10 @@
         Some(_) => wish.zone,
         None => Some(&node.settings.zone),
     };
+    usable.retain(|it| !is_held_off(node, it));
+    if usable.is_empty() {
+        return Err(Cause::Full);
+    }
     let mut limits = node.limits();
     let candidates: Vec<choice::Candidate<'_>> = usable
         .iter()
--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -61,6 +61,8 @@
     /// Since when no call has been rejected or can have queued.
     prompt_since: Option<Instant>,
     paused_until: Option<Instant>,
+    /// Until when the upstream wants nothing.
+    held_off_until: Option<Instant>,
     rejections: u32,
     /// Until when it is taken for full, whatever this owner keeps there.
     full_until: Option<Instant>,
@@ -95,6 +97,7 @@
             sampled: None,
             prompt_since: None,
             paused_until: None,
+            held_off_until: None,
             rejections: 0,
             full_until: None,
             foreign: None,
@@ -126,7 +129,8 @@
     }
 
     fn is_open(&self, now: Instant) -> bool {
-        self.replica.is_usable && self.paused_until.is_none_or(|it| it <= now)
+        let waits = [self.paused_until, self.held_off_until];
+        self.replica.is_usable && waits.into_iter().flatten().all(|it| it <= now)
     }
 }
 
@@ -278,6 +282,20 @@
         slot.paused_until = Some(now + pause.min(REJECTED_PAUSE_MAX));
     }
 
+    pub(crate) fn hold_off(&mut self, upstream: &id::Upstream, until: Instant) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.held_off_until = slot.held_off_until.max(Some(until));
+        }
+    }
+
+    /// Time until the first upstream takes a call, where all of them want none for now.
+    pub(crate) fn hold_time(&self, now: Instant) -> Duration {
+        let usable = self.slots.values().filter(|it| it.replica.is_usable);
+        let until = usable.map(|it| it.held_off_until.map_or(now, |until| until.max(now)));
+        let first = until.min().unwrap_or(now);
+        first.saturating_duration_since(now)
+    }
+
     /// Notes that results did not fit. What this owner does not keep there is taken to be foreign.
     pub(crate) fn out_of_room(&mut self, upstream: &id::Upstream, now: Instant) {
         let Some(slot) = self.slots.get_mut(upstream) else {
@@ -298,7 +316,7 @@
     /// When the next paused upstream opens again.
     pub(crate) fn opens(&self, now: Instant) -> Option<Instant> {
         let slots = self.slots.values();
-        let paused = slots.flat_map(|it| [it.paused_until, it.full_until]);
+        let paused = slots.flat_map(|it| [it.paused_until, it.held_off_until, it.full_until]);
         paused.flatten().filter(|it| *it > now).min()
     }
 
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Sends an upstream no call before `until`: it wants none.
+    pub fn hold_off(&mut self, upstream: &id::Upstream, until: Instant) {
+        for fleet in self.fleets.values_mut() {
+            fleet.hold_off(upstream, until);
+        }
+    }
+
     /// Pieces that wait for a call, over all services.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/stages/src/planner/forecast.rs
+++ b/crates/stages/src/planner/forecast.rs
@@ -41,7 +41,7 @@
             .sum();
         let calls = pieces.div_ceil(fleet.pool.batch.max(1));
         let rounds = calls.div_ceil(fleet.usable(now).max(1));
-        fleet.call_time() * rounds as u32
+        fleet.hold_time(now) + fleet.call_time() * rounds as u32
     }
 
     /// The work that waits at each service now.
@@ -104,7 +104,7 @@
         let time = fleet.call_time().max(fleet.stated(step.pieces.min(1)));
         match inputs {
             Some(inputs) if inputs > now => inputs + fleet.wait_time().max(queue) + time,
-            _ => now + time,
+            _ => now + fleet.hold_time(now) + time,
         }
     }
 
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -471,3 +471,35 @@
     planner.finish(call.id, done(&call), later + ms(1_520));
     assert!(matches!(&planner.take_ended()[..], [(_, Ok(_))]));
 }
+
+/// Guards against calls to an upstream that asked for none.
+#[test]
+fn a_held_off_upstream_gets_no_call_until_its_time_is_over() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    let first: id::Upstream = "f1".parse().expect("a name");
+    planner.hold_off(&first, now + ms(700));
+    submit_first(&mut planner, "a", 2, now);
+    assert_eq!(only(planner.dispatch(now)).upstream.as_str(), "f2");
+    submit_first(&mut planner, "b", 2, now);
+    assert!(planner.dispatch(now + ms(690)).is_empty());
+    let call = only(planner.dispatch(now + ms(700)));
+    assert_eq!(call.upstream, first);
+}
+
+/// Guards against work that waits in vain for upstreams that all want none.
+#[test]
+fn work_that_cannot_wait_for_held_off_upstreams_is_refused_at_once() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    for name in ["f1", "f2"] {
+        let name = name.parse().expect("a name");
+        planner.hold_off(&name, now + ms(6_000));
+    }
+    let steps = vec![step("first", 0, &[], 1, 10)];
+    let refusal = planner.submit(plan("a", steps, now), now);
+    let Err(Refusal::TooLate(drain)) = refusal else {
+        panic!("{refusal:?}");
+    };
+    assert!(drain >= ms(6_000), "{drain:?}");
+}
