Let the soak send a request that crashes upstreams

Each run of the soak now has a service whose upstreams a request crashes, with resets or silence, and that return under their own or under new names; one client sends it to any node. Sends by nodes that are in touch, later than 3 s after the third crash, are counted: more than three are a violation.

Three schedules that failed while the quarantine was rewritten stay as cases of their own, with a line on the cause.

--- a/crates/forwarding/tests/poison_schedule.rs
+++ b/crates/forwarding/tests/poison_schedule.rs
@@ -696,3 +696,42 @@
         check(schedule);
     }
 }
+
+/// A schedule without faults; all harm comes from the poison request.
+fn calm(seed: u64, instances: usize, upstreams: usize, interval: u64, back_after: u64) -> Schedule {
+    Schedule {
+        seed,
+        instances,
+        upstreams,
+        interval,
+        is_silent: false,
+        back_after,
+        faults: Vec::new(),
+    }
+}
+
+macro_rules! schedules {
+    ($($(#[$doc:meta])* $name:ident: $schedule:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                check($schedule);
+            }
+        )*
+    };
+}
+
+schedules! {
+    /// Failed: instances that had never answered a frequent request refused it.
+    frequent_requests_are_served_where_others_answered_them:
+        calm(15_438_729_743_793_936_403, 23, 11, 106, 534);
+    /// Failed: losses that were seen late outweighed answers to later sends.
+    losses_that_are_seen_late_refuse_nothing: Schedule {
+        is_silent: true,
+        ..calm(6_711_349_722_339_876_929, 22, 10, 69, 6_430)
+    };
+    /// Failed: one loss kept the depth of others that an answer had cleared.
+    one_loss_after_cleared_ones_refuses_nothing:
+        calm(17_979_629_021_315_125_326, 23, 4, 64, 525);
+}
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -36,6 +36,9 @@
     /// After all faults a node does not serve, or not by the newest configuration.
     #[strum(to_string = "node {0} does not serve the newest configuration after the faults")]
     NotRecovered(usize),
+    /// A request that had crashed three upstreams was sent on.
+    #[strum(to_string = "a request that had crashed three upstreams was sent {0} times more")]
+    SentOn(usize),
     /// A process ended by itself.
     #[strum(to_string = "node {0} ended by itself")]
     Ended(usize),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -46,6 +46,10 @@
     pub(crate) fault: Fault,
 }
 
+/// Shortest and longest time of a fault.
+const LASTS_MIN: Duration = Duration::from_millis(200);
+pub(crate) const LASTS_MAX: Duration = Duration::from_millis(2_500);
+
 /// Draws the faults of a run, in order of time.
 pub(crate) fn draw(
     rng: &mut SmallRng,
@@ -57,7 +61,7 @@
     let mut faults: Vec<Timed> = (0..count)
         .map(|_| Timed {
             at: length.mul_f64(rng.random_range(0.05..0.75)),
-            lasts: Duration::from_millis(rng.random_range(200..2_500)),
+            lasts: rng.random_range(LASTS_MIN..LASTS_MAX),
             fault: one(rng, nodes, upstreams),
         })
         .collect();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod fault;
+mod poison;
 mod proxy;
 mod run;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,7 @@
 use crate::check::Violation;
 use crate::fault;
 use crate::fault::Fault;
+use crate::poison;
 use crate::proxy;
 use crate::proxy::Proxy;
 
@@ -87,6 +88,8 @@
     paths: Vec<Proxy>,
     children: Vec<Child>,
     version: u64,
+    /// Until when faults of the store excuse what instances do not know.
+    store_disturbed: Arc<Mutex<Instant>>,
     violations: Vec<Violation>,
 }
 
@@ -103,14 +106,14 @@
     let counter = Arc::new(AtomicU64::new(0));
     let mut clients = JoinSet::new();
     for client in 0..CLIENTS {
-        let targets: Vec<_> = run
-            .children
-            .iter()
-            .map(|it| (it.front, it.disturbed.clone()))
-            .collect();
+        let targets = run.targets();
         let rng = SmallRng::seed_from_u64(seed ^ (client << 32));
         clients.spawn(load(targets, rng, counter.clone(), end));
     }
+    let crashes = poison::start(&run.site.store, &mut rng).await?;
+    let targets = run.targets();
+    let disturbed = run.store_disturbed.clone();
+    let poison = tokio::spawn(poison::load(targets, disturbed, rng.clone(), end));
     let names = faults
         .iter()
         .map(|it| format!("{:?} {:?}", it.at, it.fault));
@@ -125,6 +128,8 @@
     }
     run.recover().await?;
     run.violations.extend(check::all(&run.site, &asked));
+    let sent = poison.await.wrap_err("the poison client failed")?;
+    run.violations.extend(poison::check(&crashes, &sent));
     outcome.asked = asked.len();
     let whole = asked
         .iter()
@@ -153,6 +158,7 @@
             paths,
             children: Vec::new(),
             version: 1,
+            store_disturbed: Arc::new(Mutex::new(Instant::now())),
             violations: Vec::new(),
         };
         for idx in 0..options.nodes {
@@ -166,6 +172,13 @@
         Ok(run)
     }
 
+    fn targets(&self) -> Vec<(SocketAddr, Arc<Mutex<Instant>>)> {
+        let children = self.children.iter();
+        children
+            .map(|it| (it.front, it.disturbed.clone()))
+            .collect()
+    }
+
     fn child(&self, idx: usize) -> eyre::Result<Child> {
         let ports = site::ports()?;
         let zone = if idx.is_multiple_of(2) { "a" } else { "b" };
@@ -223,9 +236,18 @@
             }
             Fault::Terminate(idx) => self.signal(*idx, Signal::TERM)?,
             Fault::Freeze(idx) => self.signal(*idx, Signal::STOP)?,
-            Fault::Store(mode) => self.site.store.set_mode(*mode),
-            Fault::Compact => self.site.store.compact(),
-            Fault::StorePath(mode) => self.store.set(*mode),
+            Fault::Store(mode) => {
+                self.disturb_store();
+                self.site.store.set_mode(*mode);
+            }
+            Fault::Compact => {
+                self.disturb_store();
+                self.site.store.compact();
+            }
+            Fault::StorePath(mode) => {
+                self.disturb_store();
+                self.store.set(*mode);
+            }
             Fault::Upstream(idx, fault) => self.site.upstreams[*idx].0.set_fault(*fault, None),
             Fault::UpstreamPath(idx, mode) => self.paths[*idx].set(*mode),
             Fault::Drain(idx) => self.site.register(*idx, "draining"),
@@ -251,8 +273,14 @@
             }
             Fault::Terminate(idx) => self.end_terminated(*idx).await?,
             Fault::Freeze(idx) => self.signal(*idx, Signal::CONT)?,
-            Fault::Store(_) => self.site.store.set_mode(Mode::Up),
-            Fault::StorePath(_) => self.store.set(proxy::Mode::Pass),
+            Fault::Store(_) => {
+                self.disturb_store();
+                self.site.store.set_mode(Mode::Up);
+            }
+            Fault::StorePath(_) => {
+                self.disturb_store();
+                self.store.set(proxy::Mode::Pass);
+            }
             Fault::Upstream(idx, _) => {
                 let upstream = &self.site.upstreams[*idx].0;
                 upstream.set_fault(upstream::Fault::None, None);
@@ -290,6 +318,12 @@
         *disturbed.lock().unwrap_or_else(PoisonError::into_inner) = until;
     }
 
+    fn disturb_store(&self) {
+        let until = Instant::now() + fault::LASTS_MAX + poison::CONTACT;
+        let disturbed = &self.store_disturbed;
+        *disturbed.lock().unwrap_or_else(PoisonError::into_inner) = until;
+    }
+
     /// Ends every fault, and checks that all nodes serve by a configuration written after that.
     async fn recover(&mut self) -> eyre::Result<()> {
         self.site.store.set_mode(Mode::Up);
