Ask once more before a send, and let answers outweigh an ended registration

A request was checked before its steps and its connection, which may take seconds; it is checked again when the connection is there.

An upstream that leaves in order may lose its registration while it still works; a request on it counted as lost even when the upstream then answered with a failure.

--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -201,6 +201,28 @@
     assert!(instance.is_refused());
 }
 
+/// Guards against the refusal of a request whose upstreams left in order and still failed it.
+#[test]
+fn an_upstream_that_answers_later_was_not_lost() {
+    let mut instance = Instance::new("a b c");
+    let sends = ["a", "b", "c"].map(|it| instance.begin(POISON, it));
+    instance.play("-a -b -c");
+    for send in sends {
+        instance.quarantine.ended(send);
+    }
+    assert!(!instance.is_refused());
+}
+
+/// Guards against crashes that are forgotten when a later send does not reach the upstream.
+#[test]
+fn a_send_that_never_left_proves_nothing() {
+    let mut instance = Instance::new("a b c");
+    instance.play("a !a b !b c !c");
+    let send = instance.begin(POISON, "a");
+    instance.quarantine.unsent(send);
+    assert!(instance.is_refused());
+}
+
 /// Guards against the refusal of a request whose upstream left in order and still answers it.
 #[test]
 fn an_answer_outweighs_an_ended_registration() {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -103,13 +103,9 @@
     let mut tries = 0;
     let mut last: Option<id::Upstream> = None;
     loop {
-        if let Some(standing) = suspicion::refusal(node, &ask.request, ask.fingerprint) {
-            let retry_after = if standing.is_fresh {
-                ask.retry_after(ACQUITTAL_RETRY)
-            } else {
-                QUARANTINE_RETRY
-            };
-            return Err(pending.end(Cause::Quarantined, retry_after));
+        if suspicion::refusal(node, &ask.request, ask.fingerprint).is_some() {
+            let cause = Cause::Quarantined;
+            return Err(pending.end(cause, retry_after(node, ask, &service, cause)));
         }
         if let Some(wanted) = wanted(node, ask, &service).filter(|_| results.is_none()) {
             let prepared = tokio::select! {
@@ -210,19 +206,29 @@
     is_usable.then(|| (channel, response.into_body(), sending))
 }
 
-/// When an upstream of a service can be asked again, if all of them want nothing for now.
-fn retry_after(node: &Node, service: &id::Service) -> Duration {
+/// When a client that is refused for `cause` may come back.
+fn retry_after(node: &Node, ask: &Ask, service: &id::Service, cause: Cause) -> Duration {
+    if cause != Cause::Quarantined {
+        return ask.retry_after(hold_time(node, service).max(RETRY_AFTER));
+    }
+    let standing = suspicion::standing(node, ask.fingerprint);
+    if standing.is_fresh {
+        return ask.retry_after(ACQUITTAL_RETRY);
+    }
+    QUARANTINE_RETRY
+}
+
+/// Time until an upstream of a service may be asked again, where all of them want nothing for now.
+fn hold_time(node: &Node, service: &id::Service) -> Duration {
     let view = node.view();
     let now = Instant::now();
     let mut limits = node.limits();
-    let mut until = view.usable(service).map(|it| {
+    let until = view.usable(service).map(|it| {
         let health = limits.health(&it.name);
         health.held_off_until(now).unwrap_or(now)
     });
-    let first = until.next();
-    let earliest = first.map(|it| until.fold(it, Instant::min));
-    let wait = earliest.map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
-    wait.max(RETRY_AFTER)
+    let first = until.min().unwrap_or(now);
+    first.saturating_duration_since(now)
 }
 
 fn take_retry(node: &Node, service: &id::Service) -> bool {
@@ -266,11 +272,10 @@
     let (upstream, mut channel) = match connected {
         Ok(connected) => connected,
         Err(cause) => {
-            let retry_after = ask.retry_after(retry_after(node, service));
             slog::info!(node.logger(), "not_sent"; "request" => &ask.request, "cause" => %cause,
                 "placed_at" => engine.as_ref().map(id::Upstream::as_str),
                 "prompt" => ask.prompt().map(|it| format!("{it:x}")));
-            return Err(pending.end(cause, retry_after));
+            return Err(pending.end(cause, retry_after(node, ask, service, cause)));
         }
     };
     *last = Some(upstream.name.clone());
@@ -304,7 +309,7 @@
             return Ok(lost(node, ask, &sending, life, Cause::Deadline));
         }
         Err(_) => {
-            sending.concluded();
+            sending.unsent();
             return Ok(Attempt::NotRun(life.not_run(), Cause::NoUpstream));
         }
     };
@@ -396,7 +401,11 @@
     slog::info!(node.logger(), "not_run"; "request" => &ask.request,
         "upstream" => sending.upstream.name.as_str(), "status" => answer.status.as_u16());
     sending.answered(true);
-    sending.concluded();
+    // Another upstream may answer that it is not the one that was meant.
+    match answer.status {
+        StatusCode::MISDIRECTED_REQUEST => sending.unsent(),
+        _ => sending.concluded(),
+    }
     let body = response.into_body().collect();
     let body = tokio::time::timeout(ask.left(), body).await;
     if matches!(body, Ok(Ok(_))) && !answer.is_last {
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -62,7 +62,12 @@
         health.hold_off(time, Instant::now());
     }
 
-    /// Notes that the send has ended and that its upstream was not lost.
+    /// Notes that nothing of the send reached the upstream.
+    pub(crate) fn unsent(&self) {
+        self.node.limits().quarantine.unsent(self.send);
+    }
+
+    /// Notes that the send has ended with an answer of the upstream.
     pub(crate) fn concluded(&self) {
         self.node.limits().quarantine.ended(self.send);
     }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -230,7 +230,8 @@
     }
 }
 
-fn standing(node: &Node, fingerprint: id::Fingerprint) -> Standing {
+/// What is held against a request.
+pub(crate) fn standing(node: &Node, fingerprint: id::Fingerprint) -> Standing {
     let quarantine = &mut node.limits().quarantine;
     quarantine.standing(fingerprint, Instant::now())
 }
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -136,6 +136,9 @@
         match opened {
             // What was decided before the connection was made is checked again.
             Ok(channel) if node.view().still_usable(&upstream) => {
+                if suspicion::refusal(node, &ask.request, ask.fingerprint).is_some() {
+                    return Err(Cause::Quarantined);
+                }
                 if !channel.is_kept {
                     suspicion::reachable(node, &upstream);
                 }
--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -1,5 +1,6 @@
 //! Requests that crash upstreams which start again, over several instances.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use platform_standin::client;
@@ -66,7 +67,7 @@
     }
 }
 
-async fn ask(front: std::net::SocketAddr, target: &'static str, id: String) -> u16 {
+async fn ask(front: SocketAddr, target: &'static str, id: String) -> u16 {
     let key = format!("authorization: Bearer {KEY}");
     let id = format!("x-request-id: {id}");
     let headers = [
@@ -201,6 +202,61 @@
     assert_eq!(crashes.all().len(), KNOWN_AFTER);
 }
 
+/// Guards against a send of a request that is found to crash upstreams while its steps run.
+#[tokio::test]
+async fn a_request_is_refused_when_it_is_known_before_it_is_sent() {
+    let mut fixture = Fixture::start(1).await;
+    for service in ["engine", "steps"] {
+        take_out(&fixture, service);
+    }
+    // Its calls are lost and made again, until there is another one.
+    let never = Duration::from_secs(60);
+    let added = fixture.site.add("steps", 0, never).await;
+    added.expect("a port for an upstream");
+    let plan = Plan::builder()
+        .service("engine")
+        .count(6)
+        .returns(Return::NewName)
+        .ending(Ending::Reset)
+        .back_after(Duration::from_secs(60))
+        .lapse(Duration::from_millis(3_600))
+        .build();
+    let crashes = crash::start(&fixture.site.store, &plan).await;
+    let crashes = crashes.expect("ports for upstreams");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    let front = fixture.nodes[0].front;
+    let first = tokio::spawn(draft(front, "a", "x-chunks: 2"));
+    for id in ["b", "c", "d"] {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        draft(front, id, "x-chunks: 0").await;
+    }
+    assert_eq!(crashes.all().len(), KNOWN_AFTER);
+    let added = fixture.site.add("steps", 0, Duration::from_millis(5)).await;
+    added.expect("a port for an upstream");
+    let status = first.await.expect("an answer");
+    assert_eq!((status, crashes.all().len()), (503, KNOWN_AFTER));
+}
+
+/// Sends a request with steps that crashes engines.
+async fn draft(front: SocketAddr, id: &'static str, pieces: &'static str) -> u16 {
+    let key = format!("authorization: Bearer {KEY}");
+    let id = format!("x-request-id: {id}");
+    let headers = [
+        key.as_str(),
+        id.as_str(),
+        "x-deadline-ms: 4000",
+        "x-model: m",
+        "x-token-count: 30,6",
+        "x-prompt-prefix: aa:10,bb:20",
+        "x-chunk-key: k",
+        pieces,
+    ];
+    client::ask(front, "POST /draft/poison", &headers, b"")
+        .await
+        .status
+}
+
 macro_rules! cases {
     ($($(#[$doc:meta])* $name:ident: $case:expr;)*) => {
         $(
