Keep a loss in the store from the first one on that counts

What callers would see: poison sent on after a restart of all instances.

Trace: crashes at 610, 1,750 and 2,270 ms. A silent crash is noticed when its client gives up, so at the restart only the first was known. One loss alone was not written, and all three were forgotten.

Now the first loss that counts is written as well. Those of calls of steps still wait for a second: such a call holds pieces of up to 60 requests. What a crash costs the store: one transaction of each instance that had requests there.

--- a/crates/forwarding/src/poison/share.rs
+++ b/crates/forwarding/src/poison/share.rs
@@ -16,8 +16,8 @@
 pub(super) const RECENT: Duration = Duration::from_secs(2);
 /// Losses, and cleared requests, that one message passes on.
 const RECENT_MAX: usize = 128;
-/// Losses of one request from which on they are kept in the store, for instances that start later or
-/// that no other instance reaches.
+/// Losses of one request from which on weak ones are told as well: those that do not count, and those
+/// of calls that held pieces of many other requests.
 const REPEATED_MIN: usize = 2;
 
 /// Rows of the store that are not needed any more.
@@ -93,11 +93,10 @@
     pub fn unsaved(&self, now: Instant) -> Vec<Loss> {
         let mut losses = Vec::new();
         for (fingerprint, suspect) in &self.suspects {
-            if suspect.counted().count() < REPEATED_MIN {
-                continue;
-            }
+            let is_repeated = suspect.counted().count() >= REPEATED_MIN;
             let unsaved = suspect.losses.iter().filter(|(_, it)| !it.is_saved);
             let unsaved = unsaved.filter(|(_, it)| it.source == Source::Own && it.counts());
+            let unsaved = unsaved.filter(|(_, it)| is_repeated || !it.is_batched);
             losses.extend(unsaved.map(|(name, it)| it.loss(*fingerprint, name, now)));
         }
         losses
--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -318,8 +318,10 @@
 #[test]
 fn losses_of_a_suspect_are_kept_in_the_store_until_it_is_cleared() {
     let mut instance = Instance::new("a b c");
-    instance.play("a -a");
+    instance.play("a");
     assert_eq!(instance.quarantine.unsaved(instance.now), []);
+    instance.play("-a");
+    assert_eq!(instance.quarantine.unsaved(instance.now).len(), 1);
     instance.play("b -b");
     let unsaved = instance.quarantine.unsaved(instance.now);
     assert_eq!(unsaved.len(), 2);
@@ -384,6 +386,19 @@
     instance
 }
 
+/// Guards against a row for each of many requests whenever a call of steps is lost.
+#[test]
+fn a_lost_call_is_kept_once_its_request_has_lost_another() {
+    let mut instance = Instance::new("a b c");
+    for (name, unsaved) in [("a", 0), ("b", 2)] {
+        let (incarnation, now) = (incarnation(name), instance.now);
+        let quarantine = &mut instance.quarantine;
+        quarantine.lost_call(POISON, incarnation.clone(), now, now);
+        quarantine.unreachable(&incarnation, now);
+        assert_eq!(quarantine.unsaved(now).len(), unsaved);
+    }
+}
+
 /// Guards against crashes in calls of steps that count for nothing.
 #[test]
 fn calls_lost_one_after_the_other_refuse_the_request() {
