--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -109,9 +109,13 @@
     supervisor.spawn("expire", Restart::Always, move || {
         follow::expire(expiring.clone())
     });
-    let (suspecting, saving) = (node.clone(), store.clone());
-    supervisor.spawn("suspicion", Restart::Always, move || {
-        suspicion::run(suspecting.clone(), saving.clone())
+    let telling = node.clone();
+    supervisor.spawn("tell", Restart::Always, move || {
+        suspicion::tell(telling.clone())
+    });
+    let (keeping, kept) = (node.clone(), store.clone());
+    supervisor.spawn("keep", Restart::Always, move || {
+        suspicion::keep(keeping.clone(), kept.clone())
     });
     let owner = node.owner.clone();
     supervisor.spawn("owner", Restart::Always, move || owner.clone().run());
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -19,7 +19,6 @@
 use platform::settings::Settings;
 use stages::Shard;
 use telemetry::Telemetry;
-use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -80,7 +79,7 @@
     stop: Arc<OnceLock<Stop>>,
     in_flight: AtomicUsize,
     /// Woken when what is held against requests has changed.
-    pub(crate) suspicions: Notify,
+    pub(crate) suspicions: suspicion::Wakers,
 }
 
 impl Node {
@@ -97,7 +96,7 @@
             shard_waits: Mutex::default(),
             stop: Arc::default(),
             in_flight: AtomicUsize::new(0),
-            suspicions: Notify::new(),
+            suspicions: suspicion::Wakers::default(),
             settings,
             telemetry,
             owner,
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -1,9 +1,8 @@
 //! What is held against requests that are suspected of crashing the upstreams that run them.
 //!
 //! An upstream that lost a request is asked for a connection at once: its registration ends only
-//! seconds after a crash. Losses that count are told to the other instances, and those of requests
-//! with several go into the store, where instances find them that start later, were cut off, or
-//! reach no other instance.
+//! seconds after a crash. Losses that count are told to the other instances and kept in the
+//! store, where instances find them that start later, were cut off, or reach no other instance.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,6 +17,7 @@
 use forwarding::poison::Standing;
 use platform::rows;
 use platform::store;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use wire::Request;
 
@@ -41,6 +41,20 @@
 const WRITE_PAUSE_MAX: Duration = Duration::from_secs(4);
 const MEMBERS_PER_WRITE: usize = 16;
 
+/// Wakes the tasks that pass suspicions on.
+#[derive(Debug, Default)]
+pub(crate) struct Wakers {
+    told: Notify,
+    kept: Notify,
+}
+
+impl Wakers {
+    fn wake(&self) {
+        self.told.notify_one();
+        self.kept.notify_one();
+    }
+}
+
 /// How a send ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -95,7 +109,7 @@
     limits.health(&upstream.name).unreachable(now);
     limits.quarantine.unreachable(&upstream.incarnation(), now);
     drop(limits);
-    node.suspicions.notify_one();
+    node.suspicions.wake();
     give_up_plans(node);
 }
 
@@ -137,7 +151,7 @@
         node.telemetry.count("suspects.cleared", 1);
         slog::info!(node.logger(), "suspect_cleared"; "fingerprint" => %fingerprint,
             "source" => %source);
-        node.suspicions.notify_one();
+        node.suspicions.wake();
     }
 }
 
@@ -178,13 +192,21 @@
     settle(node);
 }
 
-/// Tells other instances and the store of losses, for ever.
-pub(crate) async fn run(node: Arc<Node>, client: store::Client) {
-    let mut pause = WRITE_PAUSE;
+/// Tells other instances of losses, for ever.
+pub(crate) async fn tell(node: Arc<Node>) {
     loop {
-        node.suspicions.notified().await;
+        node.suspicions.told.notified().await;
         tokio::time::sleep(BATCH_TIME).await;
         announce(&node);
+    }
+}
+
+/// Keeps losses in the store, for ever.
+pub(crate) async fn keep(node: Arc<Node>, client: store::Client) {
+    let mut pause = WRITE_PAUSE;
+    loop {
+        node.suspicions.kept.notified().await;
+        tokio::time::sleep(BATCH_TIME).await;
         let writers = node.member_count().div_ceil(MEMBERS_PER_WRITE) as u32;
         match save(&node, &client).await {
             Ok(false) => continue,
@@ -195,7 +217,7 @@
             }
         }
         // There may be more, or the same again.
-        node.suspicions.notify_one();
+        node.suspicions.kept.notify_one();
         tokio::time::sleep(pause * writers).await;
     }
 }
@@ -215,7 +237,7 @@
         quarantine.is_pending()
     };
     if is_pending {
-        node.suspicions.notify_one();
+        node.suspicions.wake();
     }
 }
 
@@ -291,11 +313,15 @@
     if losses.is_empty() && removes.is_empty() {
         return Ok(false);
     }
-    let puts = losses.iter().filter_map(|it| {
-        let key = rows::loss_key(it.fingerprint, &it.incarnation);
-        Some((key, rows::encode_loss(it).ok()?))
-    });
-    let puts: Vec<(String, Vec<u8>)> = puts.collect();
+    let mut puts = Vec::with_capacity(losses.len());
+    for loss in &losses {
+        let key = rows::loss_key(loss.fingerprint, &loss.incarnation);
+        match rows::encode_loss(loss) {
+            Ok(value) => puts.push((key, value)),
+            Err(err) => slog::error!(node.logger(), "loss_unwritable"; "key" => key,
+                "reason" => %err),
+        }
+    }
     client.write(&puts, &removes).await?;
     node.limits().quarantine.saved(&losses);
     slog::info!(node.logger(), "losses_saved"; "written" => puts.len(), "deleted" => removes.len());
--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -10,6 +10,7 @@
 use platform_standin::crash::Plan;
 use platform_standin::crash::Return;
 use platform_standin::site::KEY;
+use platform_standin::store::Mode;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -238,6 +239,39 @@
     assert_eq!((status, crashes.all().len()), (503, KNOWN_AFTER));
 }
 
+/// Guards against losses that are told late because the store takes no writes.
+#[tokio::test]
+async fn losses_are_told_while_the_store_is_away() {
+    let fixture = Fixture::start(3).await;
+    take_out(&fixture, "ledger");
+    let plan = Plan::builder()
+        .service("ledger")
+        .count(8)
+        .returns(Return::NewName)
+        .ending(Ending::Reset)
+        .back_after(Duration::from_secs(60))
+        .lapse(Duration::from_secs(60))
+        .build();
+    let crashes = crash::start(&fixture.site.store, &plan).await;
+    let crashes = crashes.expect("ports for upstreams");
+    for node in &fixture.nodes {
+        let front = node.front;
+        let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
+        eventually("an upstream", Duration::from_secs(5), is_served).await;
+    }
+    fixture.site.store.set_mode(Mode::Busy);
+    // One crash at each node, slowly enough for each write to fail and to be tried again.
+    for (idx, node) in fixture.nodes.iter().enumerate() {
+        ask(node.front, "POST /post/poison", format!("p{idx}")).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+    }
+    for (idx, node) in fixture.nodes.iter().enumerate() {
+        let status = ask(node.front, "POST /post/poison", format!("q{idx}")).await;
+        assert_eq!(status, 503, "node {idx}");
+    }
+    assert_eq!(crashes.all().len(), KNOWN_AFTER);
+}
+
 /// Sends a request with steps that crashes engines.
 async fn draft(front: SocketAddr, id: &'static str, pieces: &'static str) -> u16 {
     let key = format!("authorization: Bearer {KEY}");
