Share what the tests of crashes repeat

Test code only. The cases of crashes.rs start their nodes and upstreams in one place, those of words.rs wait for an arrival in one place; the random schedules are split into the faults that are drawn, the modelled world and the checks. No check, bound or seed differs; engines that crash now stream events, so that a test can wait until they are in use.

--- a/crates/forwarding/tests/poison_schedule.rs
+++ b/crates/forwarding/tests/poison_schedule/world.rs
@@ -1,9 +1,4 @@
-//! Random schedules over many instances: a request that crashes upstreams is stopped, ordinary
-//! requests are served.
-//!
-//! Instances, the store and upstreams are models on a stepped clock; the decisions are the real ones.
-//! A schedule restarts instances, cuts them off from the store or from each other, takes the store
-//! away, and crashes upstreams that come back under any name.
+//! Instances, the store and upstreams on a stepped clock.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,23 +12,20 @@
 use forwarding::poison::Quarantine;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
-use proptest::prelude::Strategy;
-use proptest::prop_oneof;
-use proptest::proptest;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
+use crate::schedule::Fault;
+use crate::schedule::Schedule;
+
 const POISON: id::Fingerprint = id::Fingerprint(0);
 /// Bound of the users: what disturbs an instance excuses it for this long, and a crash may stay
 /// unnoticed for this long.
 const CONTACT_MS: u64 = 3_000;
-/// Bound of the users: sends after that.
-const FURTHER_MAX: usize = 3;
 const STEP_MS: u64 = 10;
-const LENGTH_MS: u64 = 30_000;
 /// Silence after which the store drops a registration.
 const LAPSE_MS: u64 = 3_600;
 /// What the node's settings make of it.
@@ -51,76 +43,6 @@
 /// Popular requests, which many clients send at the same time.
 const POPULAR: u64 = 3;
 
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    /// The instance is killed and starts again.
-    Restart(usize),
-    RestartAll,
-    /// The instance does not reach the store.
-    CutFromStore(usize),
-    /// The instance reaches no other one.
-    CutFromPeers(usize),
-    StoreAway,
-    /// One upstream in this many crashes.
-    Crash(usize),
-    /// Upstreams lose some answers.
-    AnswersLost,
-}
-
-#[derive(Clone, Debug)]
-struct Timed {
-    fault: Fault,
-    at: u64,
-    until: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Schedule {
-    seed: u64,
-    instances: usize,
-    upstreams: usize,
-    /// Time between two sends of the poison request.
-    interval: u64,
-    /// Crashes end in silence instead of a reset.
-    is_silent: bool,
-    back_after: u64,
-    faults: Vec<Timed>,
-}
-
-fn faults() -> impl Strategy<Value = Vec<Timed>> {
-    let fault = prop_oneof![
-        (0..64_usize).prop_map(Fault::Restart),
-        proptest::strategy::Just(Fault::RestartAll),
-        (0..64_usize).prop_map(Fault::CutFromStore),
-        (0..64_usize).prop_map(Fault::CutFromPeers),
-        proptest::strategy::Just(Fault::StoreAway),
-        (2..6_usize).prop_map(Fault::Crash),
-        proptest::strategy::Just(Fault::AnswersLost),
-    ];
-    let timed = (fault, 1_000..LENGTH_MS, 500..8_000_u64);
-    let timed = timed.prop_map(|(fault, at, lasts)| Timed {
-        fault,
-        at,
-        until: at + lasts,
-    });
-    proptest::collection::vec(timed, 0..8)
-}
-
-fn schedules(is_silent: bool) -> impl Strategy<Value = Schedule> {
-    let sizes = (3..24_usize, 4..16_usize, 60..2_500_u64);
-    (0..u64::MAX, sizes, 300..9_000_u64, faults()).prop_map(
-        move |(seed, (instances, upstreams, interval), back_after, faults)| Schedule {
-            seed,
-            instances,
-            upstreams,
-            interval,
-            is_silent,
-            back_after,
-            faults,
-        },
-    )
-}
-
 /// An upstream at one address.
 struct Slot {
     name: String,
@@ -160,11 +82,11 @@
     crashes_at: Option<u64>,
 }
 
-struct World {
+pub(crate) struct World {
     schedule: Schedule,
     rng: SmallRng,
     start: Instant,
-    now: u64,
+    pub(crate) now: u64,
     slots: Vec<Slot>,
     registered: BTreeMap<id::Incarnation, usize>,
     /// Registrations that end at a time.
@@ -175,16 +97,16 @@
     /// Connections that nobody answers, and when they are given up.
     connects: Vec<(u64, usize, id::Incarnation, usize)>,
     sends: u64,
-    crashes: Vec<u64>,
-    further: usize,
+    pub(crate) crashes: Vec<u64>,
+    pub(crate) further: usize,
     retries: BTreeMap<id::Fingerprint, u32>,
     /// Ordinary requests that were refused, and when their clients come back.
     returns: Vec<(u64, id::Fingerprint)>,
-    refused: Vec<(u64, id::Fingerprint)>,
+    pub(crate) refused: Vec<(u64, id::Fingerprint)>,
 }
 
 impl World {
-    fn new(schedule: Schedule) -> World {
+    pub(crate) fn new(schedule: Schedule) -> World {
         let mut world = World {
             rng: SmallRng::seed_from_u64(schedule.seed),
             start: Instant::now(),
@@ -262,7 +184,7 @@
         self.now >= self.members[member].disturbed_at + CONTACT_MS
     }
 
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.begin_faults();
         self.return_upstreams();
         self.lapse();
@@ -658,80 +580,3 @@
         version: 1,
     }
 }
-
-fn check(schedule: Schedule) {
-    let mut world = World::new(schedule);
-    while world.now < LENGTH_MS {
-        world.step();
-    }
-    assert!(
-        world.further <= FURTHER_MAX,
-        "{} sends after it was known; crashes at {:?}",
-        world.further,
-        world.crashes
-    );
-    assert!(world.refused.is_empty(), "refused: {:?}", world.refused);
-}
-
-fn config() -> proptest::test_runner::Config {
-    proptest::test_runner::Config {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(15),
-        cases: 96,
-        ..proptest::test_runner::Config::default()
-    }
-}
-
-proptest! {
-    #![proptest_config(config())]
-
-    /// Guards against poison that is sent on, and ordinary requests that are refused for it.
-    #[test]
-    fn poison_that_resets_is_stopped_and_others_are_served(schedule in schedules(false)) {
-        check(schedule);
-    }
-
-    /// The same where crashes end in silence.
-    #[test]
-    fn poison_that_silences_is_stopped_and_others_are_served(schedule in schedules(true)) {
-        check(schedule);
-    }
-}
-
-/// A schedule without faults; all harm comes from the poison request.
-fn calm(seed: u64, instances: usize, upstreams: usize, interval: u64, back_after: u64) -> Schedule {
-    Schedule {
-        seed,
-        instances,
-        upstreams,
-        interval,
-        is_silent: false,
-        back_after,
-        faults: Vec::new(),
-    }
-}
-
-macro_rules! schedules {
-    ($($(#[$doc:meta])* $name:ident: $schedule:expr;)*) => {
-        $(
-            $(#[$doc])*
-            #[test]
-            fn $name() {
-                check($schedule);
-            }
-        )*
-    };
-}
-
-schedules! {
-    /// Failed: instances that had never answered a frequent request refused it.
-    frequent_requests_are_served_where_others_answered_them:
-        calm(15_438_729_743_793_936_403, 23, 11, 106, 534);
-    /// Failed: losses that were seen late outweighed answers to later sends.
-    losses_that_are_seen_late_refuse_nothing: Schedule {
-        is_silent: true,
-        ..calm(6_711_349_722_339_876_929, 22, 10, 69, 6_430)
-    };
-    /// Failed: one loss kept the depth of others that an answer had cleared.
-    one_loss_after_cleared_ones_refuses_nothing:
-        calm(17_979_629_021_315_125_326, 23, 4, 64, 525);
-}
--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -9,6 +9,7 @@
 use platform_standin::crash::Ending;
 use platform_standin::crash::Plan;
 use platform_standin::crash::Return;
+use platform_standin::site::EVENTS;
 use platform_standin::site::KEY;
 use platform_standin::store::Mode;
 use tokio::task::JoinSet;
@@ -45,6 +46,8 @@
     returns: Return,
     ending: Ending,
     back_after: Duration,
+    /// Silence after which the store drops a registration.
+    lapse: Duration,
     fails_after: Option<usize>,
     event: Event,
     length: Duration,
@@ -61,6 +64,7 @@
             returns: Return::SameName,
             ending: Ending::Reset,
             back_after: Duration::from_millis(700),
+            lapse: Duration::from_millis(3_600),
             fails_after: None,
             event: Event::Nothing,
             length: Duration::from_secs(9),
@@ -142,24 +146,47 @@
     late.count()
 }
 
-async fn check(case: Case) {
-    let mut fixture = Fixture::start(case.nodes).await;
+/// Upstreams with the usual lapse, that end as `ending` says and stay away.
+fn gone_for_good(service: &'static str, ending: Ending) -> Case {
+    Case {
+        service,
+        ending,
+        returns: Return::NewName,
+        back_after: Duration::from_secs(60),
+        ..Case::default()
+    }
+}
+
+/// Starts nodes and the upstreams of a case in place of those that never crash.
+async fn start(case: &Case) -> (Fixture, Crashes) {
+    let fixture = Fixture::start(case.nodes).await;
     take_out(&fixture, case.service);
+    let (target, events) = match case.service {
+        "engine" => ("POST /summary/1", EVENTS),
+        _ => ("GET /read/other", 0),
+    };
     let plan = Plan::builder()
         .service(case.service)
         .count(case.upstreams)
+        .events(events)
         .returns(case.returns)
         .ending(case.ending)
         .back_after(case.back_after)
-        .lapse(Duration::from_millis(3_600))
+        .lapse(case.lapse)
         .maybe_fails_after(case.fails_after)
         .build();
     let crashes = crash::start(&fixture.site.store, &plan).await;
     let crashes = crashes.expect("ports for upstreams");
-    let front = fixture.nodes[0].front;
-    let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
-    eventually("an upstream", Duration::from_secs(5), is_served).await;
+    for node in &fixture.nodes {
+        let front = node.front;
+        let is_served = || async { ask(front, target, "o".to_owned()).await == 200 };
+        eventually("an upstream", Duration::from_secs(5), is_served).await;
+    }
+    (fixture, crashes)
+}
 
+async fn check(case: Case) {
+    let (mut fixture, crashes) = start(&case).await;
     repeat(&mut fixture, &case).await;
     assert!(crashes.all().len() >= KNOWN_AFTER, "{:?}", crashes.all());
     let further = further(&crashes);
@@ -176,23 +203,13 @@
 /// Guards against a failure of an upstream that never ran the request and yet acquits it.
 #[tokio::test]
 async fn a_failure_acquits_no_request() {
-    let fixture = Fixture::start(1).await;
-    take_out(&fixture, "ledger");
-    let plan = Plan::builder()
-        .service("ledger")
-        .count(6)
-        .returns(Return::NewName)
-        .ending(Ending::Reset)
-        .back_after(Duration::from_secs(60))
-        .lapse(Duration::from_millis(3_600))
-        .fails_after(2)
-        .build();
-    let crashes = crash::start(&fixture.site.store, &plan).await;
-    let crashes = crashes.expect("ports for upstreams");
+    let case = Case {
+        nodes: 1,
+        fails_after: Some(2),
+        ..gone_for_good("ledger", Ending::Reset)
+    };
+    let (fixture, crashes) = start(&case).await;
     let front = fixture.nodes[0].front;
-    let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
-    eventually("an upstream", Duration::from_secs(5), is_served).await;
-
     let mut statuses = Vec::new();
     for idx in 0..5 {
         statuses.push(ask(front, "POST /post/poison", format!("p{idx}")).await);
@@ -206,26 +223,16 @@
 /// Guards against a send of a request that is found to crash upstreams while its steps run.
 #[tokio::test]
 async fn a_request_is_refused_when_it_is_known_before_it_is_sent() {
-    let mut fixture = Fixture::start(1).await;
-    for service in ["engine", "steps"] {
-        take_out(&fixture, service);
-    }
+    let case = Case {
+        nodes: 1,
+        ..gone_for_good("engine", Ending::Reset)
+    };
+    let (mut fixture, crashes) = start(&case).await;
+    take_out(&fixture, "steps");
     // Its calls are lost and made again, until there is another one.
     let never = Duration::from_secs(60);
     let added = fixture.site.add("steps", 0, never).await;
     added.expect("a port for an upstream");
-    let plan = Plan::builder()
-        .service("engine")
-        .count(6)
-        .returns(Return::NewName)
-        .ending(Ending::Reset)
-        .back_after(Duration::from_secs(60))
-        .lapse(Duration::from_millis(3_600))
-        .build();
-    let crashes = crash::start(&fixture.site.store, &plan).await;
-    let crashes = crashes.expect("ports for upstreams");
-    tokio::time::sleep(Duration::from_millis(300)).await;
-
     let front = fixture.nodes[0].front;
     let first = tokio::spawn(draft(front, "a", "x-chunks: 2"));
     for id in ["b", "c", "d"] {
@@ -242,23 +249,12 @@
 /// Guards against losses that are told late because the store takes no writes.
 #[tokio::test]
 async fn losses_are_told_while_the_store_is_away() {
-    let fixture = Fixture::start(3).await;
-    take_out(&fixture, "ledger");
-    let plan = Plan::builder()
-        .service("ledger")
-        .count(8)
-        .returns(Return::NewName)
-        .ending(Ending::Reset)
-        .back_after(Duration::from_secs(60))
-        .lapse(Duration::from_secs(60))
-        .build();
-    let crashes = crash::start(&fixture.site.store, &plan).await;
-    let crashes = crashes.expect("ports for upstreams");
-    for node in &fixture.nodes {
-        let front = node.front;
-        let is_served = || async { ask(front, "GET /read/other", "o".to_owned()).await == 200 };
-        eventually("an upstream", Duration::from_secs(5), is_served).await;
-    }
+    let case = Case {
+        nodes: 3,
+        lapse: Duration::from_secs(60),
+        ..gone_for_good("ledger", Ending::Reset)
+    };
+    let (fixture, crashes) = start(&case).await;
     fixture.site.store.set_mode(Mode::Busy);
     // One crash at each node, slowly enough for each write to fail and to be tried again.
     for (idx, node) in fixture.nodes.iter().enumerate() {
--- a/crates/node/tests/it/words.rs
+++ b/crates/node/tests/it/words.rs
@@ -4,6 +4,7 @@
 
 use platform_standin::upstream::BUSY_MS;
 use platform_standin::upstream::Fault;
+use platform_standin::upstream::Upstream;
 
 use crate::fixture::Fixture;
 use crate::fixture::eventually;
@@ -45,22 +46,26 @@
     upstreams.position(|it| it.1 == service).expect("one")
 }
 
-async fn check_leaving(service: &str) {
-    let fixture = Fixture::start(1).await;
-    let upstream = &fixture.site.upstreams[first(&fixture, service)].0;
-    upstream.leave();
+/// Asks until more than `arrivals` requests have arrived at the upstream; returns how many have.
+async fn arrive(fixture: &Fixture, service: &str, upstream: &Upstream, arrivals: u64) -> u64 {
     let mut number = 0;
     let has_arrived = || {
         number += 1;
-        let id = format!("a{number}");
-        let fixture = &fixture;
+        let id = format!("a{arrivals}-{number}");
         async move {
             ask(fixture, service, &id).await;
-            upstream.arrivals() > 0
+            upstream.arrivals() > arrivals
         }
     };
-    eventually("an arrival", Duration::from_secs(5), has_arrived).await;
-    let arrivals = upstream.arrivals();
+    eventually("an arrival", Duration::from_secs(8), has_arrived).await;
+    upstream.arrivals()
+}
+
+async fn check_leaving(service: &str) {
+    let fixture = Fixture::start(1).await;
+    let upstream = &fixture.site.upstreams[first(&fixture, service)].0;
+    upstream.leave();
+    let arrivals = arrive(&fixture, service, upstream, 0).await;
     for idx in 0..20 {
         assert_eq!(ask(&fixture, service, &format!("b{idx}")).await, 200);
     }
@@ -71,37 +76,16 @@
     let fixture = Fixture::start(1).await;
     let upstream = &fixture.site.upstreams[first(&fixture, service)].0;
     upstream.set_fault(Fault::Busy, None);
-    let mut number = 0;
-    let has_arrived = || {
-        number += 1;
-        let id = format!("a{number}");
-        let fixture = &fixture;
-        async move {
-            ask(fixture, service, &id).await;
-            upstream.arrivals() > 0
-        }
-    };
-    eventually("an arrival", Duration::from_secs(5), has_arrived).await;
+    let arrivals = arrive(&fixture, service, upstream, 0).await;
     let told = tokio::time::Instant::now();
     upstream.set_fault(Fault::None, None);
-    let arrivals = upstream.arrivals();
     let mut number = 0;
     while told.elapsed() < BUSY - SLACK / 2 {
         number += 1;
         assert_eq!(ask(&fixture, service, &format!("b{number}")).await, 200);
     }
     assert_eq!(upstream.arrivals(), arrivals);
-
-    let is_used_again = || {
-        number += 1;
-        let id = format!("c{number}");
-        let fixture = &fixture;
-        async move {
-            ask(fixture, service, &id).await;
-            upstream.arrivals() > arrivals
-        }
-    };
-    eventually("an arrival later", Duration::from_secs(8), is_used_again).await;
+    arrive(&fixture, service, upstream, arrivals).await;
 }
 
 macro_rules! services {
--- a/crates/soak/src/poison.rs
+++ b/crates/soak/src/poison.rs
@@ -24,8 +24,8 @@
 
 /// Crashes after which a request is known to crash upstreams.
 const KNOWN_AFTER: usize = 3;
-/// Bound of the users: a crash may stay unnoticed for this long, and a disturbance of an instance or
-/// of the store excuses for as long after its end.
+/// Bound of the users: a crash may stay unnoticed for this long, and a fault of an instance or of the
+/// store excuses for as long after its end.
 pub(crate) const CONTACT: Duration = Duration::from_secs(3);
 /// Bound of the users: sends after that.
 const FURTHER_MAX: usize = 3;
