Bound what answers without an end may hold

What callers met: an upstream whose head, event or body never ends was read until the deadline of the request. A payment waited for its two seconds and ended as 504, a read whose first upstream did so was not repeated in time, and the instance held all that had come: 17 MB of a call of steps within its 250 ms, 2.5 GB of a feed of the store.

Cause: plain bodies, refusals, answers to calls of steps and of the store were collected without a bound; a stream's buffer grew until an event ended, and was searched from its start with each chunk; interim answers (1xx) were skipped for as long as they came.

Change: `node::buffer` bounds each answer and event (8 MiB) and, beyond 64 KiB each, all of them together to an eighth of the instance's memory, which the settings state. What passes a bound ends its connection and counts as a bad answer: its outcome is unknown, so only what may repeat goes elsewhere. Between instances frames were bounded already (4 MiB).

Ruled out: noise that is no HTTP at all and endless heads, which the HTTP library ends by itself; they have cases all the same.

--- a/crates/node/src/channel.rs
+++ b/crates/node/src/channel.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,6 +39,11 @@
 /// Part of an upstream's stated idle time within which a connection is used again.
 const KEEP_ALIVE_PART: f64 = 0.5;
 
+/// Largest head of an answer, in bytes.
+const HEAD_MAX: usize = 64 * 1024;
+/// Interim answers to one request after which its upstream is taken for out of order.
+const INTERIM_MAX: usize = 16;
+
 /// Why a request could not be sent, or got no answer.
 #[derive(Debug, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -127,7 +134,9 @@
             .map_err(|_| Error::Connect)?
             .map_err(|_| Error::Connect)?;
         configure(&stream).map_err(|_| Error::Connect)?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let handshake = http1::Builder::new()
+            .max_buf_size(HEAD_MAX)
+            .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| Error::Connect)?;
         let task = tokio::spawn(async move {
             let _guard = guard;
@@ -221,8 +230,14 @@
     /// Tells whether any byte can have been sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
+        let (interims, task) = (AtomicUsize::new(0), self.task.clone());
+        hyper::ext::on_informational(&mut request, move |_| {
+            if interims.fetch_add(1, Ordering::Relaxed) == INTERIM_MAX {
+                task.abort();
+            }
+        });
         let sender = self.sender.as_mut().ok_or(Error::Unsent)?;
         sender.ready().await.map_err(|_| Error::Unsent)?;
         sender.try_send_request(request).await.map_err(|mut err| {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -16,7 +16,6 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::upstream;
 use platform::upstream::Answer;
@@ -26,6 +25,9 @@
 
 use crate::ask::ANSWER_MARGIN;
 use crate::ask::Ask;
+use crate::buffer;
+use crate::buffer::ANSWER_MAX;
+use crate::buffer::REFUSAL_MAX;
 use crate::channel;
 use crate::channel::Channel;
 use crate::prepare;
@@ -406,7 +408,7 @@
         StatusCode::MISDIRECTED_REQUEST => sending.unsent(),
         _ => sending.concluded(),
     }
-    let body = response.into_body().collect();
+    let body = buffer::collect(response.into_body(), &node.memory, REFUSAL_MAX);
     let body = tokio::time::timeout(ask.left(), body).await;
     if matches!(body, Ok(Ok(_))) && !answer.is_last {
         channel.keep(answer.keep_alive).await;
@@ -436,11 +438,16 @@
 ) -> Result<Attempt, Failure> {
     let status = response.status();
     let headers = upstream::answer_headers(response.headers());
-    let body = response.into_body().collect();
+    let body = buffer::collect(response.into_body(), &node.memory, ANSWER_MAX);
     let left = ask.left().saturating_sub(ANSWER_MARGIN);
     let bytes = match tokio::time::timeout(left, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Ok(lost(node, ask, &sending, life, Cause::ConnectionLost)),
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(buffer::Error::Broken)) => {
+            return Ok(lost(node, ask, &sending, life, Cause::ConnectionLost));
+        }
+        Ok(Err(buffer::Error::TooLarge)) => {
+            return Ok(lost(node, ask, &sending, life, Cause::BadAnswer));
+        }
         Err(_) => return Ok(lost(node, ask, &sending, life, Cause::Deadline)),
     };
     sending.answered(status.is_server_error());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod ask;
 pub mod beliefs;
+pub mod buffer;
 pub mod channel;
 pub mod clock;
 pub mod follow;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 
 use crate::ask::Ask;
+use crate::buffer::Held;
 use crate::channel::Channel;
 use crate::forward;
 use crate::prepare::Ready;
@@ -47,6 +48,9 @@
     sends: u32,
     results: Option<Ready>,
     buffer: BytesMut,
+    /// Bytes of the buffer in which no event ends.
+    searched: usize,
+    held: Held,
     last_event: Option<u64>,
     in_flight: Option<InFlight>,
 }
@@ -76,6 +80,8 @@
             sends,
             results,
             buffer: BytesMut::new(),
+            searched: 0,
+            held: node.memory.hold(),
             last_event: None,
             in_flight: None,
         }
@@ -88,6 +94,7 @@
                 // Put back: the body begins with them.
                 let rest = std::mem::replace(&mut self.buffer, BytesMut::from(&events[..]));
                 self.buffer.extend_from_slice(&rest);
+                self.searched = 0;
                 self.results = None;
                 true
             }
@@ -159,7 +166,7 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
-                        self.buffer.extend_from_slice(data);
+                        self.append(data)?;
                     }
                 }
                 Some(Err(_)) => return Err(Error::Broken),
@@ -170,21 +177,32 @@
     }
 
     fn take_events(&mut self) -> Option<Bytes> {
-        let end = self
-            .buffer
-            .windows(EVENT_END.len())
-            .rposition(|it| it == EVENT_END)?;
+        let from = self.searched.saturating_sub(EVENT_END.len() - 1);
+        let mut unsearched = self.buffer[from..].windows(EVENT_END.len());
+        let end = unsearched.rposition(|it| it == EVENT_END);
+        self.searched = self.buffer.len();
+        let end = from + end?;
+        self.searched -= end + EVENT_END.len();
         let events = self.buffer.split_to(end + EVENT_END.len()).freeze();
+        self.held.shrink(self.buffer.len());
         if let Some(id) = last_id(&events) {
             self.last_event = Some(id);
         }
         Some(events)
     }
 
+    fn append(&mut self, data: &[u8]) -> Result<(), Error> {
+        let size = self.buffer.len() + data.len();
+        self.held.resize(size).map_err(|_| Error::Broken)?;
+        self.buffer.extend_from_slice(data);
+        Ok(())
+    }
+
     async fn resume(&mut self) -> Result<Read, Error> {
         self.sending.broke();
         self.channel = None;
         self.buffer.clear();
+        self.searched = 0;
         suspicion::lost(&self.sending, Ending::Broken);
         if !forward::is_resumable(self.ask.route.kind) {
             return Err(Error::Broken);
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -3,8 +3,10 @@
 mod answers;
 mod bad_input;
 mod beliefs;
+mod buffer;
 mod connections;
 mod crashes;
+mod endless;
 mod fixture;
 mod lapse;
 mod peers;
