Hold the time of an answer against the usual one of its kind of request

Cause: the wait for a first byte was six times the average time of the upstream, over all kinds of requests. Four requests in five are questions, answered in 30 ms, so the wait was at its minimum of 250 ms, and a report takes 150 ms at the median and 1.1 s at most. The same average made engines that had read a long prompt count as slow or silent, so that prompts moved and were read again.

Change: `forwarding::pace` keeps the usual time of each route's requests, over all upstreams. A request waits for six times that, and for half of its goal in any case. An upstream is silent or slow by times relative to the usual ones of the kinds that it ran. The end of a stream logs its longest pause.

Tests: forwarding/tests/pace.rs plays the pattern, long prompts among short ones, and finds real silence within the goal; streams::a_long_prompt_is_no_silence sends a long prompt to an engine of the stand-in that reads it in 600 ms. The checks of limits.rs that set times of answers set the same relation as multiples.

--- a/crates/forwarding/src/choice.rs
+++ b/crates/forwarding/src/choice.rs
@@ -35,29 +35,25 @@
     pub slots: u32,
     /// Share of recent requests that failed.
     pub failure_rate: f64,
-    /// Average time to answer.
-    pub answer_time: Option<Duration>,
+    /// Average time to answer as a multiple of the usual one.
+    pub pace: Option<f64>,
 }
 
-/// Orders `candidates` that may be sent to, the best first; `prompt` identifies the shared part of a prompt. `spread` differs
-/// between requests and breaks ties.
+/// Orders `candidates` that may be sent to, the best first, for a request that is usually answered in
+/// `usual`; `prompt` identifies the shared part of its prompt. `spread` differs between requests and
+/// breaks ties.
 #[must_use]
 pub fn order<'a>(
     candidates: &[Candidate<'a>],
+    usual: Duration,
     prompt: Option<u64>,
     spread: u64,
 ) -> Vec<&'a id::Upstream> {
     let failure_rate = median(candidates.iter().map(|it| it.failure_rate));
-    let answer_time = median(
-        candidates
-            .iter()
-            .filter_map(|it| it.answer_time)
-            .map(|it| it.as_secs_f64()),
-    );
+    let pace = median(candidates.iter().filter_map(|it| it.pace));
     let is_avoided = |it: &Candidate<'_>| {
-        let time = it.answer_time.map_or(0.0, |it| it.as_secs_f64());
-        let is_slow =
-            time > answer_time * SLOWNESS && time > answer_time + SLOWNESS_MIN.as_secs_f64();
+        let excess = it.pace.map_or(0.0, |it| it - pace).max(0.0);
+        let is_slow = excess > pace * (SLOWNESS - 1.0) && usual.mul_f64(excess) > SLOWNESS_MIN;
         it.failure_rate > failure_rate + FAILURE_EXCESS || is_slow
     };
     let rank = |it: &&Candidate<'a>| {
--- a/crates/forwarding/src/health.rs
+++ b/crates/forwarding/src/health.rs
@@ -1,6 +1,7 @@
 //! What this instance has seen of one upstream: failures, silence and speed.
 //!
-//! Health calls may pass while requests fail, so only the outcome of requests counts.
+//! Health calls may pass while requests fail, so only the outcome of requests counts. Times are held
+//! against the usual ones of the same kind of request ([`crate::pace`]).
 
 use std::time::Duration;
 
@@ -14,13 +15,12 @@
 const SAMPLE_WEIGHT: f64 = 0.25;
 /// Half-life of the memory of failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(4);
-/// An answer time that is older than this says nothing of the speed of now. An upstream that is
+/// A pace that is older than this says nothing of the speed of now. An upstream that is
 /// avoided for it gets no requests that would correct it.
-const ANSWER_MEMORY: Duration = Duration::from_secs(3);
-/// An upstream with a request unanswered for this multiple of its usual time is taken for silent.
-const SILENCE_FACTOR: f64 = 5.0;
-/// Shortest time that counts as silence.
-const SILENCE_MIN: Duration = Duration::from_millis(600);
+const PACE_MEMORY: Duration = Duration::from_secs(3);
+
+/// Shorter times than this are not told apart.
+const USUAL_MIN: Duration = Duration::from_millis(1);
 
 /// What is known of one upstream.
 #[derive(Debug, Default)]
@@ -32,26 +32,44 @@
     held_off_until: Option<Instant>,
     failure_rate: f64,
     sampled: Option<Instant>,
-    answer_time: Option<f64>,
+    /// Times to the first byte as multiples of the usual ones, on average.
+    pace: Option<f64>,
     answered: Option<Instant>,
-    /// Sending times of requests without a first byte of an answer.
-    unanswered: Vec<(u64, Instant)>,
+    unanswered: Vec<Unanswered>,
+}
+
+/// A send without a first byte of an answer.
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    send: u64,
+    sent: Instant,
+    /// Usual time of its kind of request.
+    usual: Duration,
+    /// When it is taken for unanswered.
+    silent_from: Instant,
 }
 
 impl Health {
-    /// Notes a send.
-    pub fn sent(&mut self, send: u64, now: Instant) {
+    /// Notes a send of a kind of request that is usually answered in `usual`, and that is taken for
+    /// unanswered after `silence`.
+    pub fn sent(&mut self, send: u64, usual: Duration, silence: Duration, now: Instant) {
         self.in_flight += 1;
-        self.unanswered.push((send, now));
+        self.unanswered.push(Unanswered {
+            send,
+            sent: now,
+            usual,
+            silent_from: now + silence,
+        });
     }
 
     /// Notes the first byte of an answer.
     pub fn answered(&mut self, send: u64, is_failure: bool, now: Instant) {
-        if let Some(idx) = self.unanswered.iter().position(|it| it.0 == send) {
-            let (_, sent) = self.unanswered.swap_remove(idx);
-            let took = now.saturating_duration_since(sent).as_secs_f64();
-            let before = self.answer_time.unwrap_or(took);
-            self.answer_time = Some(before + SAMPLE_WEIGHT * (took - before));
+        if let Some(idx) = self.unanswered.iter().position(|it| it.send == send) {
+            let sent = self.unanswered.swap_remove(idx);
+            let took = now.saturating_duration_since(sent.sent);
+            let sample = took.as_secs_f64() / sent.usual.max(USUAL_MIN).as_secs_f64();
+            let before = self.pace.unwrap_or(sample);
+            self.pace = Some(before + SAMPLE_WEIGHT * (sample - before));
             self.answered = Some(now);
         }
         if !is_failure {
@@ -63,14 +81,14 @@
 
     /// Notes that a send broke, or got no answer in time.
     pub fn broke(&mut self, send: u64, now: Instant) {
-        self.unanswered.retain(|it| it.0 != send);
+        self.unanswered.retain(|it| it.send != send);
         self.sample(true, now);
     }
 
     /// Notes the end of a send, whatever came before.
     pub fn ended(&mut self, send: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.unanswered.retain(|it| it.0 != send);
+        self.unanswered.retain(|it| it.send != send);
     }
 
     /// Notes that no connection could be made, or that another upstream has the address.
@@ -114,25 +132,17 @@
         self.answered.is_some_and(|it| it > since)
     }
 
-    /// Average time to the first byte of an answer, once there was one.
-    #[must_use]
-    pub fn answer_time(&self) -> Option<Duration> {
-        self.answer_time.map(Duration::from_secs_f64)
-    }
-
-    /// [`Health::answer_time`], if it is recent enough to compare upstreams by.
+    /// Average time to the first byte of an answer as a multiple of the usual one, if an answer is
+    /// recent enough to compare upstreams by.
     #[must_use]
-    pub fn recent_answer_time(&self, now: Instant) -> Option<Duration> {
+    pub fn pace(&self, now: Instant) -> Option<f64> {
         let answered = self.answered?;
-        let is_recent = now.saturating_duration_since(answered) < ANSWER_MEMORY;
-        self.answer_time().filter(|_| is_recent)
+        let is_recent = now.saturating_duration_since(answered) < PACE_MEMORY;
+        self.pace.filter(|_| is_recent)
     }
 
     fn is_silent(&self, now: Instant) -> bool {
-        let usual = self.answer_time.unwrap_or_default() * SILENCE_FACTOR;
-        let limit = Duration::from_secs_f64(usual).max(SILENCE_MIN);
-        let oldest = self.unanswered.iter().map(|it| it.1).min();
-        oldest.is_some_and(|it| now.saturating_duration_since(it) > limit)
+        self.unanswered.iter().any(|it| now > it.silent_from)
     }
 
     fn sample(&mut self, is_failure: bool, now: Instant) {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod health;
 pub mod life;
+pub mod pace;
 pub mod poison;
 pub mod retry;
 pub mod stop;
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -16,6 +16,9 @@
 use proptest::proptest;
 use tokio::time::Instant;
 
+/// Usual time to an answer.
+const USUAL: Duration = Duration::from_millis(20);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -134,7 +137,7 @@
 fn an_upstream_that_keeps_silent_is_paused() {
     let mut health = Health::default();
     let now = Instant::now();
-    health.sent(1, now);
+    health.sent(1, USUAL, ms(600), now);
     assert!(!health.is_paused(now + ms(500)));
     assert!(health.is_paused(now + ms(700)));
     health.answered(1, false, now + ms(800));
@@ -161,21 +164,21 @@
         in_flight: 0,
         slots: 4,
         failure_rate: 0.0,
-        answer_time: Some(ms(20)),
+        pace: Some(1.0),
     }
 }
 
 fn check_first(change: impl Fn(&mut Candidate<'_>)) {
     let names = ["a", "b", "c"].map(upstream);
     let usual: Vec<Candidate<'_>> = names.iter().map(candidate).collect();
-    let first = choice::order(&usual, Some(1), 0)[0].clone();
+    let first = choice::order(&usual, USUAL, Some(1), 0)[0].clone();
     let mut changed = usual;
     for it in &mut changed {
         if *it.name == first {
             change(it);
         }
     }
-    assert_ne!(choice::order(&changed, Some(1), 0)[0], &first);
+    assert_ne!(choice::order(&changed, USUAL, Some(1), 0)[0], &first);
 }
 
 macro_rules! passed_over {
@@ -194,7 +197,7 @@
     a_full_engine_is_passed_over: |it| it.in_flight = 2;
     an_upstream_over_its_cold_limit_is_passed_over: |it| it.is_open = false;
     an_upstream_that_fails_more_than_others_is_passed_over: |it| it.failure_rate = 0.5;
-    an_upstream_slower_than_others_is_passed_over: |it| it.answer_time = Some(ms(300));
+    an_upstream_slower_than_others_is_passed_over: |it| it.pace = Some(15.0);
     an_upstream_elsewhere_is_passed_over: |it| it.is_near = false;
 }
 
@@ -204,19 +207,19 @@
 fn an_old_answer_time_does_not_count() {
     let now = Instant::now();
     let mut health = Health::default();
-    health.sent(1, now);
+    health.sent(1, ms(70), ms(2_000), now);
     health.answered(1, false, now + ms(700));
-    assert_eq!(health.recent_answer_time(now + ms(800)), Some(ms(700)));
-    assert_eq!(health.recent_answer_time(now + ms(3_700)), None);
-    assert_eq!(health.answer_time(), Some(ms(700)));
+    let pace = health.pace(now + ms(800)).expect("a recent answer");
+    assert!((pace - 10.0).abs() < 1e-9, "{pace}");
+    assert_eq!(health.pace(now + ms(3_700)), None);
 }
 
 #[test]
 fn requests_with_one_prompt_go_to_one_engine() {
     let names = ["a", "b", "c", "d"].map(upstream);
     let candidates: Vec<Candidate<'_>> = names.iter().map(candidate).collect();
-    let first = choice::order(&candidates, Some(7), 1)[0];
-    let again = choice::order(&candidates, Some(7), 2)[0];
+    let first = choice::order(&candidates, USUAL, Some(7), 1)[0];
+    let again = choice::order(&candidates, USUAL, Some(7), 2)[0];
     assert_eq!(first, again);
 }
 
@@ -224,9 +227,9 @@
 fn a_failure_rate_that_all_share_excludes_nobody() {
     let names = ["a", "b"].map(upstream);
     let mut candidates: Vec<Candidate<'_>> = names.iter().map(candidate).collect();
-    let first = choice::order(&candidates, Some(3), 0)[0].clone();
+    let first = choice::order(&candidates, USUAL, Some(3), 0)[0].clone();
     candidates.iter_mut().for_each(|it| it.failure_rate = 0.4);
-    assert_eq!(choice::order(&candidates, Some(3), 0)[0], &first);
+    assert_eq!(choice::order(&candidates, USUAL, Some(3), 0)[0], &first);
 }
 
 #[test]
--- /dev/null
+++ b/crates/forwarding/tests/pace.rs
@@ -0,0 +1,161 @@
+//! What is taken for slow or silent where requests of different kinds share upstreams.
+
+use std::time::Duration;
+
+use base::id;
+use forwarding::choice;
+use forwarding::choice::Candidate;
+use forwarding::health::Health;
+use forwarding::pace::Pace;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+/// Goal of questions, whose prompts of 800 tokens are answered in about 30 ms.
+const QUESTION_GOAL: Duration = Duration::from_millis(2_500);
+/// Goal of reports, whose prompts of 12,000 tokens are answered in 50 ms to 1.1 s.
+const REPORT_GOAL: Duration = Duration::from_millis(1_700);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Time to a first event as a calm day of flue-hearth has it.
+fn draw(random: &mut SmallRng, is_report: bool) -> Duration {
+    let draw: f64 = random.random();
+    // Most are short and a few are several times as long.
+    let spread = 0.4 + 0.6 / (1.0 - draw * 0.9);
+    let base = if is_report { 150.0 } else { 27.0 };
+    ms((base * spread) as u64)
+}
+
+struct Traffic {
+    pace: Pace,
+    random: SmallRng,
+    /// Requests that were taken for unanswered though their answer came.
+    cut: usize,
+}
+
+impl Traffic {
+    fn new(seed: u64) -> Traffic {
+        Traffic {
+            pace: Pace::default(),
+            random: SmallRng::seed_from_u64(seed),
+            cut: 0,
+        }
+    }
+
+    fn send(&mut self, health: &mut Health, send: u64, now: Instant) -> Instant {
+        let is_report = send.is_multiple_of(5);
+        let (route, goal) = match is_report {
+            true => ("report", REPORT_GOAL),
+            false => ("question", QUESTION_GOAL),
+        };
+        let took = draw(&mut self.random, is_report);
+        let silence = self.pace.silence(route, goal);
+        let usual = self.pace.usual(route).unwrap_or(goal / 2);
+        health.sent(send, usual, silence, now);
+        self.cut += usize::from(took > silence);
+        let answered = now + took;
+        assert!(!health.is_paused(answered) || took > silence);
+        health.answered(send, false, answered);
+        health.ended(send);
+        self.pace.answered(route, took);
+        answered
+    }
+}
+
+/// Guards against an engine whose average of all kinds makes each long prompt a silence. The pattern:
+/// four short prompts for each long one, for an hour of an instance's share.
+#[test]
+fn long_prompts_among_short_ones_are_not_cut() {
+    let mut traffic = Traffic::new(17);
+    let mut health = Health::default();
+    let mut now = Instant::now();
+    for send in 0..10_000 {
+        now = traffic.send(&mut health, send, now);
+    }
+    assert_eq!(traffic.cut, 0);
+}
+
+/// Guards against an engine that is avoided, and its prompts read again elsewhere, because it happens
+/// to have read the long ones.
+#[test]
+fn an_engine_with_the_long_prompts_is_not_avoided() {
+    let mut pace = Pace::default();
+    let mut now = Instant::now();
+    let names = ["a", "b", "c"].map(|it| it.parse::<id::Upstream>().expect("a name"));
+    let mut healths = [Health::default(), Health::default(), Health::default()];
+    for send in 0..60 {
+        let idx = (send % 3) as usize;
+        let (route, took) = if idx == 0 {
+            ("report", ms(200))
+        } else {
+            ("question", ms(30))
+        };
+        let usual = pace.usual(route).unwrap_or(took);
+        healths[idx].sent(send, usual, ms(2_000), now);
+        healths[idx].answered(send, false, now + took);
+        pace.answered(route, took);
+        now += took;
+    }
+    let candidates: Vec<Candidate<'_>> = names
+        .iter()
+        .zip(&healths)
+        .map(|(name, it)| Candidate {
+            name,
+            is_near: true,
+            is_paused: it.is_paused(now),
+            is_open: true,
+            in_flight: 0,
+            slots: 64,
+            failure_rate: it.failure_rate(now),
+            pace: it.pace(now),
+        })
+        .collect();
+    for prompt in 0..64 {
+        let sound = choice::order(&candidates[..], ms(200), Some(prompt), 0);
+        let fresh: Vec<Candidate<'_>> = candidates
+            .iter()
+            .map(|it| Candidate {
+                pace: None,
+                ..it.clone()
+            })
+            .collect();
+        assert_eq!(sound, choice::order(&fresh, ms(200), Some(prompt), 0));
+    }
+}
+
+/// Guards against a silence that stays unnoticed: an engine that has fallen silent is found within
+/// its users' goals, as soon as kinds of requests have usual times.
+#[test]
+fn a_silent_engine_is_found_within_the_goal() {
+    let mut traffic = Traffic::new(18);
+    let mut health = Health::default();
+    let mut now = Instant::now();
+    for send in 0..500 {
+        now = traffic.send(&mut health, send, now);
+    }
+    for (route, goal) in [("report", REPORT_GOAL), ("question", QUESTION_GOAL)] {
+        let silence = traffic.pace.silence(route, goal);
+        assert!(silence <= goal, "{route}: {silence:?}");
+        let mut health = Health::default();
+        health.sent(1, ms(30), silence, now);
+        assert!(health.is_paused(now + goal + ms(1)));
+    }
+}
+
+/// Guards against one slow upstream whose times become the usual ones.
+#[test]
+fn a_few_slow_answers_do_not_become_usual() {
+    let mut pace = Pace::default();
+    for _ in 0..50 {
+        pace.answered("question", ms(30));
+    }
+    for _ in 0..3 {
+        pace.answered("question", ms(5_000));
+    }
+    let usual = pace.usual("question").expect("a time");
+    assert!(usual < ms(100), "{usual:?}");
+}
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -51,10 +51,6 @@
 const ACQUITTAL_RETRY: Duration = Duration::from_secs(1);
 /// Another instance takes the request at once.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
-/// Shortest time before a repeatable request without an answer is sent elsewhere.
-const SILENCE_MIN: Duration = Duration::from_millis(250);
-/// A repeatable request is sent elsewhere after this multiple of the usual time to answer.
-const SILENCE_FACTOR: f64 = 6.0;
 
 /// The answer to a client.
 pub struct Reply {
@@ -285,9 +281,8 @@
     if left <= ANSWER_MARGIN {
         return Err(pending.end(Cause::Deadline, ask.retry_after(RETRY_AFTER)));
     }
-    let usual = node.limits().health(&upstream.name).answer_time();
     let may_repeat = ask.is_repeatable() && pending.sends() + 1 < ask.route.attempts;
-    let patience = patience(ask, usual, left, may_repeat);
+    let patience = patience(node, ask, left, may_repeat);
     let (request, sending) = outgoing(node, ask, &upstream, &handles, None);
     let life = pending.send();
     slog::info!(node.logger(), "sent"; "request" => &ask.request,
@@ -369,13 +364,12 @@
 }
 
 /// Time to wait for the head of an answer.
-fn patience(ask: &Ask, usual: Option<Duration>, left: Duration, may_repeat: bool) -> Duration {
+fn patience(node: &Node, ask: &Ask, left: Duration, may_repeat: bool) -> Duration {
     let until_deadline = left.saturating_sub(ANSWER_MARGIN);
     if !may_repeat {
         return until_deadline;
     }
-    let usual = usual.unwrap_or(ask.route.goal / 2).mul_f64(SILENCE_FACTOR);
-    until_deadline.min(usual.max(SILENCE_MIN))
+    until_deadline.min(node.limits().silence(&ask.route))
 }
 
 fn lost(node: &Arc<Node>, ask: &Ask, sending: &Sending, life: Life<Sent>, cause: Cause) -> Attempt {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Route;
 use catalog::Upstream;
 use catalog::View;
 use forwarding::choice::Candidate;
 use forwarding::cold;
 use forwarding::cold::Gate;
 use forwarding::health::Health;
+use forwarding::pace::Pace;
 use forwarding::poison::Quarantine;
 use forwarding::retry;
 use forwarding::retry::Budget;
@@ -25,6 +27,19 @@
 /// One upstream is asked for a connection at most this often, however many requests it lost.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The first byte of an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    /// Number of the send.
+    pub send: u64,
+    /// Time since the send.
+    pub took: Duration,
+    /// Whether the answer tells of a failure.
+    pub is_failure: bool,
+    /// When it came.
+    pub now: Instant,
+}
+
 /// Limits and evidence.
 #[derive(Debug)]
 pub struct Limits {
@@ -35,6 +50,7 @@
     /// Upstreams that this instance may send to without their owner.
     fallbacks: BTreeSet<id::Upstream>,
     health: BTreeMap<id::Upstream, Health>,
+    pace: Pace,
     /// Requests that crashed upstreams.
     pub quarantine: Quarantine,
     /// When upstreams were last asked for a connection after a loss.
@@ -53,6 +69,7 @@
             gates: BTreeMap::new(),
             fallbacks: BTreeSet::new(),
             health: BTreeMap::new(),
+            pace: Pace::default(),
             quarantine: Quarantine::default(),
             probes: BTreeMap::new(),
             sends: 0,
@@ -93,14 +110,42 @@
     }
 
     /// Notes that a request is about to be sent; returns the number of the send.
-    pub fn sent(&mut self, upstream: &id::Upstream, now: Instant) -> u64 {
+    pub fn sent(&mut self, upstream: &id::Upstream, route: &Route, now: Instant) -> u64 {
         self.sends += 1;
         let send = self.sends;
         self.gates.entry(upstream.clone()).or_default().sent(now);
-        self.health(upstream).sent(send, now);
+        let (usual, silence) = (self.usual(route), self.silence(route));
+        self.health(upstream).sent(send, usual, silence, now);
         send
     }
 
+    /// Notes the first byte of an answer of an upstream to a request of a route.
+    pub fn answered(&mut self, upstream: &id::Upstream, route: &Route, answer: Answered) {
+        let Answered {
+            send,
+            took,
+            is_failure,
+            now,
+        } = answer;
+        if !is_failure {
+            self.pace.answered(&route.name, took);
+        }
+        self.health(upstream).answered(send, is_failure, now);
+    }
+
+    /// Usual time to the first byte of an answer to a request of a route.
+    #[must_use]
+    pub fn usual(&self, route: &Route) -> Duration {
+        let usual = self.pace.usual(&route.name);
+        usual.unwrap_or(route.goal / 2)
+    }
+
+    /// Time after which a request of a route is taken for unanswered.
+    #[must_use]
+    pub fn silence(&self, route: &Route) -> Duration {
+        self.pace.silence(&route.name, route.goal)
+    }
+
     /// Whether this instance may send a request to an upstream now by its own share of the cold
     /// limit.
     #[must_use]
@@ -142,7 +187,7 @@
             in_flight: health.in_flight,
             slots: upstream.slots,
             failure_rate: health.failure_rate(now),
-            answer_time: health.recent_answer_time(now),
+            pace: health.pace(now),
         }
     }
 
@@ -150,6 +195,10 @@
     /// to without their owner.
     pub fn retain(&mut self, view: &View) {
         self.fallbacks = self.find_fallbacks(view);
+        if let Some(catalog) = &view.catalog {
+            self.pace
+                .retain(|name| catalog.routes().any(|it| it.name == name));
+        }
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.gates.retain(|name, _| is_known(name));
         self.probes.retain(|it, _| view.is_registered(it));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,6 +12,7 @@
 use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::ask::Ask;
 use crate::buffer::Held;
@@ -52,6 +53,9 @@
     searched: usize,
     held: Held,
     last_event: Option<u64>,
+    /// When events last arrived, and the longest pause between them.
+    arrived: Option<Instant>,
+    longest_pause: Duration,
     in_flight: Option<InFlight>,
 }
 
@@ -83,6 +87,8 @@
             searched: 0,
             held: node.memory.hold(),
             last_event: None,
+            arrived: None,
+            longest_pause: Duration::ZERO,
             in_flight: None,
         }
     }
@@ -188,6 +194,10 @@
         if let Some(id) = last_id(&events) {
             self.last_event = Some(id);
         }
+        let now = Instant::now();
+        let pause = self.arrived.map(|it| now.saturating_duration_since(it));
+        self.longest_pause = self.longest_pause.max(pause.unwrap_or_default());
+        self.arrived = Some(now);
         Some(events)
     }
 
@@ -240,10 +250,11 @@
         let took = self.ask.received.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.ask.request,
             "upstream" => self.sending.upstream.name.as_str(), "last_event" => self.last_event,
-            "took_ms" => took.as_millis() as u64);
-        self.node
-            .telemetry
-            .time_ms("streams.time", took.as_millis() as u64);
+            "took_ms" => took.as_millis() as u64,
+            "longest_pause_ms" => self.longest_pause.as_millis() as u64);
+        let telemetry = &self.node.telemetry;
+        telemetry.time_ms("streams.time", took.as_millis() as u64);
+        telemetry.time_ms("streams.pause", self.longest_pause.as_millis() as u64);
         if let Some(channel) = self.channel.take() {
             // An upstream that closes the connection is noticed when it is used again.
             channel.keep(Some(Duration::from_secs(1))).await;
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::ask::Ask;
+use crate::limits::Answered;
 use crate::state::Node;
 use crate::suspicion;
 use crate::suspicion::Ending;
@@ -27,13 +28,14 @@
     pub(crate) send: u64,
     /// When it began.
     pub(crate) sent: Instant,
+    ask: Arc<Ask>,
 }
 
 impl Sending {
-    fn begin(node: &Arc<Node>, ask: &Ask, upstream: &Arc<Upstream>) -> Sending {
+    fn begin(node: &Arc<Node>, ask: &Arc<Ask>, upstream: &Arc<Upstream>) -> Sending {
         let sent = Instant::now();
         let mut limits = node.limits();
-        let send = limits.sent(&upstream.name, sent);
+        let send = limits.sent(&upstream.name, &ask.route, sent);
         limits
             .quarantine
             .begin(send, ask.fingerprint, upstream.incarnation(), sent);
@@ -43,14 +45,21 @@
             upstream: upstream.clone(),
             send,
             sent,
+            ask: ask.clone(),
         }
     }
 
     /// Notes the first byte of an answer.
     pub(crate) fn answered(&self, is_failure: bool) {
+        let now = Instant::now();
+        let answer = Answered {
+            send: self.send,
+            took: now.saturating_duration_since(self.sent),
+            is_failure,
+            now,
+        };
         let mut limits = self.node.limits();
-        let health = limits.health(&self.upstream.name);
-        health.answered(self.send, is_failure, Instant::now());
+        limits.answered(&self.upstream.name, &self.ask.route, answer);
     }
 
     /// Notes that the upstream wants nothing for a time.
@@ -92,7 +101,7 @@
 /// The request as an upstream gets it, and the evidence about its send.
 pub(crate) fn outgoing(
     node: &Arc<Node>,
-    ask: &Ask,
+    ask: &Arc<Ask>,
     upstream: &Arc<Upstream>,
     handles: &[Handle],
     last_event: Option<u64>,
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -264,7 +264,7 @@
         })
         .collect();
     let spread = hash::of_strs([ask.request.as_str()]);
-    let order = choice::order(&candidates, prompt, spread);
+    let order = choice::order(&candidates, limits.usual(&ask.route), prompt, spread);
     Ok(order.into_iter().cloned().collect())
 }
 
--- a/crates/node/tests/it/streams.rs
+++ b/crates/node/tests/it/streams.rs
@@ -107,3 +107,21 @@
         assert!(answer.is_whole);
     }
 }
+
+/// Guards against long prompts that are taken for a silence of their engine, whose other requests are
+/// answered at once: they were cut, read again elsewhere, and came late (flue-hearth, `quiet-1`).
+#[tokio::test]
+async fn a_long_prompt_is_no_silence() {
+    let fixture = Fixture::start(1).await;
+    let short = ["x-prompt-prefix: a:3,b:2,c:1", "x-token-count: 6,6"];
+    for request in 0..12 {
+        let id = format!("s{request}");
+        let answer = fixture.ask("POST /summary/1", &id, &short).await;
+        assert!(answer.is_whole);
+    }
+    // Read in 600 ms.
+    let long = ["x-prompt-prefix: a:3,b:2,d:11995", "x-token-count: 12000,6"];
+    let answer = fixture.ask("POST /report/1", "l", &long).await;
+    assert!(answer.is_whole, "{}", answer.head);
+    assert_eq!(fixture.runs("l").len(), 1);
+}
