Hold times to first events against the size of the prompt

Cause: sizes within one kind of request have a long tail (a tenth of the reports have over 14,000 tokens, the largest 54,600), so that one long prompt made its engine count as slow, at the instance and more so at the owner, whose board held all kinds against one average and each waiting request at 60 ms.

Change: usual times are kept for each token of a prompt, by route. The asker tells the owner the usual time of its request; the board keeps an engine's pace as a multiple of that, counts what waits there by its usual time, and takes for an excess only what goes beyond it.

Test: the board keeps a prompt at an engine that has just read five long ones in their usual time, which the old board left at the fourth.

--- a/crates/forwarding/src/pace.rs
+++ b/crates/forwarding/src/pace.rs
@@ -1,8 +1,8 @@
-//! Usual times to the first byte of an answer, by kind of request.
+//! Usual times to the first byte of an answer, by kind of request and size of its prompt.
 //!
 //! An engine answers a short prompt in some tens of milliseconds and reads a long one for a second.
-//! Whether it is slow or silent shows only against the usual time of the same kind of request; an
-//! average over all kinds takes every long prompt for a silence.
+//! Whether it is slow or silent shows only against the usual time of such a request; an average over
+//! all of them takes every long prompt for a silence.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -19,17 +19,36 @@
 /// Shortest time that is taken for silence.
 const SILENCE_MIN: Duration = Duration::from_millis(250);
 
+/// Tokens of a prompt whose reading takes as long as everything else before the first byte.
+const BASE_TOKENS: u64 = 500;
+
+/// Size of a request: what the time to its first byte grows with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size(u64);
+
 /// Usual times of the kinds of requests that an instance has sent.
 #[derive(Debug, Default)]
 pub struct Pace {
-    /// Seconds, by route.
+    /// Seconds for each token, by route.
     usual: BTreeMap<String, f64>,
 }
 
+impl Size {
+    /// A request with a prompt of this many tokens; none for requests without a prompt.
+    #[must_use]
+    pub const fn of_prompt(tokens: u64) -> Size {
+        Size(tokens)
+    }
+
+    fn tokens(self) -> f64 {
+        (self.0 + BASE_TOKENS) as f64
+    }
+}
+
 impl Pace {
     /// Notes the time to the first byte of a sound answer on a route.
-    pub fn answered(&mut self, route: &str, took: Duration) {
-        let took = took.as_secs_f64();
+    pub fn answered(&mut self, route: &str, size: Size, took: Duration) {
+        let took = took.as_secs_f64() / size.tokens();
         match self.usual.get_mut(route) {
             Some(usual) => {
                 let sample = took.min(*usual * SAMPLE_MAX);
@@ -41,18 +60,19 @@
         }
     }
 
-    /// Usual time of a route's requests, once one was answered.
+    /// Usual time of a route's requests of a size, once one was answered.
     #[must_use]
-    pub fn usual(&self, route: &str) -> Option<Duration> {
-        self.usual.get(route).copied().map(Duration::from_secs_f64)
+    pub fn usual(&self, route: &str, size: Size) -> Option<Duration> {
+        let usual = self.usual.get(route)?;
+        Some(Duration::from_secs_f64(usual * size.tokens()))
     }
 
     /// Time without a byte of an answer after which a request of a route is taken for unanswered;
     /// `goal` is the time within which its answer is of full use.
     #[must_use]
-    pub fn silence(&self, route: &str, goal: Duration) -> Duration {
+    pub fn silence(&self, route: &str, size: Size, goal: Duration) -> Duration {
         let part = goal.mul_f64(GOAL_PART);
-        let usual = self.usual(route).unwrap_or(part);
+        let usual = self.usual(route, size).unwrap_or(part);
         usual.mul_f64(SILENCE_FACTOR).max(part).max(SILENCE_MIN)
     }
 
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -19,6 +19,9 @@
 /// Usual time to an answer.
 const USUAL: Duration = Duration::from_millis(20);
 
+/// Usual time to a first event.
+const FIRST_EVENT: Duration = Duration::from_millis(150);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -237,10 +240,12 @@
     let engines = ["home", "other"].map(upstream);
     let mut board = Board::default();
     let now = Instant::now();
-    let first = board.place(&engines, |_| None, now).expect("an engine");
+    let first = board
+        .place(&engines, FIRST_EVENT, |_| None, now)
+        .expect("an engine");
     assert_eq!(first.engine, engines[0]);
     let second = board
-        .place(&engines, |_| None, now + ms(600))
+        .place(&engines, FIRST_EVENT, |_| None, now + ms(600))
         .expect("an engine");
     assert_eq!(second.engine, engines[1]);
     board.finish(&first, now + ms(700));
@@ -251,18 +256,38 @@
     let engines = ["home", "other"].map(upstream);
     let mut board = Board::default();
     let now = Instant::now();
-    let ticket = board.place(&engines, |_| None, now).expect("an engine");
+    let ticket = board
+        .place(&engines, FIRST_EVENT, |_| None, now)
+        .expect("an engine");
     board.finish(&ticket, now + ms(2_000));
     let soon = board
-        .place(&engines, |_| None, now + ms(2_000))
+        .place(&engines, FIRST_EVENT, |_| None, now + ms(2_000))
         .expect("an engine");
     assert_eq!(soon.engine, engines[1]);
     let later = board
-        .place(&engines, |_| None, now + ms(12_000))
+        .place(&engines, FIRST_EVENT, |_| None, now + ms(12_000))
         .expect("an engine");
     assert_eq!(later.engine, engines[0]);
 }
 
+/// Guards against prompts that move because their engine has read long ones in the time that such
+/// prompts take: each move reads thousands of tokens again (flue-hearth, `quiet-1`).
+#[test]
+fn the_owner_keeps_prompts_at_an_engine_that_reads_long_ones() {
+    let engines = ["home", "other"].map(upstream);
+    let mut board = Board::default();
+    let mut now = Instant::now();
+    for _ in 0..5 {
+        let long = board.place(&engines, ms(1_100), |_| None, now);
+        let long = long.expect("an engine");
+        assert_eq!(long.engine, engines[0]);
+        now += ms(1_100);
+        board.finish(&long, now);
+    }
+    let next = board.place(&engines, ms(30), |_| None, now);
+    assert_eq!(next.expect("an engine").engine, engines[0]);
+}
+
 /// A request taken 6 s after a SIGTERM was cut when the process had to exit (hunt 56a4 of
 /// ccfao-fees, seed 817977185716).
 #[test]
--- a/crates/forwarding/tests/pace.rs
+++ b/crates/forwarding/tests/pace.rs
@@ -7,6 +7,7 @@
 use forwarding::choice::Candidate;
 use forwarding::health::Health;
 use forwarding::pace::Pace;
+use forwarding::pace::Size;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -17,17 +18,21 @@
 /// Goal of reports, whose prompts of 12,000 tokens are answered in 50 ms to 1.1 s.
 const REPORT_GOAL: Duration = Duration::from_millis(1_700);
 
+/// A prompt of ordinary size.
+const SIZE: Size = Size::of_prompt(700);
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-/// Time to a first event as a calm day of flue-hearth has it.
-fn draw(random: &mut SmallRng, is_report: bool) -> Duration {
-    let draw: f64 = random.random();
-    // Most are short and a few are several times as long.
-    let spread = 0.4 + 0.6 / (1.0 - draw * 0.9);
-    let base = if is_report { 150.0 } else { 27.0 };
-    ms((base * spread) as u64)
+/// Size of a prompt and time to its first event, as a calm day of flue-hearth has them: sizes have a
+/// long tail, and the time follows the size with a factor of two either way.
+fn draw(random: &mut SmallRng, is_report: bool) -> (Size, Duration) {
+    let tail = 0.4 + 0.6 / (1.0 - random.random::<f64>() * 0.9);
+    let tokens = tail * if is_report { 9_000.0 } else { 700.0 };
+    let factor = 2.0_f64.powf(random.random_range(-1.0..1.0));
+    let took = (20.0 + tokens / 50.0) * factor;
+    (Size::of_prompt(tokens as u64), ms(took as u64))
 }
 
 struct Traffic {
@@ -52,16 +57,16 @@
             true => ("report", REPORT_GOAL),
             false => ("question", QUESTION_GOAL),
         };
-        let took = draw(&mut self.random, is_report);
-        let silence = self.pace.silence(route, goal);
-        let usual = self.pace.usual(route).unwrap_or(goal / 2);
+        let (size, took) = draw(&mut self.random, is_report);
+        let silence = self.pace.silence(route, size, goal);
+        let usual = self.pace.usual(route, size).unwrap_or(goal / 2);
         health.sent(send, usual, silence, now);
         self.cut += usize::from(took > silence);
         let answered = now + took;
         assert!(!health.is_paused(answered) || took > silence);
         health.answered(send, false, answered);
         health.ended(send);
-        self.pace.answered(route, took);
+        self.pace.answered(route, size, took);
         answered
     }
 }
@@ -94,10 +99,10 @@
         } else {
             ("question", ms(30))
         };
-        let usual = pace.usual(route).unwrap_or(took);
+        let usual = pace.usual(route, SIZE).unwrap_or(took);
         healths[idx].sent(send, usual, ms(2_000), now);
         healths[idx].answered(send, false, now + took);
-        pace.answered(route, took);
+        pace.answered(route, SIZE, took);
         now += took;
     }
     let candidates: Vec<Candidate<'_>> = names
@@ -138,7 +143,7 @@
         now = traffic.send(&mut health, send, now);
     }
     for (route, goal) in [("report", REPORT_GOAL), ("question", QUESTION_GOAL)] {
-        let silence = traffic.pace.silence(route, goal);
+        let silence = traffic.pace.silence(route, SIZE, goal);
         assert!(silence <= goal, "{route}: {silence:?}");
         let mut health = Health::default();
         health.sent(1, ms(30), silence, now);
@@ -151,11 +156,25 @@
 fn a_few_slow_answers_do_not_become_usual() {
     let mut pace = Pace::default();
     for _ in 0..50 {
-        pace.answered("question", ms(30));
+        pace.answered("question", SIZE, ms(30));
     }
     for _ in 0..3 {
-        pace.answered("question", ms(5_000));
+        pace.answered("question", SIZE, ms(5_000));
     }
-    let usual = pace.usual("question").expect("a time");
+    let usual = pace.usual("question", SIZE).expect("a time");
     assert!(usual < ms(100), "{usual:?}");
 }
+
+/// Guards against the longest prompts of a kind, which are taken for a silence though they take no
+/// longer for each token than the others.
+#[test]
+fn silence_grows_with_the_prompt() {
+    let mut pace = Pace::default();
+    for _ in 0..50 {
+        pace.answered("report", Size::of_prompt(9_000), ms(150));
+    }
+    // 54,000 tokens, read at the same rate.
+    let long = Size::of_prompt(54_000);
+    assert!(pace.silence("report", long, REPORT_GOAL) > ms(2 * 860));
+    assert_eq!(pace.silence("report", SIZE, REPORT_GOAL), REPORT_GOAL / 2);
+}
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use catalog::Route;
 use catalog::Workspace;
+use forwarding::pace::Size;
 use forwarding::stop::Stop;
 use http::HeaderMap;
 use http::Method;
@@ -109,6 +110,12 @@
         Some(hash::of_strs(ids))
     }
 
+    /// What the time to its first byte grows with.
+    #[must_use]
+    pub fn size(&self) -> Size {
+        Size::of_prompt(self.head.prompt.iter().map(|it| it.tokens).sum())
+    }
+
     /// Whether the engine that keeps the shared part of the prompt is worth going to in any zone.
     #[must_use]
     pub fn has_home(&self) -> bool {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -369,7 +369,7 @@
     if !may_repeat {
         return until_deadline;
     }
-    until_deadline.min(node.limits().silence(&ask.route))
+    until_deadline.min(node.limits().silence(ask))
 }
 
 fn lost(node: &Arc<Node>, ask: &Ask, sending: &Sending, life: Life<Sent>, cause: Cause) -> Attempt {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use base::id;
-use catalog::Route;
 use catalog::Upstream;
 use catalog::View;
 use forwarding::choice::Candidate;
@@ -20,6 +19,8 @@
 use platform::settings::Bounds;
 use tokio::time::Instant;
 
+use crate::ask::Ask;
+
 /// Connections to one upstream that any instance may have: two requests at once are common, while all
 /// of many instances never have two at the same moment.
 const CONNECTIONS_MIN: usize = 2;
@@ -110,17 +111,18 @@
     }
 
     /// Notes that a request is about to be sent; returns the number of the send.
-    pub fn sent(&mut self, upstream: &id::Upstream, route: &Route, now: Instant) -> u64 {
+    pub fn sent(&mut self, upstream: &id::Upstream, ask: &Ask, now: Instant) -> u64 {
         self.sends += 1;
         let send = self.sends;
         self.gates.entry(upstream.clone()).or_default().sent(now);
-        let (usual, silence) = (self.usual(route), self.silence(route));
+        let usual = self.usual(ask).unwrap_or(ask.route.goal / 2);
+        let silence = self.silence(ask);
         self.health(upstream).sent(send, usual, silence, now);
         send
     }
 
-    /// Notes the first byte of an answer of an upstream to a request of a route.
-    pub fn answered(&mut self, upstream: &id::Upstream, route: &Route, answer: Answered) {
+    /// Notes the first byte of an answer of an upstream to a request.
+    pub fn answered(&mut self, upstream: &id::Upstream, ask: &Ask, answer: Answered) {
         let Answered {
             send,
             took,
@@ -128,22 +130,22 @@
             now,
         } = answer;
         if !is_failure {
-            self.pace.answered(&route.name, took);
+            self.pace.answered(&ask.route.name, ask.size(), took);
         }
         self.health(upstream).answered(send, is_failure, now);
     }
 
-    /// Usual time to the first byte of an answer to a request of a route.
+    /// Usual time to the first byte of an answer to such a request, once one was answered.
     #[must_use]
-    pub fn usual(&self, route: &Route) -> Duration {
-        let usual = self.pace.usual(&route.name);
-        usual.unwrap_or(route.goal / 2)
+    pub fn usual(&self, ask: &Ask) -> Option<Duration> {
+        self.pace.usual(&ask.route.name, ask.size())
     }
 
-    /// Time after which a request of a route is taken for unanswered.
+    /// Time after which such a request is taken for unanswered.
     #[must_use]
-    pub fn silence(&self, route: &Route) -> Duration {
-        self.pace.silence(&route.name, route.goal)
+    pub fn silence(&self, ask: &Ask) -> Duration {
+        let route = &ask.route;
+        self.pace.silence(&route.name, ask.size(), route.goal)
     }
 
     /// Whether this instance may send a request to an upstream now by its own share of the cold
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -190,12 +190,12 @@
         self.shared.changed.notify_one();
     }
 
-    /// Places a request at the best of `engines`.
+    /// Places a request whose first event usually comes after `usual` at the best of `engines`.
     #[must_use]
-    pub fn place(&self, engines: &[id::Upstream]) -> Option<Placement> {
+    pub fn place(&self, engines: &[id::Upstream], usual: Duration) -> Option<Placement> {
         let state = &mut *self.lock();
         let share = |it: &id::Upstream| state.cold.get(it).copied();
-        let ticket = state.board.place(engines, share, Instant::now())?;
+        let ticket = state.board.place(engines, usual, share, Instant::now())?;
         Some(Placement {
             owner: self.clone(),
             ticket,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -216,8 +216,9 @@
         };
         lease = Some(submitted);
     }
+    let usual = engines.usual;
     let engines = engines.of_shard(&shard, prepared.zone.as_ref());
-    let placement = node.owner.place(&engines);
+    let placement = node.owner.place(&engines, usual);
     let progress = Progress::Prepared {
         handles: prepared.handles,
         zone: prepared.zone,
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -127,11 +127,10 @@
         prepared = submitted.prepared().await?;
         lease = Some(submitted);
     }
-    let engines = wanted
-        .prepare
-        .engines
-        .of_shard(&shard, prepared.zone.as_ref());
-    let placement = node.owner.place(&engines);
+    let engines = &wanted.prepare.engines;
+    let usual = engines.usual;
+    let engines = engines.of_shard(&shard, prepared.zone.as_ref());
+    let placement = node.owner.place(&engines, usual);
     Ok(Ready {
         prepared,
         engine: placement.as_ref().map(|it| it.engine().clone()),
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -35,7 +35,7 @@
     fn begin(node: &Arc<Node>, ask: &Arc<Ask>, upstream: &Arc<Upstream>) -> Sending {
         let sent = Instant::now();
         let mut limits = node.limits();
-        let send = limits.sent(&upstream.name, &ask.route, sent);
+        let send = limits.sent(&upstream.name, ask, sent);
         limits
             .quarantine
             .begin(send, ask.fingerprint, upstream.incarnation(), sent);
@@ -59,7 +59,7 @@
             now,
         };
         let mut limits = self.node.limits();
-        limits.answered(&self.upstream.name, &self.ask.route, answer);
+        limits.answered(&self.upstream.name, &self.ask, answer);
     }
 
     /// Notes that the upstream wants nothing for a time.
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -80,7 +80,11 @@
             choices.push((name, upstream.zone.clone()));
         }
     }
-    Engines { has_home, choices }
+    Engines {
+        has_home,
+        choices,
+        usual: node.limits().usual(ask).unwrap_or(ENGINE_TIME),
+    }
 }
 
 fn steps(ask: &Ask) -> Vec<Step> {
@@ -264,7 +268,8 @@
         })
         .collect();
     let spread = hash::of_strs([ask.request.as_str()]);
-    let order = choice::order(&candidates, limits.usual(&ask.route), prompt, spread);
+    let usual = limits.usual(ask).unwrap_or(ask.route.goal / 2);
+    let order = choice::order(&candidates, usual, prompt, spread);
     Ok(order.into_iter().cloned().collect())
 }
 
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -43,6 +43,8 @@
     pub has_home: bool,
     /// Engines and their zones.
     pub choices: Vec<(id::Upstream, id::Zone)>,
+    /// Usual time from the send of such a request to its first event.
+    pub usual: Duration,
 }
 
 impl Engines {
