Let the store's calls not grow with the instances

Counted on a scratch copy that logs each call: 3,932 were answers of the registrations' feed with news, 803 of the operators' feed without, 721 of the members' feed with news, 306 registrations of instances, 958 reads at starts; the rest failed while the store was away.

Cause: one instance in sixteen, thirteen there, followed all three tables, each answered at every change; with 221 upstreams some registration changes six times a second, since one that starts changes with each heartbeat. An instance wrote its row again every 100 ms until it had come back.

Change: `mirror::tree` names at most four readers; above 64 instances every sixteenth one is a relay that follows them, and the rest follow relays. After news of registrations a reader pauses for up to an eighth of the drain bound, in proportion to the members. Rows count as fresh for the config bound of the settings less the time to read the store, 1.3 s where that is 2 s, as before. A row that the store has accepted is written again after 3 s.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -5,6 +5,8 @@
 //! each row, from whichever source it arrives. The mirror keeps rows as bytes and knows no format;
 //! it performs no I/O.
 
+pub mod tree;
+
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::hash;
 use base::id;
 use catalog::Member;
+use catalog::View;
 use forwarding::poison::Source;
 use mirror::Table;
+use mirror::tree;
+use mirror::tree::Role;
 use platform::rows;
 use platform::store;
 use platform::store::Expect;
@@ -32,10 +34,14 @@
 const RETRY_MAX: Duration = Duration::from_millis(500);
 /// Longest pause of the others, which hear of the return from those.
 const RETRY_MAX_OTHERS: Duration = Duration::from_millis(2_000);
-/// Instances that follow the store itself; the others follow them. One for this many members, and
-/// at least [`READERS_MIN`].
-const MEMBERS_PER_READER: usize = 16;
-const READERS_MIN: usize = 3;
+/// Part of the time within which a leaving upstream must get nothing more, for which changes of
+/// registrations are collected, for each member: the more upstreams there are, the more often some
+/// registration changes.
+const COLLECT_PART: f64 = 1.0 / 800.0;
+/// Largest such part.
+const COLLECT_PART_MAX: f64 = 0.125;
+/// A row that the store has accepted is written again if nobody has seen it after this time.
+const CONFIRM_TIME: Duration = Duration::from_secs(3);
 /// Ownership key of reading the store.
 const READER_KEY: &str = "store";
 /// An instance that follows others looks this often whether its rows are still fresh.
@@ -119,11 +125,24 @@
         Table::Upstreams | Table::Members => FEED_WAIT,
     };
     let batch = client.feed(table, position, wait).await?;
+    let has_news = !batch.rows.is_empty();
     node.advance(table, batch.rows, batch.version);
     note_complete(node, table);
+    if has_news && table != Table::Operators {
+        tokio::time::sleep(collect_time(node)).await;
+    }
     Ok(())
 }
 
+/// Pause after news of registrations, so that one answer of the store tells of many changes.
+fn collect_time(node: &Node) -> Duration {
+    let part = node.member_count() as f64 * COLLECT_PART;
+    node.settings
+        .bounds
+        .drain
+        .mul_f64(part.min(COLLECT_PART_MAX))
+}
+
 async fn read(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
     let batch = client.read(table).await?;
     node.replace(table, batch.rows, batch.version);
@@ -238,7 +257,7 @@
 /// The other instances that read the store and that others follow.
 pub(crate) fn read_ahead(node: &Node) -> Vec<Arc<Member>> {
     let names = readers(node);
-    let count = reader_count(names.len());
+    let count = tree::reader_count(names.len());
     let others = node.others();
     let first = names.iter().take(count);
     first.filter_map(|it| others.get(it).cloned()).collect()
@@ -258,31 +277,25 @@
     names.filter(|it| !node.peers.is_suspected(it)).collect()
 }
 
-fn reader_count(members: usize) -> usize {
-    (members / MEMBERS_PER_READER).max(READERS_MIN)
-}
-
 fn is_reader(node: &Node) -> bool {
-    let readers = readers(node);
-    let count = reader_count(readers.len());
-    let mut first = readers.iter().take(count);
-    // Before it knows any member, each instance reads for itself.
-    readers.is_empty() || first.any(|it| *it == node.settings.instance)
+    tree::role(&readers(node), &node.settings.instance) == Role::Reader
 }
 
-/// The `idx`-th source of rows: the readers, from a place that differs between instances, then all
-/// other instances.
+/// The `idx`-th source of rows.
 fn source(node: &Node, idx: usize) -> Option<Arc<Member>> {
-    let own = &node.settings.instance;
-    let mut order = readers(node);
-    let count = reader_count(order.len()).min(order.len());
-    if count > 0 {
-        let start = hash::of_strs([own.as_str()]) % count as u64;
-        order[..count].rotate_left(start as usize);
-    }
-    let mut others = order.into_iter().filter(|it| it != own);
-    let name = others.nth(idx)?;
-    node.view().members.get(&name).cloned()
+    let sources = tree::sources(readers(node), &node.settings.instance);
+    node.view().members.get(sources.get(idx)?).cloned()
+}
+
+/// Waits until this instance's row has come back, for at most [`CONFIRM_TIME`].
+async fn seen(node: &Node, own: &Member) {
+    let mut view = node.watch_view();
+    let is_seen = |view: &Arc<View>| {
+        let row = view.members.get(&own.instance);
+        row.is_some_and(|it| **it == *own)
+    };
+    // A row that is not seen in time is written again.
+    let _ = tokio::time::timeout(CONFIRM_TIME, view.wait_for(is_seen)).await;
 }
 
 /// Reads the certificates of this deployment from the store, and makes them if there are none.
@@ -342,12 +355,15 @@
             continue;
         }
         match client.put(&key, &value, Expect::Anything).await {
-            Ok(()) => slog::info!(node.logger(), "registered"; "key" => &key),
+            Ok(()) => {
+                slog::info!(node.logger(), "registered"; "key" => &key);
+                backoff.reset();
+                seen(&node, &own).await;
+            }
             Err(err) => {
                 slog::warn!(node.logger(), "register_failed"; "reason" => %err);
+                backoff.wait(RETRY_MAX).await;
             }
         }
-        // The feed confirms the row; until then it is written again at growing intervals.
-        backoff.wait(RETRY_MAX).await;
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -31,10 +31,10 @@
 use crate::peers::Peers;
 use crate::suspicion;
 
-/// Rows that were complete this long ago count as fresh: longer than a feed without news and two
-/// instances that pass its answer on. A change must be in force within 2 s; this leaves time to
-/// read the store.
-const ROWS_FRESH: Duration = Duration::from_millis(1_300);
+/// Time that an instance needs to read the store by itself. Rows count as fresh for the rest of the
+/// time within which a change must be in force: of 2 s, that is longer than a feed without news and
+/// one instance that passes its answer on; of 3 s and more, two of them.
+const READ_TIME: Duration = Duration::from_millis(700);
 
 /// Rows and the beliefs that follow from them.
 #[derive(Debug, Default)]
@@ -145,7 +145,8 @@
     /// Whether the rows were complete a moment ago.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
-        self.rows_age().is_some_and(|it| it < ROWS_FRESH)
+        let fresh = self.settings.bounds.config.saturating_sub(READ_TIME);
+        self.rows_age().is_some_and(|it| it < fresh)
     }
 
     /// Notes whether a call of this instance to the store was answered; returns whether that changed.
