Keep a session in the shard of its prompt, but not in a burst

Cause: where step services are split by zone, the shard with the shortest queue was taken, and queues differ by some milliseconds; requests without steps followed those queues too, in which they do not wait.

Change: `stages::shard::choose`, without I/O. A request goes to the zone of the engine that keeps its prompt unless the queue there is longer by a bonus (300 ms for prompts of 1,000 shared tokens, 100 ms for others), and by the shortest queue alone once the one at home takes more than 300 ms. Requests without steps go to their prompt.

--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::hash;
 use base::id;
 use catalog::Member;
 use stages::Prepared;
 use stages::Refusal;
 use stages::Shard;
 use stages::shard;
+use stages::shard::Home;
 use tokio::time::Instant;
 use wire::Reply;
 use wire::Request;
@@ -29,9 +29,6 @@
 const OWNERSHIP_KEY: &str = "steps/";
 /// How long what a shard said of its queue is believed.
 const WAIT_MEMORY: Duration = Duration::from_millis(500);
-/// A shard in the zone of the request's prompt is preferred while its queue is at most this much
-/// longer than the shortest.
-const HOME_BONUS: Duration = Duration::from_millis(150);
 /// While results are awaited, the owner is asked this often whether it lives.
 const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
 /// Remote owners that are tried before this instance runs the steps itself.
@@ -64,6 +61,8 @@
 pub struct Wanted {
     /// Message to the owner; its times are filled in when it is sent.
     pub prepare: Prepare,
+    /// Where its prompt is kept.
+    pub home: Option<Home>,
     /// When the response is of full use.
     pub aim: Instant,
     /// When the client gives up.
@@ -138,42 +137,30 @@
     })
 }
 
-/// The shard with the shortest queue that has all services, the one of the wanted zone first.
+/// The shard that runs the steps and places the request.
 fn choose_shard(node: &Node, wanted: &Wanted) -> Option<Shard> {
     let view = node.view();
     let prepare = &wanted.prepare;
     let services = || prepare.steps.iter().map(|it| &it.service);
-    let mut shards: Vec<(Shard, usize)> = shard::of_view(&view)
-        .into_iter()
-        .map(|it| (it.clone(), shard::capacity(&view, &it, services())))
-        .collect();
+    let mut shards = shard::of_view(&view);
     if shards.len() == 1 {
-        return shards.pop().map(|it| it.0);
+        return shards.pop();
     }
     let waits = node.shard_waits().clone();
     let now = Instant::now();
-    let cost = |shard: &Shard, capacity: usize| {
-        let wait = waits
-            .get(shard)
-            .filter(|it| now.saturating_duration_since(it.1) < WAIT_MEMORY)
-            .map_or(Duration::ZERO, |it| it.0);
-        let is_home = prepare.zone.as_ref().is_some_and(|it| shard.holds(it));
-        let wait = if is_home {
-            wait.saturating_sub(HOME_BONUS)
-        } else {
-            wait + HOME_BONUS * u32::from(prepare.zone.is_some())
-        };
-        // Equal queues are shared out in proportion to what the shards carry.
-        let draw = hash::of_strs([prepare.request.as_str(), &shard.to_string()]);
-        let draw = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        (wait.as_millis(), -draw.ln() / capacity as f64)
+    let wait = |shard: &Shard| {
+        let wait = waits.get(shard);
+        let wait = wait.filter(|it| now.saturating_duration_since(it.1) < WAIT_MEMORY);
+        wait.map_or(Duration::ZERO, |it| it.0)
     };
-    let able = shards.into_iter().filter(|it| it.1 > 0);
-    let best = able.min_by(|a, b| {
-        let (a, b) = (cost(&a.0, a.1), cost(&b.0, b.1));
-        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+    let has_steps = !prepare.steps.is_empty();
+    let candidates = shards.into_iter().map(|it| shard::Candidate {
+        capacity: shard::capacity(&view, &it, services()),
+        wait: if has_steps { wait(&it) } else { Duration::ZERO },
+        shard: it,
     });
-    best.map(|it| it.0)
+    let candidates: Vec<shard::Candidate> = candidates.collect();
+    shard::choose(&candidates, wanted.home.as_ref(), &prepare.request)
 }
 
 /// Members that are not suspected, in the order of ownership; those in the shard's zone first.
--- a/crates/node/src/target.rs
+++ b/crates/node/src/target.rs
@@ -10,6 +10,7 @@
 use forwarding::life::Cause;
 use stages::Shard;
 use stages::Step;
+use stages::shard::Home;
 use tokio::time::Instant;
 use wire::steps::Engines;
 use wire::steps::Prepare;
@@ -30,6 +31,10 @@
 const COLD_WAIT: f64 = 0.4;
 /// Engines that the owner may choose from, of each zone where the zone matters.
 const ENGINE_CHOICES: usize = 3;
+/// How much longer a queue may be where a prompt is kept that is worth going to in any zone.
+const HOME_BONUS: Duration = Duration::from_millis(300);
+/// The same for other prompts: a session's parts are a few hundred tokens, read in some 10 ms.
+const PROMPT_BONUS: Duration = Duration::from_millis(100);
 /// Time from the last step to the first event before any was measured.
 const ENGINE_TIME: Duration = Duration::from_millis(250);
 
@@ -45,14 +50,18 @@
     } else {
         Engines::default()
     };
-    let home = engines.choices.first().filter(|_| engines.has_home);
+    let home = engines.choices.first().map(|it| it.1.clone());
+    let (result_zone, bonus) = match engines.has_home {
+        true => (home.clone(), HOME_BONUS),
+        false => (None, PROMPT_BONUS),
+    };
     Some(Wanted {
         prepare: Prepare {
             shard: Shard::Whole,
             request: ask.request.clone(),
             fingerprint: ask.fingerprint,
             key: ask.head.piece_key.clone(),
-            zone: home.map(|it| it.1.clone()),
+            zone: result_zone,
             priority: ask.priority,
             aim: Duration::ZERO,
             deadline: Duration::ZERO,
@@ -60,6 +69,7 @@
             steps,
             engines,
         },
+        home: home.map(|zone| Home { zone, bonus }),
         aim: ask.aim(),
         deadline: ask.deadline(),
     })
--- a/crates/stages/src/shard.rs
+++ b/crates/stages/src/shard.rs
@@ -5,7 +5,9 @@
 //! own; then each zone is a shard, and no result crosses zones.
 
 use std::fmt;
+use std::time::Duration;
 
+use base::hash;
 use base::id;
 use catalog::View;
 use serde::Deserialize;
@@ -15,6 +17,9 @@
 /// owner's; fifty, at 3,500 pieces a second, are more than half a core can carry.
 const SPLIT_UPSTREAMS: usize = 32;
 
+/// Longest queue that requests join for the sake of their prompts. In a burst, time is what they lack.
+const SHORT_QUEUE: Duration = Duration::from_millis(300);
+
 /// A set of upstreams with one owner.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Shard {
@@ -78,3 +83,45 @@
     });
     counts.min().unwrap_or(1)
 }
+
+/// A shard that can run the steps of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The shard.
+    pub shard: Shard,
+    /// What it can carry, as [`capacity`] counts it.
+    pub capacity: usize,
+    /// Time in which its queue drains; zero for requests without steps, which wait in no queue.
+    pub wait: Duration,
+}
+
+/// Where an engine keeps the shared part of a request's prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Zone of the engine.
+    pub zone: id::Zone,
+    /// How much longer a queue may be there: what it costs to read the prompt elsewhere.
+    pub bonus: Duration,
+}
+
+/// The shard with the shortest queue, the home of the prompt first. Equal queues are shared out by
+/// `spread`, which differs between requests, in proportion to what the shards carry.
+#[must_use]
+pub fn choose(candidates: &[Candidate], home: Option<&Home>, spread: &str) -> Option<Shard> {
+    let is_home = |it: &Candidate| home.is_some_and(|home| it.shard.holds(&home.zone));
+    let is_short = |it: &Candidate| is_home(it) && it.wait <= SHORT_QUEUE;
+    let home = home.filter(|_| candidates.iter().any(is_short));
+    let cost = |it: &Candidate| {
+        let bonus = home.filter(|_| !is_home(it)).map(|it| it.bonus);
+        let draw = hash::of_strs([spread, &it.shard.to_string()]);
+        let draw = (draw as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let wait = it.wait + bonus.unwrap_or_default();
+        (wait.as_millis(), -draw.ln() / it.capacity as f64)
+    };
+    let able = candidates.iter().filter(|it| it.capacity > 0);
+    let best = able.min_by(|a, b| {
+        let (a, b) = (cost(a), cost(b));
+        a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+    });
+    best.map(|it| it.shard.clone())
+}
