Serve at a stop what ends by its own time limit

Cause: whatever arrived later than 2.8 s after the SIGTERM was refused, since a long stream could not end in time.

Change: a request is also taken if its own limit, the client's or its route's, ends before the process must have answered. It can then not be cut by the exit.

Tests: limits::a_stopping_instance_takes_what_ends_by_itself failed to hold before.

--- a/crates/forwarding/src/stop.rs
+++ b/crates/forwarding/src/stop.rs
@@ -4,8 +4,8 @@
 
 use tokio::time::Instant;
 
-/// Requests that arrive this long after the stop began are refused: the balancer has turned away by
-/// then, and a long stream could not end before the process must.
+/// Requests that arrive this long after the stop began are served only if they end by their own time
+/// limit before the process must: the balancer has turned away by then, and a long stream could not.
 const ACCEPT_FOR: Duration = Duration::from_millis(2_800);
 /// Part of the grace time that is kept back to close connections and exit.
 const EXIT_PART: u32 = 16;
@@ -27,10 +27,11 @@
         Stop { since: now, grace }
     }
 
-    /// Whether a request that arrives now is still served.
+    /// Whether a request that arrives now, and is answered or given up within `limit`, is still served.
     #[must_use]
-    pub fn accepts(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.since) < ACCEPT_FOR.min(self.grace / 2)
+    pub fn accepts(&self, limit: Duration, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.since);
+        age < ACCEPT_FOR.min(self.grace / 2) || now + limit <= self.answers_until()
     }
 
     /// When every request must have its answer.
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -294,12 +294,25 @@
 fn a_stopping_instance_takes_nothing_that_it_could_not_finish() {
     let now = Instant::now();
     let stop = Stop::begin(Duration::from_secs(8), now);
-    assert!(stop.accepts(now + ms(2_000)));
-    assert!(!stop.accepts(now + ms(6_000)));
+    let long = Duration::from_secs(15);
+    assert!(stop.accepts(long, now + ms(2_000)));
+    assert!(!stop.accepts(long, now + ms(6_000)));
     assert!(stop.answers_until() < stop.exits_at());
     assert!(stop.exits_at() < now + Duration::from_secs(8));
 }
 
+/// Guards against plain requests that are refused for seconds, though streams keep the process alive
+/// and the balancer sends it clients where few instances of a zone are ready (flue-hearth, inc-94b0).
+#[test]
+fn a_stopping_instance_takes_what_ends_by_itself() {
+    let now = Instant::now();
+    let stop = Stop::begin(Duration::from_secs(8), now);
+    let plain = Duration::from_secs(1);
+    assert!(stop.accepts(plain, now + ms(6_000)));
+    assert!(!stop.accepts(plain, now + ms(6_500)));
+    assert!(now + ms(6_000) + plain <= stop.answers_until());
+}
+
 /// A stream that began 1.8 s after a SIGTERM was broken off 6.5 s after it, while the upstream was at
 /// work (hunt 1b01 of ccfao-fees, seed 758036182331).
 #[test]
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -65,13 +65,19 @@
 }
 
 impl Ask {
+    /// Longest time that the request takes, from when it was received.
+    #[must_use]
+    pub fn limit(&self) -> Duration {
+        let client = self.head.deadline.unwrap_or(self.route.timeout);
+        client.min(self.route.timeout)
+    }
+
     /// Time that the request has left, within this process's stop and without the time in which the machine was suspended.
     #[must_use]
     pub fn left(&self) -> Duration {
-        let client = self.head.deadline.unwrap_or(self.route.timeout);
-        let total = client.min(self.route.timeout);
         let slept = clock::suspended().saturating_sub(self.suspended);
-        let left = total.saturating_sub(self.received.elapsed() + slept);
+        let left = self.limit();
+        let left = left.saturating_sub(self.received.elapsed() + slept);
         let stop = self.stop.get().map(Stop::answers_until);
         let until_stop = stop.map(|it| it.saturating_duration_since(Instant::now()));
         left.min(until_stop.unwrap_or(left))
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -93,7 +93,7 @@
         None => return Err(pending.end(Cause::NoUpstream, RETRY_AFTER)),
     };
     let stop = ask.stop.get();
-    if stop.is_some_and(|it| !it.accepts(ask.received)) {
+    if stop.is_some_and(|it| !it.accepts(ask.limit(), ask.received)) {
         return Err(pending.end(Cause::Stopping, STOPPING_RETRY));
     }
     node.limits().request(&service, Instant::now());
--- a/crates/node/tests/it/answers.rs
+++ b/crates/node/tests/it/answers.rs
@@ -136,3 +136,26 @@
         .expect("a time");
     assert!(left <= 2_000, "the route allows less than the client");
 }
+
+/// Guards against the answer of a request that came before on the same connection: its late copy
+/// arrives where the next answer is expected.
+#[tokio::test]
+async fn a_late_copy_reaches_no_other_request() {
+    let fixture = Fixture::start(1).await;
+    for request in 0..8 {
+        let id = format!("s{request}");
+        assert_eq!(fixture.ask("GET /read/1", &id, &[]).await.status, 200);
+    }
+    fixture.set_fault("ledger", Fault::LateCopy, None);
+    for request in 0..8 {
+        let id = format!("p{request}");
+        let answer = fixture.ask("POST /post/1", &id, &[]).await;
+        assert_eq!((answer.status, fixture.runs(&id).len()), (502, 1));
+    }
+    fixture.set_fault("ledger", Fault::None, None);
+    let answer = fixture.ask("GET /read/1", "r", &[]).await;
+    assert_eq!(
+        (answer.status, answer.body),
+        (200, fixture.body("ledger", "r"))
+    );
+}
--- a/crates/node/tests/it/streams.rs
+++ b/crates/node/tests/it/streams.rs
@@ -125,3 +125,17 @@
     assert!(answer.is_whole, "{}", answer.head);
     assert_eq!(fixture.runs("l").len(), 1);
 }
+
+/// Guards against a stalled stream that sends a comment now and then and never ends.
+#[tokio::test]
+async fn a_stream_that_trickles_ends_at_its_time_limit() {
+    let fixture = Fixture::start(1).await;
+    fixture.set_fault("engine", Fault::Trickle, None);
+    let began = std::time::Instant::now();
+    let answer = fixture.ask("POST /draft/1", "r1", &DRAFT).await;
+    // The client of the fixture waits for 3 s.
+    assert!(began.elapsed() < Duration::from_millis(3_500));
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_whole);
+    assert_eq!(fixture.runs("r1").len(), 1);
+}
