Bound what clients state of their prompts, and ask relays by how fresh rows must be

- The time that a prompt may take follows its size, which the client states.
Sums of such sizes overflowed, and so did the instant until which an answer is waited for, which ends the request without an answer.
Sizes are bounded now, and summed without overflow, also where that was older. streams::an_absurd_prompt_is_served and pace::an_absurd_size_has_a_time failed before.
- A follower took the next source when rows were older than 0.9 s, which those of a relay often are on the large fleet: it hopped between relays and other followers.
- Usual times were compared with all routes at each change of a registration; they are bounded by their number instead.
- An event over its bound left no line in the log; it says `event_too_large` now.

--- a/crates/forwarding/src/pace.rs
+++ b/crates/forwarding/src/pace.rs
@@ -22,6 +22,11 @@
 /// Tokens of a prompt whose reading takes as long as everything else before the first byte.
 const BASE_TOKENS: u64 = 500;
 
+/// Largest prompt that is told apart from larger ones, in tokens: more than any engine holds.
+const TOKENS_MAX: u64 = 10_000_000;
+/// Routes whose times are kept. Configurations name new ones; beyond this many, all are learned anew.
+const ROUTES_MAX: usize = 256;
+
 /// Size of a request: what the time to its first byte grows with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Size(u64);
@@ -37,7 +42,8 @@
     /// A request with a prompt of this many tokens; none for requests without a prompt.
     #[must_use]
     pub const fn of_prompt(tokens: u64) -> Size {
-        Size(tokens)
+        let is_usual = tokens < TOKENS_MAX;
+        Size(if is_usual { tokens } else { TOKENS_MAX })
     }
 
     fn tokens(self) -> f64 {
@@ -55,6 +61,9 @@
                 *usual += SAMPLE_WEIGHT * (sample - *usual);
             }
             None => {
+                if self.usual.len() >= ROUTES_MAX {
+                    self.usual.clear();
+                }
                 self.usual.insert(route.to_owned(), took);
             }
         }
@@ -75,9 +84,4 @@
         let usual = self.usual(route, size).unwrap_or(part);
         usual.mul_f64(SILENCE_FACTOR).max(part).max(SILENCE_MIN)
     }
-
-    /// Forgets routes that are no longer configured.
-    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
-        self.usual.retain(|route, _| is_known(route));
-    }
 }
--- a/crates/forwarding/tests/pace.rs
+++ b/crates/forwarding/tests/pace.rs
@@ -178,3 +178,28 @@
     assert!(pace.silence("report", long, REPORT_GOAL) > ms(2 * 860));
     assert_eq!(pace.silence("report", SIZE, REPORT_GOAL), REPORT_GOAL / 2);
 }
+
+/// Guards against a prompt whose size, which its client states, overflows a time.
+#[test]
+fn an_absurd_size_has_a_time() {
+    let mut pace = Pace::default();
+    let absurd = Size::of_prompt(u64::MAX);
+    pace.answered("report", SIZE, ms(5_000));
+    pace.answered("report", absurd, ms(1));
+    let silence = pace.silence("report", absurd, REPORT_GOAL);
+    assert!(Instant::now().checked_add(silence).is_some(), "{silence:?}");
+    let mut health = Health::default();
+    health.sent(1, silence, silence, Instant::now());
+}
+
+/// Guards against times that are kept for routes of all configurations there ever were.
+#[test]
+fn times_of_many_routes_are_bounded() {
+    let mut pace = Pace::default();
+    for route in 0..10_000 {
+        pace.answered(&format!("r-{route}"), SIZE, ms(30));
+    }
+    let known = (0..10_000).filter(|it| pace.usual(&format!("r-{it}"), SIZE).is_some());
+    assert!(known.count() <= 256);
+    assert!(pace.usual("r-9999", SIZE).is_some());
+}
--- a/crates/mirror/src/tree.rs
+++ b/crates/mirror/src/tree.rs
@@ -39,8 +39,8 @@
     if relays > READERS_MAX { relays } else { 0 }
 }
 
-/// The role of `own`; `order` has all instances that are not suspected. One that is not in it, because
-/// it knows none of the others yet, follows the store.
+/// The role of `own`; `order` has all instances that are not suspected. One that knows no instance yet
+/// follows the store.
 #[must_use]
 pub fn role(order: &[id::Instance], own: &id::Instance) -> Role {
     let readers = reader_count(order.len());
--- a/crates/mirror/tests/tree.rs
+++ b/crates/mirror/tests/tree.rs
@@ -22,6 +22,8 @@
 /// One that is not answered is given up after this time; the asked instance is passed over then.
 const ASK_TIMEOUT: u64 = 900;
 const PASSED_OVER: u64 = 1_000;
+/// Part of the time for which rows are fresh after which the next source is asked.
+const FRESH_PART: f64 = 0.7;
 /// Time kept for an instance that has to read the store by itself.
 const READ_TIME: u64 = 700;
 
@@ -160,6 +162,7 @@
 
     fn follow(&mut self, idx: usize, question: usize) {
         let now = self.now;
+        let fresh = bound(self.names.len()) - READ_TIME;
         let Some((of, since)) = self.instances[idx].asked[question] else {
             let next = question + self.instances[idx].next[question];
             let Some(of) = self.source(idx, next) else {
@@ -186,7 +189,7 @@
             instance.has_change |= has_change;
             instance.complete = instance.complete.max(complete);
             instance.asked[question] = None;
-            let is_stale = now - complete >= ASK_TIMEOUT;
+            let is_stale = (now - complete) as f64 >= fresh as f64 * FRESH_PART;
             instance.next[question] = if is_stale {
                 instance.next[question] + 1
             } else {
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -14,6 +14,7 @@
 use http::HeaderMap;
 use http::Method;
 use platform::front::Head;
+use platform::front::Part;
 use tokio::time::Instant;
 
 use crate::clock;
@@ -119,15 +120,15 @@
     /// What the time to its first byte grows with.
     #[must_use]
     pub fn size(&self) -> Size {
-        Size::of_prompt(self.head.prompt.iter().map(|it| it.tokens).sum())
+        Size::of_prompt(tokens(&self.head.prompt))
     }
 
     /// Whether the engine that keeps the shared part of the prompt is worth going to in any zone.
     #[must_use]
     pub fn has_home(&self) -> bool {
         let parts = &self.head.prompt;
-        let shared = parts.iter().take(parts.len().saturating_sub(1));
-        shared.map(|it| it.tokens).sum::<u64>() >= HOME_TOKENS_MIN
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        tokens(shared) >= HOME_TOKENS_MIN
     }
 
     /// Whether the request may run more than once.
@@ -152,3 +153,9 @@
         wanted.min(self.left().mul_f64(0.3))
     }
 }
+
+/// Tokens of some parts of a prompt. The counts are the client's.
+fn tokens(parts: &[Part]) -> u64 {
+    let counts = parts.iter().map(|it| it.tokens);
+    counts.fold(0, u64::saturating_add)
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -50,6 +50,9 @@
 const PEERS: usize = 2;
 /// Longest wait for another instance's rows.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Rows of a peer that are older than this part of the time for which they are fresh make the next
+/// peer be asked.
+const FRESH_PART: f64 = 0.7;
 /// Pause before the next peer is asked after one that had no fresh rows.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
 /// After this time the first peers in order are tried again.
@@ -236,7 +239,7 @@
                 return false;
             };
             node.note_complete(age);
-            age < PEER_TIMEOUT
+            age < node.fresh_time().mul_f64(FRESH_PART)
         }
         Err(_) => {
             if node.peers.silent(member).await {
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -197,10 +197,6 @@
     /// to without their owner.
     pub fn retain(&mut self, view: &View) {
         self.fallbacks = self.find_fallbacks(view);
-        if let Some(catalog) = &view.catalog {
-            self.pace
-                .retain(|name| catalog.routes().any(|it| it.name == name));
-        }
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.gates.retain(|name, _| is_known(name));
         self.probes.retain(|it, _| view.is_registered(it));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -203,7 +203,12 @@
 
     fn append(&mut self, data: &[u8]) -> Result<(), Error> {
         let size = self.buffer.len() + data.len();
-        self.held.resize(size).map_err(|_| Error::Broken)?;
+        self.held.resize(size).map_err(|err| {
+            slog::warn!(self.node.logger(), "event_too_large"; "request" => &self.ask.request,
+                "upstream" => self.sending.upstream.name.as_str(), "reason" => %err,
+                "bytes" => size);
+            Error::Broken
+        })?;
         self.buffer.extend_from_slice(data);
         Ok(())
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -145,8 +145,13 @@
     /// Whether the rows were complete a moment ago.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
-        let fresh = self.settings.bounds.config.saturating_sub(READ_TIME);
-        self.rows_age().is_some_and(|it| it < fresh)
+        self.rows_age().is_some_and(|it| it < self.fresh_time())
+    }
+
+    /// Age up to which rows count as fresh.
+    #[must_use]
+    pub fn fresh_time(&self) -> Duration {
+        self.settings.bounds.config.saturating_sub(READ_TIME)
     }
 
     /// Notes whether a call of this instance to the store was answered; returns whether that changed.
--- a/crates/node/tests/it/streams.rs
+++ b/crates/node/tests/it/streams.rs
@@ -139,3 +139,16 @@
     assert!(!answer.is_whole);
     assert_eq!(fixture.runs("r1").len(), 1);
 }
+
+/// Guards against a request that is dropped, and with it its connection, because the sizes that its
+/// client states overflow.
+#[tokio::test]
+async fn an_absurd_prompt_is_served() {
+    let fixture = Fixture::start(1).await;
+    let part = u64::MAX;
+    let prompt = format!("x-prompt-prefix: a:{part},b:{part},c:{part}");
+    for id in ["r1", "r2"] {
+        let answer = fixture.ask("POST /summary/1", id, &[&prompt]).await;
+        assert!(answer.is_whole, "{}", answer.head);
+    }
+}
