Log the prompt parts of sent and lost requests

The logs could not tell whether requests that crash engines one after the other have anything in common, nor which of the requests at a crashed engine had not begun to be answered.

--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -30,6 +30,10 @@
 /// moving step results to the zone of the engine that caches it: 2.5 results of 1.5 MB compared
 /// with 2,500 tokens, at the prices of both users.
 const LONG_PREFIX_TOKENS_MIN: u64 = 1_000;
+/// Most prompt parts that are hashed for a request, which bounds the memory that it takes.
+const SHARED_PARTS_MAX: usize = 32;
+/// Keeps hashes of prompt parts apart from those of requests.
+const PROMPT_PART_DOMAIN: &str = "prompt-part";
 /// Time reserved before the deadline for sending the response to the client.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 
@@ -63,6 +67,8 @@
     pub suspended_at_receipt: Duration,
     /// Hash of path and query, workspace and body: equal for retries of the same request.
     pub fingerprint: id::Fingerprint,
+    /// Hashes of the prompt parts that other requests may share.
+    pub shared_parts: Vec<id::Fingerprint>,
     /// The graceful shutdown of this process, once it has begun.
     pub shutdown: Arc<OnceLock<Shutdown>>,
 }
@@ -121,6 +127,13 @@
         Some(hash::hash_strs(ids))
     }
 
+    /// Hashes of the shared prompt parts, for the log.
+    #[must_use]
+    pub fn shared_parts_text(&self) -> String {
+        let parts: Vec<String> = self.shared_parts.iter().map(|it| it.to_string()).collect();
+        parts.join(",")
+    }
+
     /// Size of the prompt, with which the time to first byte grows.
     #[must_use]
     pub fn prompt_size(&self) -> PromptSize {
@@ -160,6 +173,16 @@
     }
 }
 
+/// Hashes of the parts of a prompt that other requests may share: all but the last, which belongs
+/// to the request or its session. Parts beyond the first [`SHARED_PARTS_MAX`] are left out.
+#[must_use]
+pub fn hash_shared_parts(prompt: &[PromptPart]) -> Vec<id::Fingerprint> {
+    let shared = prompt.len().saturating_sub(1);
+    let shared = prompt.iter().take(shared.min(SHARED_PARTS_MAX));
+    let hashes = shared.map(|it| hash::hash_strs([PROMPT_PART_DOMAIN, &it.id]));
+    hashes.map(id::Fingerprint).collect()
+}
+
 /// Sum of the token counts that the client states for `parts`; saturates, as they are unchecked.
 fn token_count(parts: &[PromptPart]) -> u64 {
     let counts = parts.iter().map(|it| it.tokens);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -350,6 +350,7 @@
         "kept" => connection.is_reused, "repeat" => is_repeat, "results" => handles.len(),
         "placed" => engine.as_ref() == Some(&upstream.name),
         "prompt" => request.prompt_prefix_hash().map(|it| format!("{it:x}")),
+        "parts" => request.shared_parts_text(),
         "left_ms" => time_left.as_millis() as u64);
     let response = tokio::select! {
         biased;
@@ -525,7 +526,8 @@
     send_guard.record_broken();
     slog::warn!(node.logger(), "lost"; "request" => &request.id,
         "fingerprint" => %request.fingerprint, "upstream" => send_guard.upstream.name.as_str(),
-        "started_ms" => send_guard.upstream.started_ms, "cause" => %cause);
+        "started_ms" => send_guard.upstream.started_ms, "cause" => %cause,
+        "parts" => request.shared_parts_text());
     let kind = match cause {
         Cause::Deadline => LossKind::Silent,
         _ => LossKind::Broken,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,6 +25,7 @@
 use salvo::http::header;
 use tokio::time::Instant;
 
+use crate::client_request;
 use crate::client_request::ClientRequest;
 use crate::clock;
 use crate::forward;
@@ -188,6 +189,7 @@
         received_at,
         suspended_at_receipt,
         fingerprint: id::Fingerprint(fingerprint),
+        shared_parts: client_request::hash_shared_parts(&head.prompt),
         shutdown: node.shutdown_state(),
         head,
     })
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -111,6 +111,12 @@
             Ok(Chunk::End) => true,
             Err(err) => {
                 self.send_guard.record_broken();
+                slog::warn!(self.node.logger(), "lost"; "request" => &self.request.id,
+                    "fingerprint" => %self.request.fingerprint,
+                    "upstream" => self.send_guard.upstream.name.as_str(),
+                    "started_ms" => self.send_guard.upstream.started_ms,
+                    "cause" => "no_first_event", "reason" => %err,
+                    "parts" => self.request.shared_parts_text());
                 let kind = match err {
                     Error::Broken => LossKind::Broken,
                     Error::Deadline => LossKind::Silent,
@@ -146,7 +152,8 @@
                     slog::warn!(relay.node.logger(), "stream_broken";
                         "request" => &relay.request.id, "cause" => %err,
                         "upstream" => relay.send_guard.upstream.name.as_str(),
-                        "last_event" => last_event);
+                        "last_event" => last_event,
+                        "parts" => relay.request.shared_parts_text());
                     relay.node.telemetry.count("streams.broken", 1);
                     Some((Err(err), None))
                 }
