--- a/crates/node/tests/it/crashes.rs
+++ b/crates/node/tests/it/crashes.rs
@@ -117,7 +117,7 @@
 }
 
 /// Deregisters the site's own upstreams of a service.
-fn deregister_service(fixture: &Fixture, service: &str) {
+pub(crate) fn deregister_service(fixture: &Fixture, service: &str) {
     for (idx, upstream) in fixture.site.upstreams.iter().enumerate() {
         if upstream.1 == service {
             fixture.site.deregister(idx);
@@ -126,7 +126,7 @@
 }
 
 /// Kills all nodes and starts them again; returns when they are ready.
-async fn restart_all(fixture: &mut Fixture) {
+pub(crate) async fn restart_all(fixture: &mut Fixture) {
     let count = fixture.nodes.len();
     for node in std::mem::take(&mut fixture.nodes) {
         node.kill();
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod fixture;
 mod lapse;
+mod parts;
 mod peers;
 mod poison;
 mod stop;
