Refuse requests with a prompt part that crashes upstreams

Cause: a loss was held against path, workspace and body of a request. No two of these requests are alike, so each was a suspect of its own with one loss. Ruled out: late evidence (all instances know of a crash after 0.04 to 0.37 s) and wrong acquittal (none of the lost requests was cleared).

A loss now names the shared prompt parts of its request, unless its answer had proved sound (whole, or 0.5 s after its first event). A part is blamed after three crashes, two of them sequential, while the first part of its prompts was sound meanwhile; without that, after five. A part that was lost beside the cause has fewer crashes or more lost requests, and a sound run clears it at all instances. The first part, which a whole route shares, is blamed only for what no other part explains. Losses keep their way through gossip, announcements and rows.

--- a/crates/forwarding/src/poison.rs
+++ b/crates/forwarding/src/poison.rs
@@ -9,8 +9,11 @@
 //! A complete successful answer clears the suspicion. Frequent requests with identical content run
 //! into ordinary crashes, so a request that was answered recently is refused only for sequential
 //! losses: each send began after the previous loss was known.
+//!
+//! Requests that differ may share a prompt part that crashes upstreams, see [`PartSummary`].
 
 mod loss;
+mod part;
 mod share;
 mod suspect;
 
@@ -20,6 +23,7 @@
 use base::id;
 use tokio::time::Instant;
 
+use self::part::Blame;
 use self::share::GOSSIP_WINDOW;
 use self::suspect::LOSS_TTL;
 use self::suspect::LossRecord;
@@ -30,6 +34,8 @@
 pub use self::loss::LossSummary;
 pub use self::loss::Registry;
 pub use self::loss::Source;
+pub use self::part::PartLoss;
+pub use self::part::PartSummary;
 pub use self::share::ObsoleteRows;
 
 /// Times reported for the same answer differ by less than this, whichever path they took.
@@ -44,9 +50,20 @@
     cleared_at: Option<Instant>,
 }
 
+/// What a request may be refused for.
+#[derive(Clone, Copy, Debug)]
+pub struct Subject<'a> {
+    /// Fingerprint of the whole request.
+    pub fingerprint: id::Fingerprint,
+    /// Hashes of the prompt parts that other requests may share.
+    pub parts: &'a [id::Fingerprint],
+}
+
 #[derive(Clone, Debug)]
 struct InFlightSend {
     fingerprint: id::Fingerprint,
+    /// Shared prompt parts; empty once the answer has proved sound.
+    parts: Vec<PartLoss>,
     incarnation: id::Incarnation,
     depth: u32,
     sent_at: Instant,
@@ -60,6 +77,7 @@
             depth: self.depth,
             evidence,
             is_batched: false,
+            parts: self.parts.clone(),
             age: now.saturating_duration_since(self.sent_at),
         }
     }
@@ -74,6 +92,8 @@
     /// Upstreams that accepted no connection, and when.
     unreachable: BTreeMap<id::Incarnation, Instant>,
     obsolete: ObsoleteRows,
+    /// Blame of prompt parts; `None` if the losses or successes have changed since.
+    blame: Option<Blame>,
     /// Whether there may be losses to announce, or store rows to write or delete.
     has_pending_updates: bool,
 }
@@ -83,13 +103,19 @@
     pub fn track_send(
         &mut self,
         send: u64,
-        fingerprint: id::Fingerprint,
+        subject: Subject<'_>,
         incarnation: id::Incarnation,
         now: Instant,
     ) {
+        let Subject { fingerprint, parts } = subject;
         let depth = self.suspects.get(&fingerprint).map_or(0, Suspect::depth);
+        let parts = parts.iter().map(|part| PartLoss {
+            part: *part,
+            depth: self.part_depth(*part, now) + 1,
+        });
         let in_flight = InFlightSend {
             fingerprint,
+            parts: parts.collect(),
             incarnation,
             depth: depth + 1,
             sent_at: now,
@@ -136,6 +162,8 @@
             depth: suspect.map_or(0, |it| it.depth_at(sent_at)) + 1,
             evidence: Evidence::of_unanswered(is_unreachable),
             is_batched: true,
+            // A step runs before the request's answer begins.
+            parts: Vec::new(),
             age: now.saturating_duration_since(sent_at),
             incarnation,
         };
@@ -187,6 +215,7 @@
         at: Instant,
         now: Instant,
     ) -> bool {
+        self.blame.take_if(|it| it.involves(fingerprint));
         if !self.successes.contains_key(&fingerprint) {
             let is_expired = |it: &Success| !is_within(it.latest_at, LOSS_TTL, now);
             evict_if_full(&mut self.successes, is_expired, |it| it.latest_at);
@@ -220,6 +249,7 @@
             self.suspects.remove(&fingerprint);
         }
         if is_cleared {
+            self.blame = None;
             entry.cleared_at = Some(now);
             self.has_pending_updates = true;
         }
@@ -232,6 +262,7 @@
             return;
         };
         if let Some(record) = suspect.losses.remove(incarnation) {
+            self.blame = None;
             self.obsolete
                 .add_if_saved(fingerprint, incarnation, &record);
         }
@@ -249,9 +280,11 @@
             self.record_deregistered_sends(registry, now);
             self.reconcile_losses(registry, now);
         }
+        self.blame = None;
+        let evidence = self.evidence_against_parts(now);
         let obsolete = &mut self.obsolete;
         self.suspects.retain(|fingerprint, suspect| {
-            if !suspect.is_expired(now) {
+            if !suspect.is_expired(now) || evidence.contains(fingerprint) {
                 return !suspect.losses.is_empty();
             }
             for (incarnation, record) in &suspect.losses {
@@ -315,6 +348,7 @@
     /// happened. A loss whose request has been answered since the send is ignored, and the
     /// clearance is gossiped again for the instance that reported the loss.
     fn upsert_loss(&mut self, loss: &Loss, source: Source, now: Instant) -> bool {
+        self.blame = None;
         let sent_at = now.checked_sub(loss.age).unwrap_or(now);
         let answered = self.successes.get_mut(&loss.fingerprint);
         if let Some(answered) = answered.filter(|it| it.latest_at > sent_at) {
@@ -347,6 +381,7 @@
             evidence: loss.evidence,
             source,
             is_batched: loss.is_batched,
+            parts: loss.parts.clone(),
             sent_at,
             recorded_at: now,
             confirmed_at: (loss.evidence > Evidence::Unanswered).then_some(now),
--- a/crates/forwarding/src/poison/loss.rs
+++ b/crates/forwarding/src/poison/loss.rs
@@ -8,9 +8,11 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::part::PartLoss;
+
 /// A request is refused once this many different upstreams were lost while they ran it; ordinary
 /// crashes rarely hit one request this often by chance.
-const REFUSAL_THRESHOLD: usize = 3;
+pub(super) const REFUSAL_THRESHOLD: usize = 3;
 
 /// Evidence that an upstream was lost, ordered from weakest to strongest.
 #[derive(
@@ -61,6 +63,8 @@
     pub evidence: Evidence,
     /// Whether the send was a batched call, which may also carry pieces of other requests.
     pub is_batched: bool,
+    /// Shared prompt parts of the request, unless its answer had proved sound.
+    pub parts: Vec<PartLoss>,
     /// Time since the send.
     pub age: Duration,
 }
--- a/crates/forwarding/src/poison/share.rs
+++ b/crates/forwarding/src/poison/share.rs
@@ -102,6 +102,13 @@
             let unsaved = unsaved.filter(|(_, it)| is_repeated || !it.is_batched);
             losses.extend(unsaved.map(|(incarnation, it)| it.loss(*fingerprint, incarnation, now)));
         }
+        // An instance that starts knows of no sound run, and must not blame what all requests share.
+        for loss in &mut losses {
+            let sound = loss.parts.iter_mut();
+            for part in sound.filter(|it| self.was_sound_lately(it.part, now)) {
+                part.depth = 0;
+            }
+        }
         losses
     }
 
--- a/crates/forwarding/src/poison/suspect.rs
+++ b/crates/forwarding/src/poison/suspect.rs
@@ -10,12 +10,14 @@
 use super::loss::Evidence;
 use super::loss::Loss;
 use super::loss::Source;
+use super::part::PartLoss;
 
 /// Time from the latest loss of a suspect until the suspect expires. Answers count as recent, and
 /// upstreams as unreachable, for as long.
 pub(super) const LOSS_TTL: Duration = Duration::from_secs(60);
-/// Time from the latest refusal of a suspect until it expires.
-const REFUSED_TTL: Duration = Duration::from_secs(600);
+/// Time from the latest refusal of a suspect until it expires, and from the latest loss of one that
+/// is evidence against a prompt part.
+pub(super) const REFUSED_TTL: Duration = Duration::from_secs(600);
 
 #[derive(Clone, Debug)]
 pub(super) struct LossRecord {
@@ -23,6 +25,8 @@
     pub(super) evidence: Evidence,
     pub(super) source: Source,
     pub(super) is_batched: bool,
+    /// Shared prompt parts of the request, unless its answer had proved sound.
+    pub(super) parts: Vec<PartLoss>,
     pub(super) sent_at: Instant,
     /// When this instance saw the loss or learned of it.
     pub(super) recorded_at: Instant,
@@ -48,10 +52,15 @@
             depth: self.depth,
             evidence: self.evidence,
             is_batched: self.is_batched,
+            parts: self.parts.clone(),
             age: now.saturating_duration_since(self.sent_at),
         }
     }
 
+    pub(super) fn has_part(&self, part: id::Fingerprint) -> bool {
+        self.parts.iter().any(|it| it.part == part)
+    }
+
     pub(super) fn is_confirmed(&self) -> bool {
         self.evidence > Evidence::Unanswered
     }
--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -14,6 +14,7 @@
 use forwarding::poison::Quarantine;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
+use forwarding::poison::Subject;
 use tokio::time::Instant;
 
 const POISON: id::Fingerprint = id::Fingerprint(1);
@@ -78,8 +79,15 @@
 
     fn begin(&mut self, fingerprint: id::Fingerprint, upstream: &str) -> u64 {
         self.sends += 1;
-        self.quarantine
-            .track_send(self.sends, fingerprint, incarnation(upstream), self.now);
+        self.quarantine.track_send(
+            self.sends,
+            Subject {
+                fingerprint,
+                parts: &[],
+            },
+            incarnation(upstream),
+            self.now,
+        );
         self.sends
     }
 
@@ -389,6 +397,7 @@
             depth: 1,
             evidence: Evidence::Unanswered,
             is_batched: false,
+            parts: Vec::new(),
             age: Duration::ZERO,
         };
         instance
--- a/crates/forwarding/tests/poison_schedule/world.rs
+++ b/crates/forwarding/tests/poison_schedule/world.rs
@@ -12,6 +12,7 @@
 use forwarding::poison::Quarantine;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
+use forwarding::poison::Subject;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -489,7 +490,15 @@
         self.sends += 1;
         let now = self.instant();
         let quarantine = &mut self.members[member].quarantine;
-        quarantine.track_send(self.sends, fingerprint, incarnation, now);
+        quarantine.track_send(
+            self.sends,
+            Subject {
+                fingerprint,
+                parts: &[],
+            },
+            incarnation,
+            now,
+        );
         let is_poison = fingerprint == POISON;
         if is_poison && self.is_undisturbed(member) {
             let third = self.crashes.get(2);
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -10,6 +10,7 @@
 use catalog::Route;
 use catalog::Workspace;
 use forwarding::pace::PromptSize;
+use forwarding::poison::Subject;
 use forwarding::stop::Shutdown;
 use http::HeaderMap;
 use http::Method;
@@ -149,6 +150,15 @@
         token_count(shared) >= LONG_PREFIX_TOKENS_MIN
     }
 
+    /// What the request may be refused for.
+    #[must_use]
+    pub fn subject(&self) -> Subject<'_> {
+        Subject {
+            fingerprint: self.fingerprint,
+            parts: &self.shared_parts,
+        }
+    }
+
     /// Whether the request may run more than once, by the kind of its route.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -34,6 +34,7 @@
 use crate::prepare;
 use crate::prepare::Preparation;
 use crate::quota;
+use crate::relay;
 use crate::relay::Relay;
 use crate::routing::Connected;
 use crate::routing::RoutingHints;
@@ -111,7 +112,7 @@
     let mut tries = 0;
     let mut last_upstream: Option<id::Upstream> = None;
     loop {
-        if suspicion::check_quarantine(node, &request.id, request.fingerprint).is_some() {
+        if suspicion::is_quarantined(node, request) {
             let cause = Cause::Quarantined;
             return Err(
                 pending.into_failure(cause, suggested_retry_after(node, request, &service, cause))
@@ -197,14 +198,14 @@
 
 /// Resumes a broken stream at an upstream other than `lost`, if another is usable, after the last
 /// event that the client received. `None` if that isn't allowed or fails.
-pub async fn resume_stream(
+pub(crate) async fn resume_stream(
     node: &Arc<Node>,
     request: &Arc<ClientRequest>,
     lost: &Upstream,
     sends: u32,
     last_event: Option<u64>,
-) -> Option<(PooledConnection, Incoming, SendGuard)> {
-    if suspicion::check_quarantine(node, &request.id, request.fingerprint).is_some() {
+) -> Option<relay::Source> {
+    if suspicion::is_quarantined(node, request) {
         return None;
     }
     if sends >= request.route.attempts_max || !take_retry(node, &lost.service) {
@@ -243,7 +244,12 @@
     }
     let is_usable = head.status.is_success() && head.is_signed && is_for_request;
     send_guard.record_first_byte(!is_usable);
-    is_usable.then(|| (connection, response.into_body(), send_guard))
+    is_usable.then(|| relay::Source {
+        connection,
+        body: response.into_body(),
+        send_guard,
+        is_framed: head.is_framed,
+    })
 }
 
 /// `Retry-After` of a request that is refused for `cause`.
@@ -257,8 +263,7 @@
         return request
             .clamp_retry_after(shortest_hold_off(node, service).max(DEFAULT_RETRY_AFTER));
     }
-    let summary = suspicion::loss_summary(node, request.fingerprint);
-    if summary.is_fresh {
+    if suspicion::is_unsettled(node, request) {
         return request.clamp_retry_after(UNSETTLED_QUARANTINE_RETRY_AFTER);
     }
     QUARANTINE_RETRY_AFTER
@@ -442,15 +447,13 @@
         let status = response.status();
         let headers = upstream::response_headers(response.headers());
         let held_preparation = preparation.take();
-        let mut relay = Relay::new(
-            node,
-            request,
+        let source = relay::Source {
             connection,
-            response.into_body(),
+            body: response.into_body(),
             send_guard,
-            sends,
-            held_preparation,
-        );
+            is_framed: head.is_framed,
+        };
+        let mut relay = Relay::new(node, request, source, sends, held_preparation);
         return Ok(match relay.wait_first_event().await {
             true => Attempt::Answered(ClientResponse {
                 status,
@@ -618,11 +621,14 @@
         }
     };
     send_guard.record_first_byte(status.is_server_error());
-    send_guard.record_completed();
     // A server error doesn't clear the request: the upstream may not have begun to run it.
     if head.is_signed && !status.is_server_error() {
+        if status.is_success() && head.is_framed {
+            send_guard.record_sound_run();
+        }
         suspicion::record_success(node, request.fingerprint, Duration::ZERO, Source::Own);
     }
+    send_guard.record_completed();
     if !head.closes_connection {
         connection.return_to_pool(head.keep_alive).await;
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -210,7 +210,7 @@
 /// until the requesting instance closes the stream.
 async fn serve_prepare(node: &Arc<Node>, prepare: Prepare, replies: mpsc::Sender<Reply>) {
     let request = prepare.request.clone();
-    if suspicion::check_quarantine(node, &request, prepare.fingerprint).is_some() {
+    if suspicion::is_suspect_refused(node, &request, prepare.fingerprint) {
         return send_refusal(node, &request, &Refusal::Failed, replies).await;
     }
     let engines = prepare.engines.clone();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use forwarding::poison::Source;
+use forwarding::poison;
 use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -26,6 +26,9 @@
 use crate::suspicion;
 use crate::suspicion::LossKind;
 
+/// Time from the first event after which the answer is known not to crash its upstream: one that
+/// crashes ends tens of milliseconds after it has begun.
+const SOUND_RUN_MIN: Duration = Duration::from_millis(500);
 const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
 /// Why a stream was aborted.
@@ -40,6 +43,15 @@
 
 impl std::error::Error for Error {}
 
+/// Response of an upstream whose body is relayed.
+pub(crate) struct Source {
+    pub(crate) connection: PooledConnection,
+    pub(crate) body: Incoming,
+    pub(crate) send_guard: SendGuard,
+    /// Whether the body has a length or is chunked.
+    pub(crate) is_framed: bool,
+}
+
 /// State of one relayed stream.
 pub struct Relay {
     node: Arc<Node>,
@@ -55,6 +67,12 @@
     reservation: Reservation,
     /// Id of the last complete event that had one.
     last_event: Option<u64>,
+    /// Whether the body has a length or is chunked, so that its end is known to be complete.
+    is_framed: bool,
+    /// When the first complete event of this upstream arrived.
+    first_arrival: Option<Instant>,
+    /// Whether this upstream's answer has proved sound.
+    is_sound: bool,
     /// When complete events last arrived.
     last_arrival: Option<Instant>,
     /// Longest time between arrivals.
@@ -68,22 +86,23 @@
 }
 
 impl Relay {
-    /// Relays the `body` of a response whose head has arrived.
-    pub fn new(
+    /// Relays the body of a response whose head has arrived.
+    pub(crate) fn new(
         node: &Arc<Node>,
         request: &Arc<ClientRequest>,
-        connection: PooledConnection,
-        body: Incoming,
-        send_guard: SendGuard,
+        source: Source,
         sends: u32,
         preparation: Option<Preparation>,
     ) -> Relay {
         Relay {
             node: node.clone(),
             request: request.clone(),
-            connection: Some(connection),
-            body,
-            send_guard,
+            connection: Some(source.connection),
+            body: source.body,
+            send_guard: source.send_guard,
+            is_framed: source.is_framed,
+            first_arrival: None,
+            is_sound: false,
             sends,
             preparation,
             buffer: BytesMut::new(),
@@ -211,9 +230,20 @@
             .map(|it| now.saturating_duration_since(it));
         self.longest_pause = self.longest_pause.max(pause.unwrap_or_default());
         self.last_arrival = Some(now);
+        let first_arrival = *self.first_arrival.get_or_insert(now);
+        if now.saturating_duration_since(first_arrival) >= SOUND_RUN_MIN {
+            self.record_sound_run();
+        }
         Some(events)
     }
 
+    fn record_sound_run(&mut self) {
+        if !self.is_sound {
+            self.is_sound = true;
+            self.send_guard.record_sound_run();
+        }
+    }
+
     fn append(&mut self, data: &[u8]) -> Result<(), Error> {
         let size = self.buffer.len() + data.len();
         self.reservation.resize(size).map_err(|err| {
@@ -243,11 +273,14 @@
             self.last_event,
         )
         .await;
-        let (connection, body, send_guard) = resumed.ok_or(Error::Broken)?;
+        let source = resumed.ok_or(Error::Broken)?;
         self.sends += 1;
-        self.connection = Some(connection);
-        self.body = body;
-        self.send_guard = send_guard;
+        self.connection = Some(source.connection);
+        self.body = source.body;
+        self.send_guard = source.send_guard;
+        self.is_framed = source.is_framed;
+        self.first_arrival = None;
+        self.is_sound = false;
         let last_relayed = self.last_event;
         let chunk = self.read_events().await?;
         if let Chunk::Events(events) = &chunk {
@@ -259,12 +292,20 @@
         Ok(chunk)
     }
 
-    async fn finish(mut self) {
+    fn record_success(&mut self) {
         self.send_guard.record_completed();
-        if self.last_event.is_some() {
-            let fingerprint = self.request.fingerprint;
-            suspicion::record_success(&self.node, fingerprint, Duration::ZERO, Source::Own);
+        if self.last_event.is_none() {
+            return;
+        }
+        if self.is_framed {
+            self.record_sound_run();
         }
+        let fingerprint = self.request.fingerprint;
+        suspicion::record_success(&self.node, fingerprint, Duration::ZERO, poison::Source::Own);
+    }
+
+    async fn finish(mut self) {
+        self.record_success();
         let elapsed = self.request.received_at.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.request.id,
             "upstream" => self.send_guard.upstream.name.as_str(), "last_event" => self.last_event,
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -216,7 +216,7 @@
         match opened {
             // Connecting takes time, so the view, quarantine and cold limit are checked again.
             Ok(connection) if node.view().is_still_usable(&upstream) => {
-                if suspicion::check_quarantine(node, &request.id, request.fingerprint).is_some() {
+                if suspicion::is_quarantined(node, request) {
                     return Err(Cause::Quarantined);
                 }
                 if !connection.is_reused {
--- a/crates/node/src/send_guard.rs
+++ b/crates/node/src/send_guard.rs
@@ -41,12 +41,8 @@
         let sent_at = Instant::now();
         let mut limits = node.limits();
         let send_id = limits.record_send(&upstream.name, request, sent_at);
-        limits.quarantine.track_send(
-            send_id,
-            request.fingerprint,
-            upstream.incarnation(),
-            sent_at,
-        );
+        let quarantine = &mut limits.quarantine;
+        quarantine.track_send(send_id, request.subject(), upstream.incarnation(), sent_at);
         drop(limits);
         SendGuard {
             node: node.clone(),
@@ -90,6 +86,12 @@
         self.node.limits().quarantine.record_answer(self.send_id);
     }
 
+    /// Records that the answer has proved sound, which clears the prompt parts of the request.
+    pub(crate) fn record_sound_run(&self) {
+        let quarantine = &mut self.node.limits().quarantine;
+        quarantine.record_sound_run(self.send_id, Instant::now());
+    }
+
     /// Records that the connection broke or no valid response came in time.
     pub fn record_broken(&self) {
         let mut limits = self.node.limits();
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use wire::Request;
 
+use crate::client_request::ClientRequest;
 use crate::connection;
 use crate::follow;
 use crate::routing;
@@ -36,6 +37,8 @@
 const LAPSE_PROPAGATION: Duration = Duration::from_millis(1_500);
 /// Delay before losses are published, so that those caused by one crash go out together.
 const BATCH_DELAY: Duration = Duration::from_millis(30);
+/// Crashes that involve a prompt part from which on checks of the part are logged.
+const LOGGED_CRASHES_MIN: usize = 2;
 /// Pause after a write to the store; doubled after each failure up to [`WRITE_PAUSE_MAX`]. It is
 /// multiplied by the number of groups of [`MEMBERS_PER_WRITE`] members, so that all members
 /// together stay below a fifth of the writes that the store accepts.
@@ -173,14 +176,28 @@
     }
 }
 
-/// Returns the losses of a request if it is refused because of them; `None` if it may run.
-pub(crate) fn check_quarantine(
-    node: &Node,
-    request: &str,
-    fingerprint: id::Fingerprint,
-) -> Option<LossSummary> {
+/// Whether a request is refused because of its own losses, or of crashes that a part of its prompt
+/// caused.
+pub(crate) fn is_quarantined(node: &Node, request: &ClientRequest) -> bool {
+    is_suspect_refused(node, &request.id, request.fingerprint) || is_part_refused(node, request)
+}
+
+/// Whether an answer at another instance may still clear a refused request.
+pub(crate) fn is_unsettled(node: &Node, request: &ClientRequest) -> bool {
+    let summary = loss_summary(node, request.fingerprint);
+    if summary.is_refused() {
+        return summary.is_fresh;
+    }
+    let quarantine = &mut node.limits().quarantine;
+    quarantine
+        .assess_parts(&request.shared_parts, Instant::now())
+        .is_fresh
+}
+
+/// Whether a request is refused because of its own losses.
+pub(crate) fn is_suspect_refused(node: &Node, request: &str, fingerprint: id::Fingerprint) -> bool {
     if !node.limits().quarantine.is_suspected(fingerprint) {
-        return None;
+        return false;
     }
     evaluate_losses(node);
     let summary = loss_summary(node, fingerprint);
@@ -191,7 +208,27 @@
         "answered_lately" => summary.is_answered,
         "rows_age_ms" => node.rows_age().map(|it| it.as_millis() as u64),
         "refused" => summary.is_refused(), "fresh" => summary.is_fresh);
-    summary.is_refused().then_some(summary)
+    summary.is_refused()
+}
+
+fn is_part_refused(node: &Node, request: &ClientRequest) -> bool {
+    let now = Instant::now();
+    let summary = {
+        let quarantine = &mut node.limits().quarantine;
+        quarantine.assess_parts(&request.shared_parts, now)
+    };
+    // One crash is common, and involves the parts of every request at the upstream.
+    if summary.crashes >= LOGGED_CRASHES_MIN {
+        slog::info!(node.logger(), "part_checked"; "request" => &request.id,
+            "part" => summary.part.map(|it| it.to_string()), "crashes" => summary.crashes,
+            "depth" => summary.depth,
+            "rows_age_ms" => node.rows_age().map(|it| it.as_millis() as u64),
+            "refused" => summary.is_refused, "fresh" => summary.is_fresh);
+    }
+    if summary.is_refused {
+        node.telemetry.count("suspects.parts_refused", 1);
+    }
+    summary.is_refused
 }
 
 /// Applies changed rows: removes and merges losses, then confirms or drops all recorded losses by
@@ -370,6 +407,7 @@
         "source" => %source, "ending" => kind.map(|it| it.to_string()),
         "upstream" => loss.incarnation.upstream.as_str(),
         "started_ms" => loss.incarnation.started_ms, "evidence" => %loss.evidence,
-        "losses" => summary.losses, "counted" => summary.confirmed, "depth" => summary.depth);
+        "losses" => summary.losses, "counted" => summary.confirmed, "depth" => summary.depth,
+        "parts" => loss.parts.len());
     summary
 }
