Tell a crash from the end of a response without a length

What callers saw: an engine that crashes after the head of a response that ends with its connection left a complete answer with no event, status 200.

Cause: an end of the body counted as a whole answer, however the body is framed.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -206,6 +206,10 @@
                     }
                 }
                 Some(Err(_)) => return Err(Error::Broken),
+                // An upstream that fails before its first event leaves an empty body behind.
+                None if self.first_arrival.is_none() && !self.is_framed => {
+                    return Err(Error::Broken);
+                }
                 None if self.buffer.is_empty() => return Ok(Chunk::End),
                 None => return Err(Error::Broken),
             }
@@ -297,15 +301,17 @@
         if self.last_event.is_none() {
             return;
         }
-        if self.is_framed {
-            self.record_sound_run();
-        }
+        self.record_sound_run();
         let fingerprint = self.request.fingerprint;
         suspicion::record_success(&self.node, fingerprint, Duration::ZERO, poison::Source::Own);
     }
 
     async fn finish(mut self) {
-        self.record_success();
+        match self.is_framed {
+            true => self.record_success(),
+            // The connection also ends with its upstream, which a probe finds out.
+            false => suspicion::record_loss(&self.send_guard, LossKind::Broken),
+        }
         let elapsed = self.request.received_at.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.request.id,
             "upstream" => self.send_guard.upstream.name.as_str(), "last_event" => self.last_event,
