Count the crashes of repeated requests against their prompt parts

Each request now counts for two crashes at most, one fewer than make a part blamed. Two units guard both sides.

--- a/crates/forwarding/src/poison/loss.rs
+++ b/crates/forwarding/src/poison/loss.rs
@@ -12,7 +12,7 @@
 
 /// A request is refused once this many different upstreams were lost while they ran it; ordinary
 /// crashes rarely hit one request this often by chance.
-pub(super) const REFUSAL_THRESHOLD: usize = 3;
+const REFUSAL_THRESHOLD: usize = 3;
 
 /// Evidence that an upstream was lost, ordered from weakest to strongest.
 #[derive(
--- a/crates/forwarding/src/poison/part.rs
+++ b/crates/forwarding/src/poison/part.rs
@@ -17,7 +17,6 @@
 
 use super::Quarantine;
 use super::is_within;
-use super::loss::REFUSAL_THRESHOLD;
 use super::share::GOSSIP_WINDOW;
 use super::suspect::LOSS_TTL;
 use super::suspect::LossRecord;
@@ -33,6 +32,10 @@
 /// one was in no sound run.
 const UNCONTRASTED_CRASHES_MIN: usize = 5;
 
+/// Crashes that one request, with its repeats, adds to those of its parts: fewer than make a part
+/// blamed.
+const REQUEST_CRASHES_MAX: usize = CRASHES_MIN - 1;
+
 /// A prompt part of a request that was lost before its answer was known to be sound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartLoss {
@@ -241,12 +244,12 @@
     fn involvements(&self) -> BTreeMap<id::Fingerprint, Involvement> {
         let mut upstreams: BTreeMap<&id::Incarnation, usize> = BTreeMap::new();
         let mut parts: BTreeMap<id::Fingerprint, Involvement> = BTreeMap::new();
-        // A request that is refused itself explains its crashes.
-        let unrepeated = self.suspects.values();
-        let unrepeated = unrepeated.filter(|it| it.confirmed().count() < REFUSAL_THRESHOLD);
-        for suspect in unrepeated {
+        for suspect in self.suspects.values() {
             let records = suspect.losses.iter().filter(|(_, it)| it.is_confirmed());
-            for (incarnation, record) in records {
+            let mut records: Vec<(&id::Incarnation, &LossRecord)> = records.collect();
+            records.sort_by_key(|(_, it)| it.sent_at);
+            // The crashes of one request that is repeated are its own, whatever it consists of.
+            for (incarnation, record) in records.into_iter().take(REQUEST_CRASHES_MAX) {
                 let next = upstreams.len();
                 let upstream = *upstreams.entry(incarnation).or_insert(next);
                 let first = record.parts.first().map(|it| it.part);
--- a/crates/forwarding/tests/parts/units.rs
+++ b/crates/forwarding/tests/parts/units.rs
@@ -29,8 +29,10 @@
 impl Instance {
     fn send(&mut self, letters: &str, upstream: &str) {
         self.sends += 1;
+        let (letters, number) = letters.split_once('#').unwrap_or((letters, ""));
+        let number = number.parse().unwrap_or(1_000 + self.sends);
         let subject = Subject {
-            fingerprint: id::Fingerprint(1_000 + self.sends),
+            fingerprint: id::Fingerprint(number),
             parts: &parts(letters),
         };
         let incarnation: id::Incarnation = format!("{upstream}@1").parse().expect("a name");
@@ -57,7 +59,8 @@
         self.quarantine.reconcile(&registry, self.now);
     }
 
-    /// Applies events, one word each: `PARTS>UPSTREAM` sends a request, `!UPSTREAM` crashes one,
+    /// Applies events, one word each: `PARTS>UPSTREAM` sends a request, `PARTS#NUMBER>UPSTREAM` one
+    /// that may have been sent before, `!UPSTREAM` crashes an upstream,
     /// `PARTS=` is a sound run, `+MS` advances the clock.
     fn apply(&mut self, events: &str) {
         for event in events.split_whitespace() {
@@ -147,6 +150,12 @@
     a_part_that_becomes_deadly_is_refused: "sx= sx>a !a sx>b !b sx>c !c s=", "sx" => true;
     a_first_part_is_refused_after_five_crashes: "s>a !a s>b !b s>c !c s>e !e s>f !f", "s" => true;
     a_first_part_is_not_refused_after_four_crashes: "s>a !a s>b !b s>c !c s>e !e", "s" => false;
+    /// Guards against blaming parts for one request that is repeated, and ordinary requests with it.
+    a_repeated_request_does_not_blame_its_parts:
+        "sd#1>a !a sd#1>b !b sd#1>c !c sd#1>e !e sd#1>f !f s=", "sd" => false;
+    /// Guards against discarding the crashes of requests that their clients repeat.
+    repeated_requests_blame_their_common_part:
+        "sd#1>a !a sd#1>b !b sd#1>c !c sd#2>e !e s=", "sd" => true;
     /// Guards against forgetting a part while its requests still come.
     blame_outlives_the_expiry_of_single_losses:
         "sd>a !a sd>b !b sd>c !c s= +120000", "sd" => true;
