--- a/crates/node/src/bin/catkinvane-node.rs
+++ b/crates/node/src/bin/catkinvane-node.rs
@@ -6,17 +6,10 @@
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
 
-const HELP: &str = "\
-catkinvane-node: serves clients on one instance
-
-  --settings FILE   settings; by default the file that CATKINVANE_SETTINGS names
-  --check           check the settings and exit
-";
-
 fn main() -> eyre::Result<()> {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
-        print!("{HELP}");
+        print!("{}", help());
         return Ok(());
     }
     let is_check = args.contains("--check");
@@ -40,3 +33,15 @@
         node::serve::run(settings, path, telemetry, registry, signals).await
     })
 }
+
+fn help() -> String {
+    format!(
+        "\
+catkinvane-node: serves clients on one instance
+
+  --settings FILE   settings; by default the file that {} names
+  --check           check the settings and exit
+",
+        settings::PATH_VARIABLE
+    )
+}
