Read the announcements of a response head in one function

First sends and resumed streams each read leaving, hold-off and rate limit of a head, in the same ten lines.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -232,16 +232,8 @@
     let response = tokio::time::timeout(request.time_left(), connection.send(outgoing, permit));
     let response = response.await.ok()?.ok()?;
     let head = ResponseHead::read(response.status(), response.headers());
-    if head.is_leaving {
-        node.mark_upstream_leaving(&upstream.incarnation());
-    }
-    if let Some(hold_off) = head.retry_after {
-        send_guard.record_hold_off(hold_off);
-    }
     let is_for_request = head.request_id.as_deref() == Some(&request.id);
-    if is_for_request {
-        quota::news::record_answer(node, &upstream, head.rate_limit, send_guard.sent_at);
-    }
+    record_announcements(node, &send_guard, &head, is_for_request);
     let is_usable = head.status.is_success() && head.is_signed && is_for_request;
     send_guard.record_first_byte(!is_usable);
     is_usable.then(|| relay::Source {
@@ -389,16 +381,8 @@
         }
     };
     let head = ResponseHead::read(response.status(), response.headers());
-    if head.is_leaving {
-        node.mark_upstream_leaving(&upstream.incarnation());
-    }
-    if let Some(hold_off) = head.retry_after {
-        send_guard.record_hold_off(hold_off);
-    }
     let is_for_request = head.request_id.as_deref() == Some(&request.id);
-    if is_for_request {
-        quota::news::record_answer(node, &upstream, head.rate_limit, send_guard.sent_at);
-    }
+    record_announcements(node, &send_guard, &head, is_for_request);
     if !is_for_request && !head.is_not_run {
         slog::warn!(node.logger(), "foreign_answer"; "request" => &request.id,
             "upstream" => upstream.name.as_str(), "answer_to" => head.request_id.as_deref());
@@ -519,6 +503,26 @@
     until_deadline.min(node.limits().answer_timeout(request))
 }
 
+/// Records what the head of a response announces of its upstream: that it leaves, asks for no
+/// requests for a time, or limits their rate. The rate is taken only from the answer to this request.
+fn record_announcements(
+    node: &Arc<Node>,
+    send_guard: &SendGuard,
+    head: &ResponseHead,
+    is_for_request: bool,
+) {
+    let upstream = &send_guard.upstream;
+    if head.is_leaving {
+        node.mark_upstream_leaving(&upstream.incarnation());
+    }
+    if let Some(hold_off) = head.retry_after {
+        send_guard.record_hold_off(hold_off);
+    }
+    if is_for_request {
+        quota::news::record_answer(node, upstream, head.rate_limit, send_guard.sent_at);
+    }
+}
+
 fn record_loss(
     node: &Arc<Node>,
     request: &ClientRequest,
