--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -1,36 +1,40 @@
 //! Forwards a client request: has its steps run, sends it to an upstream, retries, and returns the
 //! response.
 
+mod refusal;
+mod response;
+pub(crate) mod resume;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::id;
 use bytes::Bytes;
-use catalog::RouteKind;
-use catalog::Upstream;
 use forwarding::life::Cause;
 use forwarding::life::Failure;
 use forwarding::life::Lifecycle;
 use forwarding::life::Pending;
 use forwarding::life::Sent;
-use forwarding::poison::Source;
 use http::HeaderMap;
-use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use platform::upstream;
 use platform::upstream::ResponseHead;
 use stages::Handle;
 use stages::Refusal;
 use tokio::time::Instant;
 
-use crate::buffer;
-use crate::buffer::REFUSAL_BODY_BYTES_MAX;
-use crate::buffer::RESPONSE_BYTES_MAX;
+use self::refusal::DEFAULT_RETRY_AFTER;
+use self::refusal::STOPPING_RETRY_AFTER;
+use self::refusal::not_run_failure;
+use self::refusal::steps_failure;
+use self::refusal::suggested_retry_after;
+use self::response::handle_not_run;
+use self::response::read_whole_response;
+use self::response::record_announcements;
+use self::response::record_loss;
 use crate::client_request::ClientRequest;
 use crate::client_request::RESPONSE_MARGIN;
 use crate::connection;
-use crate::connection::PooledConnection;
 use crate::prepare;
 use crate::prepare::Preparation;
 use crate::quota;
@@ -41,21 +45,9 @@
 use crate::routing::UNSENT_ATTEMPTS_MAX;
 use crate::routing::connect;
 use crate::routing::prepare_request;
-use crate::send_guard::SendGuard;
 use crate::send_guard::build_outgoing;
 use crate::state::Node;
 use crate::suspicion;
-use crate::suspicion::LossKind;
-
-/// `Retry-After` of failures that give no better estimate.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// `Retry-After` of a quarantined request, which is refused until its losses expire.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// `Retry-After` of a quarantined request while another instance may still report an answer that
-/// clears it.
-const UNSETTLED_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// `Retry-After` during a shutdown: another instance accepts the request at once.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Most engines that the owner chooses for one attempt while their rate limits deny it.
 const PLACEMENTS_MAX: u32 = 3;
@@ -201,97 +193,11 @@
     }
 }
 
-/// Resumes a broken stream at an upstream other than `lost`, if another is usable, after the last
-/// event that the client received. `None` if that isn't allowed or fails.
-pub(crate) async fn resume_stream(
-    node: &Arc<Node>,
-    request: &Arc<ClientRequest>,
-    lost: &Upstream,
-    sends: u32,
-    last_event: Option<u64>,
-) -> Option<relay::Source> {
-    if suspicion::is_quarantined(node, request) {
-        return None;
-    }
-    if sends >= request.route.attempts_max || !take_retry(node, &lost.service) {
-        return None;
-    }
-    // The step results were freed at the first event, so the steps run again.
-    let mut preparation = match prepare_request(node, request, &lost.service) {
-        Some(prepare_request) => Some(prepare::run(node, &prepare_request).await.ok()?),
-        None => None,
-    };
-    let excluded = std::slice::from_ref(&lost.name);
-    let connect_result =
-        connect_placed(node, request, &lost.service, &mut preparation, excluded).await;
-    let Connected {
-        upstream,
-        mut connection,
-        permit,
-    } = connect_result.ok()?;
-    let prepared = preparation.as_ref().map(|it| &it.prepared);
-    let handles = prepared.map_or(&[][..], |it| &it.handles);
-    let (outgoing, send_guard) = build_outgoing(node, request, &upstream, handles, last_event);
-    slog::info!(node.logger(), "stream_resumed"; "request" => &request.id,
-        "from" => %lost.name, "to" => %upstream.name, "last_event" => last_event);
-    let response = tokio::time::timeout(request.time_left(), connection.send(outgoing, permit));
-    let response = response.await.ok()?.ok()?;
-    let head = ResponseHead::read(response.status(), response.headers());
-    let is_for_request = head.request_id.as_deref() == Some(&request.id);
-    record_announcements(node, &send_guard, &head, is_for_request);
-    let is_usable = head.status.is_success() && head.is_signed && is_for_request;
-    send_guard.record_first_byte(!is_usable);
-    is_usable.then(|| relay::Source {
-        connection,
-        body: response.into_body(),
-        send_guard,
-        is_framed: head.is_framed,
-    })
-}
-
-/// `Retry-After` of a request that is refused for `cause`.
-fn suggested_retry_after(
-    node: &Node,
-    request: &ClientRequest,
-    service: &id::Service,
-    cause: Cause,
-) -> Duration {
-    if cause != Cause::Quarantined {
-        return request
-            .clamp_retry_after(shortest_hold_off(node, service).max(DEFAULT_RETRY_AFTER));
-    }
-    if suspicion::is_unsettled(node, request) {
-        return request.clamp_retry_after(UNSETTLED_QUARANTINE_RETRY_AFTER);
-    }
-    QUARANTINE_RETRY_AFTER
-}
-
-/// Time until the first upstream of a service accepts requests again; zero if one does now or none
-/// is usable.
-fn shortest_hold_off(node: &Node, service: &id::Service) -> Duration {
-    let view = node.view();
-    let now = Instant::now();
-    let quotas = node.quotas();
-    let mut limits = node.limits();
-    let until = view.usable(service).map(|it| {
-        let health = limits.health(&it.name);
-        let held_off_until = health.held_off_until(now).unwrap_or(now);
-        let denial = quotas.denial(&it.incarnation()).unwrap_or_default();
-        held_off_until.max(now + denial)
-    });
-    let first = until.min().unwrap_or(now);
-    first.saturating_duration_since(now)
-}
-
 /// Whether a request that ran nowhere may be tried again.
 fn may_try_again(request: &ClientRequest, tries: u32) -> bool {
     request.time_left() > RESPONSE_MARGIN && tries < UNSENT_ATTEMPTS_MAX
 }
 
-fn not_run_failure(request: &ClientRequest, pending: Pending, cause: Cause) -> Failure {
-    pending.into_failure(cause, request.clamp_retry_after(DEFAULT_RETRY_AFTER))
-}
-
 fn take_retry(node: &Node, service: &id::Service) -> bool {
     let members = node.member_count();
     let is_taken = node.limits().take_retry(service, members, Instant::now());
@@ -302,15 +208,6 @@
     is_taken
 }
 
-fn steps_failure(request: &ClientRequest, pending: Pending, refusal: &Refusal) -> Failure {
-    let (cause, retry_after) = match refusal {
-        Refusal::TooLate(drain) => (Cause::StepsTooLate, (*drain).max(DEFAULT_RETRY_AFTER)),
-        Refusal::NoUpstream => (Cause::NoUpstream, DEFAULT_RETRY_AFTER),
-        Refusal::Failed => (Cause::StepsFailed, DEFAULT_RETRY_AFTER),
-    };
-    pending.into_failure(cause, request.clamp_retry_after(retry_after))
-}
-
 async fn attempt(
     node: &Arc<Node>,
     request: &Arc<ClientRequest>,
@@ -516,150 +413,3 @@
     }
     until_deadline.min(node.limits().answer_timeout(request))
 }
-
-/// Records what the head of a response announces of its upstream: that it leaves, asks for no
-/// requests for a time, or limits their rate. The rate is taken only from the answer to this request.
-fn record_announcements(
-    node: &Arc<Node>,
-    send_guard: &SendGuard,
-    head: &ResponseHead,
-    is_for_request: bool,
-) {
-    let upstream = &send_guard.upstream;
-    if head.is_leaving {
-        node.mark_upstream_leaving(&upstream.incarnation());
-    }
-    if let Some(hold_off) = head.retry_after {
-        send_guard.record_hold_off(hold_off);
-    }
-    if is_for_request {
-        quota::news::record_answer(node, upstream, head.rate_limit, send_guard.sent_at);
-    }
-}
-
-fn record_loss(
-    node: &Arc<Node>,
-    request: &ClientRequest,
-    send_guard: &SendGuard,
-    lifecycle: Lifecycle<Sent>,
-    cause: Cause,
-) -> Attempt {
-    send_guard.record_broken();
-    slog::warn!(node.logger(), "lost"; "request" => &request.id,
-        "fingerprint" => %request.fingerprint, "upstream" => send_guard.upstream.name.as_str(),
-        "started_ms" => send_guard.upstream.started_ms, "cause" => %cause,
-        "parts" => request.shared_parts_text());
-    let kind = match cause {
-        Cause::Deadline => LossKind::Silent,
-        _ => LossKind::Broken,
-    };
-    suspicion::record_loss(send_guard, kind);
-    Attempt::Lost(lifecycle, cause)
-}
-
-async fn handle_not_run(
-    node: &Node,
-    request: &ClientRequest,
-    send_guard: &SendGuard,
-    lifecycle: Lifecycle<Sent>,
-    connection: PooledConnection,
-    head: &ResponseHead,
-    response: Response<Incoming>,
-) -> Attempt {
-    slog::info!(node.logger(), "not_run"; "request" => &request.id,
-        "upstream" => send_guard.upstream.name.as_str(), "status" => head.status.as_u16());
-    send_guard.record_first_byte(true);
-    // Status 421 comes from another upstream, which now has the address of the intended one.
-    match head.status {
-        StatusCode::MISDIRECTED_REQUEST => send_guard.record_unsent(),
-        _ => send_guard.record_completed(),
-    }
-    let body = buffer::collect(response.into_body(), &node.memory, REFUSAL_BODY_BYTES_MAX);
-    let body = tokio::time::timeout(request.time_left(), body).await;
-    if matches!(body, Ok(Ok(_))) && !head.closes_connection {
-        connection.return_to_pool(head.keep_alive).await;
-    }
-    let pending = lifecycle.not_run();
-    match head.status {
-        StatusCode::CONFLICT => Attempt::ResultsGone(pending),
-        StatusCode::MISDIRECTED_REQUEST => {
-            // The intended upstream is no longer at this address.
-            suspicion::record_unreachable(node, &send_guard.upstream);
-            Attempt::Rejected(pending, Cause::NoUpstream)
-        }
-        _ => Attempt::Rejected(pending, Cause::Full),
-    }
-}
-
-/// Reads a non-streaming response to its end and records the outcome of its send.
-async fn read_whole_response(
-    node: &Arc<Node>,
-    request: &Arc<ClientRequest>,
-    connection: PooledConnection,
-    send_guard: SendGuard,
-    lifecycle: Lifecycle<Sent>,
-    head: &ResponseHead,
-    response: Response<Incoming>,
-) -> Result<Attempt, Failure> {
-    let status = response.status();
-    let headers = upstream::response_headers(response.headers());
-    let body = buffer::collect(response.into_body(), &node.memory, RESPONSE_BYTES_MAX);
-    let time_left = request.time_left().saturating_sub(RESPONSE_MARGIN);
-    let bytes = match tokio::time::timeout(time_left, body).await {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(buffer::Error::Broken)) => {
-            return Ok(record_loss(
-                node,
-                request,
-                &send_guard,
-                lifecycle,
-                Cause::ConnectionLost,
-            ));
-        }
-        Ok(Err(buffer::Error::TooLarge)) => {
-            return Ok(record_loss(
-                node,
-                request,
-                &send_guard,
-                lifecycle,
-                Cause::BadAnswer,
-            ));
-        }
-        Err(_) => {
-            return Ok(record_loss(
-                node,
-                request,
-                &send_guard,
-                lifecycle,
-                Cause::Deadline,
-            ));
-        }
-    };
-    send_guard.record_first_byte(status.is_server_error());
-    // A server error doesn't clear the request: the upstream may not have begun to run it.
-    if head.is_signed && !status.is_server_error() {
-        if status.is_success() && head.is_framed {
-            send_guard.record_sound_run();
-        }
-        suspicion::record_success(node, request.fingerprint, Duration::ZERO, Source::Own);
-    }
-    send_guard.record_completed();
-    if !head.closes_connection {
-        connection.return_to_pool(head.keep_alive).await;
-    }
-    let client_response = ClientResponse {
-        status,
-        headers,
-        body: Body::Whole(bytes),
-    };
-    if status.is_server_error() {
-        return Ok(Attempt::Failed(client_response, lifecycle));
-    }
-    Ok(Attempt::Answered(client_response))
-}
-
-/// Whether a broken stream of this route kind may be resumed at another upstream.
-#[must_use]
-pub fn is_resumable(kind: RouteKind) -> bool {
-    kind == RouteKind::ResumableStream
-}
--- /dev/null
+++ b/crates/node/src/owner/calls.rs
@@ -0,0 +1,173 @@
+//! Calls to the upstreams that run steps: batches of pieces, and results to free.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base::id;
+use catalog::Upstream;
+use forwarding::quota::Urgency;
+use stages::Call;
+use stages::Handle;
+use stages::Outcome;
+use stages::Shard;
+use telemetry::Telemetry;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::Owner;
+use super::Shared;
+use super::TaskResult;
+use super::UpstreamEvent;
+use crate::quota;
+use crate::state::Node;
+
+impl Owner {
+    pub(super) fn spawn_call(
+        &self,
+        node: &Arc<Node>,
+        tasks: &mut JoinSet<TaskResult>,
+        shard: Shard,
+        call: Call,
+        upstream: Option<Arc<Upstream>>,
+    ) {
+        let (shared, node) = (self.shared.clone(), node.clone());
+        tasks.spawn(async move {
+            let Some(upstream) = upstream else {
+                return TaskResult::Call(shard, call.id, Outcome::Unreachable);
+            };
+            // The planner forms calls of the most urgent pieces first.
+            let permit = match quota::admit(&node, &upstream, Urgency::Priority(0)).await {
+                Ok(permit) => permit,
+                Err(wait) => {
+                    shared.defer_calls(&call, wait);
+                    return TaskResult::Call(shard, call.id, Outcome::Unsent);
+                }
+            };
+            let (address, name) = (upstream.address, upstream.name.as_str());
+            let sent_at = Instant::now();
+            let client = &shared.client;
+            let items = &call.items;
+            let reply = client.run(address, name, items, call.timeout, permit).await;
+            log_call(&shared.telemetry, &call, &reply.outcome, sent_at.elapsed());
+            if let Some(time) = reply.retry_after {
+                shared.hold_off(&upstream.name, time);
+            }
+            quota::news::record_answer(&node, &upstream, reply.rate_limit, sent_at);
+            if reply.is_leaving {
+                shared.report(UpstreamEvent::Leaving(upstream.incarnation()));
+            }
+            match reply.outcome {
+                Outcome::Unreachable => shared.report(UpstreamEvent::Unreachable(upstream.clone())),
+                Outcome::Lost => shared.report(UpstreamEvent::Lost {
+                    upstream: upstream.clone(),
+                    fingerprints: call.items.iter().map(|it| it.fingerprint).collect(),
+                    sent_at,
+                }),
+                Outcome::Done(_) | Outcome::Rejected | Outcome::Unsent => {}
+            }
+            TaskResult::Call(shard, call.id, reply.outcome)
+        });
+    }
+
+    pub(super) fn spawn_free(
+        &self,
+        node: &Arc<Node>,
+        tasks: &mut JoinSet<TaskResult>,
+        unused: BTreeMap<id::Upstream, Vec<Handle>>,
+    ) {
+        for (upstream, handles) in unused {
+            let Some(upstream) = self.lock().upstreams.get(&upstream).cloned() else {
+                continue;
+            };
+            let (shared, node) = (self.shared.clone(), node.clone());
+            tasks.spawn(async move {
+                free(&shared, &node, &upstream, &handles).await;
+                TaskResult::Free
+            });
+        }
+    }
+}
+
+impl Shared {
+    /// Sends no calls to the upstream of `call` for `wait`, as its rate limit does not allow them.
+    fn defer_calls(&self, call: &Call, wait: Duration) {
+        slog::info!(self.telemetry.logger(), "rate_denied"; "call" => call.id,
+            "upstream" => call.upstream.as_str(), "wait_ms" => wait.as_millis() as u64);
+        let until = Instant::now() + wait;
+        let state = self.state.lock();
+        let state = &mut *state.unwrap_or_else(PoisonError::into_inner);
+        for planner in state.planners.values_mut() {
+            planner.hold_off(&call.upstream, until);
+        }
+    }
+
+    fn is_held_off(&self, upstream: &id::Upstream) -> bool {
+        let state = self.state.lock();
+        let state = state.unwrap_or_else(PoisonError::into_inner);
+        let until = state.held_off_until.get(upstream);
+        until.is_some_and(|it| *it > Instant::now())
+    }
+
+    /// Sends no calls to an upstream for a time, as it asked.
+    fn hold_off(&self, upstream: &id::Upstream, time: Duration) {
+        slog::info!(self.telemetry.logger(), "held_off"; "upstream" => upstream.as_str(),
+            "time_ms" => time.as_millis() as u64);
+        let Some(until) = Instant::now().checked_add(time) else {
+            return;
+        };
+        let state = self.state.lock();
+        let state = &mut *state.unwrap_or_else(PoisonError::into_inner);
+        state.held_off_until.insert(upstream.clone(), until);
+        for planner in state.planners.values_mut() {
+            planner.hold_off(upstream, until);
+        }
+    }
+
+    fn report(&self, event: UpstreamEvent) {
+        // The receiver is gone only when the process stops.
+        let _ = self.events.send(event);
+    }
+}
+
+/// Frees results at an upstream. If it asked for no calls or its rate limit leaves no capacity for
+/// that, they are left to expire.
+async fn free(shared: &Shared, node: &Node, upstream: &Upstream, handles: &[Handle]) {
+    let logger = shared.telemetry.logger();
+    let name = upstream.name.as_str();
+    let permit = match shared.is_held_off(&upstream.name) {
+        true => None,
+        false => quota::admit(node, upstream, Urgency::Deferrable).await.ok(),
+    };
+    let Some(permit) = permit else {
+        slog::info!(logger, "free_skipped"; "upstream" => name, "results" => handles.len());
+        return;
+    };
+    let sent_at = Instant::now();
+    let client = &shared.client;
+    let (is_freed, rate_limit) = client.free(upstream.address, name, handles, permit).await;
+    quota::news::record_answer(node, upstream, rate_limit, sent_at);
+    if !is_freed {
+        slog::info!(logger, "free_failed"; "upstream" => name, "results" => handles.len());
+    }
+}
+
+fn log_call(telemetry: &Telemetry, call: &Call, outcome: &Outcome, elapsed: Duration) {
+    let (outcome, made) = match outcome {
+        Outcome::Done(results) => ("done", results.iter().filter(|it| it.is_ok()).count()),
+        Outcome::Rejected => ("rejected", 0),
+        Outcome::Unsent => ("unsent", 0),
+        Outcome::Unreachable => ("unreachable", 0),
+        Outcome::Lost => ("lost", 0),
+    };
+    telemetry.count_tagged("steps.calls", outcome, 1);
+    telemetry.count("steps.pieces", made as u64);
+    telemetry.time_ms("steps.call_time", elapsed.as_millis() as u64);
+    let mut requests: Vec<&str> = call.items.iter().map(|it| it.request.as_str()).collect();
+    requests.dedup();
+    slog::info!(telemetry.logger(), "step_call"; "call" => call.id,
+        "upstream" => call.upstream.as_str(), "pieces" => call.items.len(), "made" => made,
+        "requests" => requests.join(","), "took_ms" => elapsed.as_millis() as u64,
+        "timeout_ms" => call.timeout.as_millis() as u64, "outcome" => outcome);
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::buffer::Reservation;
 use crate::client_request::ClientRequest;
 use crate::connection::PooledConnection;
-use crate::forward;
+use crate::forward::resume;
 use crate::prepare::Preparation;
 use crate::send_guard::SendGuard;
 use crate::state::InFlightGuard;
@@ -266,10 +266,10 @@
         self.buffer.clear();
         self.scanned = 0;
         suspicion::record_loss(&self.send_guard, LossKind::Broken);
-        if !forward::is_resumable(self.request.route.kind) {
+        if !resume::is_resumable(self.request.route.kind) {
             return Err(Error::Broken);
         }
-        let resumed = forward::resume_stream(
+        let resumed = resume::resume_stream(
             &self.node,
             &self.request,
             &self.send_guard.upstream,
