--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -123,6 +123,10 @@
     /// A named set of interchangeable upstreams.
     Service
 }
+name! {
+    /// A version of the software that upstreams run.
+    Software
+}
 name! {
     /// A pipeline: the stages that a request runs through.
     Pipeline
--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -36,6 +36,8 @@
     pub phase: Phase,
     /// Start time in Unix milliseconds; tells restarts under the same name apart.
     pub started_ms: u64,
+    /// Version of the software that it runs. Versions have no order.
+    pub software: id::Software,
     /// Store version of the registration.
     pub version: u64,
 }
--- a/crates/catalog/tests/routes.rs
+++ b/crates/catalog/tests/routes.rs
@@ -82,6 +82,7 @@
         slots: 1,
         phase,
         started_ms: 1,
+        software: "v1".parse().expect("a name"),
         version: 1,
     }
 }
--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -48,6 +48,7 @@
             slots: 1,
             phase: Phase::Ready,
             started_ms: incarnation.started_ms,
+            software: "v1".parse().expect("a name"),
             version: 1,
         };
         view.upstreams
--- a/crates/forwarding/tests/poison_schedule/world.rs
+++ b/crates/forwarding/tests/poison_schedule/world.rs
@@ -600,6 +600,7 @@
         slots: 1,
         phase: Phase::Ready,
         started_ms: incarnation.started_ms,
+        software: "v1".parse().expect("a name"),
         version: 1,
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -255,6 +255,9 @@
     quota::record_accepted(node, service, true);
     slog::info!(node.logger(), "sent"; "request" => &request.id,
         "upstream" => upstream.name.as_str(), "upstream_version" => upstream.version,
+        "software" => upstream.software.as_str(),
+        "resumes" => request.head.resumed_request.as_deref(),
+        "last_event" => request.head.last_event,
         "kept" => connection.is_reused, "repeat" => is_repeat, "results" => handles.len(),
         "placed" => engine.as_ref() == Some(&upstream.name),
         "prompt" => request.prompt_prefix_hash().map(|it| format!("{it:x}")),
--- a/crates/node/src/forward/resume.rs
+++ b/crates/node/src/forward/resume.rs
@@ -50,7 +50,8 @@
     let handles = prepared.map_or(&[][..], |it| &it.handles);
     let (outgoing, send_guard) = build_outgoing(node, request, &upstream, handles, last_event);
     slog::info!(node.logger(), "stream_resumed"; "request" => &request.id,
-        "from" => %lost.name, "to" => %upstream.name, "last_event" => last_event);
+        "from" => %lost.name, "to" => %upstream.name, "last_event" => last_event,
+        "from_software" => lost.software.as_str(), "to_software" => upstream.software.as_str());
     let response = tokio::time::timeout(request.time_left(), connection.send(outgoing, permit));
     let response = response.await.ok()?.ok()?;
     let head = ResponseHead::read(response.status(), response.headers());
