Show streams with events of two software versions

Callers get streams whose first events were written by one software version of a service and the rest by another one: inside one answer, when a client takes a stream up at another instance, and after the loss of all instances.

Prompts prefer an upstream, so streams rarely move while all upstreams serve: the tests take half of the upstreams of each version out of service before the take-ups. The eleventh test passes: with a single version all along, streams go on after the loss of all instances, and nothing is written for them. It guards the fix.

--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -16,4 +16,5 @@
 mod retries;
 mod stop;
 mod streams;
+mod versions;
 mod words;
