Let streams go on only at the software version that began them

Cause: nothing knew the version where a stream goes on. It is the class of a decision that depends on a fact of an earlier request, which no instance keeps.

Every way to choose an upstream takes a Continuation now: none, a new resumable stream, or the origin of one. Within an answer it is the origin's version. A request that resumes another names it: the origin comes from the memory of the instance that began the stream, else from a row of the streams' table, else, if the store records a single version for the service, it is that one. The store is read after the request arrived, so that an old view decides nothing. Origins are saved only while several versions are recorded or registered. Streams begin only at recorded versions, and a version stays recorded while its streams can be resumed, so that a blank instance cannot take another version for the only one. An origin that is not known, or whose version is not in service, is refused at once as not run.

--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -8,6 +8,7 @@
 use base::id;
 
 use crate::model::Catalog;
+use crate::model::RouteKind;
 
 /// Lifecycle phase of an upstream according to its registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -79,6 +80,8 @@
     pub evacuated_zones: BTreeSet<id::Zone>,
     /// Instances of this system by name.
     pub members: BTreeMap<id::Instance, Arc<Member>>,
+    /// Software versions that are recorded as in service now or shortly before, by service.
+    pub software: BTreeMap<id::Service, BTreeSet<id::Software>>,
     /// Newest store version included in the snapshot.
     pub version: u64,
 }
@@ -99,6 +102,38 @@
         upstreams.filter(move |it| it.service == *service && self.is_usable(it))
     }
 
+    /// Software versions of the registered upstreams of a service.
+    #[must_use]
+    pub fn registered_software(&self, service: &id::Service) -> BTreeSet<id::Software> {
+        let upstreams = self.upstreams.values();
+        let upstreams = upstreams.filter(|it| it.service == *service);
+        upstreams.map(|it| it.software.clone()).collect()
+    }
+
+    /// Services that begin resumable streams.
+    #[must_use]
+    pub fn resumable_services(&self) -> BTreeSet<id::Service> {
+        let routes = self.catalog.iter().flat_map(|it| it.routes());
+        let routes = routes.filter(|it| it.kind == RouteKind::ResumableStream);
+        let targets = routes.flat_map(|it| &it.targets);
+        targets.map(|it| it.service.clone()).collect()
+    }
+
+    /// Software versions that are registered and not recorded, of services that begin resumable
+    /// streams.
+    #[must_use]
+    pub fn unrecorded_software(&self) -> Vec<(id::Service, id::Software)> {
+        let mut unrecorded = Vec::new();
+        for service in self.resumable_services() {
+            let mut software = self.registered_software(&service);
+            if let Some(recorded) = self.software.get(&service) {
+                software.retain(|it| !recorded.contains(it));
+            }
+            unrecorded.extend(software.into_iter().map(|it| (service.clone(), it)));
+        }
+        unrecorded
+    }
+
     /// Whether this run of the upstream is registered.
     #[must_use]
     pub fn is_registered(&self, incarnation: &id::Incarnation) -> bool {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cold;
 pub mod health;
 pub mod life;
+pub mod origin;
 pub mod pace;
 pub mod poison;
 pub mod quota;
--- a/crates/forwarding/src/life.rs
+++ b/crates/forwarding/src/life.rs
@@ -35,6 +35,9 @@
     NoOwner,
     /// The service has no usable upstream.
     NoUpstream,
+    /// The request resumes a stream, and the software version that began it is not known or not in
+    /// service.
+    UnknownOrigin,
     /// Every usable upstream has asked for no requests, or the upstream ran nothing because it was
     /// full.
     Full,
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -8,6 +8,7 @@
 use base::id;
 use bytes::Bytes;
 use catalog::Route;
+use catalog::RouteKind;
 use catalog::Workspace;
 use forwarding::pace::PromptSize;
 use forwarding::poison::Subject;
@@ -35,9 +36,21 @@
 const SHARED_PARTS_MAX: usize = 32;
 /// Keeps hashes of prompt parts apart from those of requests.
 const PROMPT_PART_DOMAIN: &str = "prompt-part";
+/// Keeps hashes of the ids of requests that begin streams apart from those of requests.
+const STREAM_DOMAIN: &str = "stream";
 /// Time reserved before the deadline for sending the response to the client.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 
+/// Which resumable stream a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Resumption {
+    /// A new one.
+    New,
+    /// One that an earlier request of the client began, by the hash of that request's id; `None` if
+    /// the client names no request.
+    Stream(Option<id::Fingerprint>),
+}
+
 /// A request as its client sent it, with the route and workspace that the configuration assigns.
 #[derive(Debug)]
 pub struct ClientRequest {
@@ -159,6 +172,34 @@
         }
     }
 
+    /// Which resumable stream the request asks for; `None` if its route has no such streams.
+    #[must_use]
+    pub(crate) fn continuation_kind(&self) -> Option<Resumption> {
+        if self.route.kind != RouteKind::ResumableStream {
+            return None;
+        }
+        match (&self.head.resumed_request, self.head.last_event) {
+            (Some(request), _) => Some(Resumption::Stream(Some(stream_hash(request)))),
+            (None, Some(_)) => Some(Resumption::Stream(None)),
+            (None, None) => Some(Resumption::New),
+        }
+    }
+
+    /// Identifies the stream that this request begins.
+    #[must_use]
+    pub(crate) fn stream(&self) -> id::Fingerprint {
+        stream_hash(&self.id)
+    }
+
+    /// The service that the request is sent to, as long as the origin of the stream that it resumes
+    /// does not decide it: the one that the request which began the stream was sent to.
+    #[must_use]
+    pub(crate) fn service(&self) -> Option<&id::Service> {
+        let resumed = self.head.resumed_request.as_ref();
+        let resumed = resumed.filter(|_| self.route.kind == RouteKind::ResumableStream);
+        self.route.target(resumed.unwrap_or(&self.id))
+    }
+
     /// Whether the request may run more than once, by the kind of its route.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
@@ -183,6 +224,10 @@
     }
 }
 
+fn stream_hash(request_id: &str) -> id::Fingerprint {
+    id::Fingerprint(hash::hash_strs([STREAM_DOMAIN, request_id]))
+}
+
 /// Hashes of the parts of a prompt that other requests may share: all but the last, which belongs
 /// to the request or its session. Parts beyond the first [`SHARED_PARTS_MAX`] are left out.
 #[must_use]
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -281,6 +281,14 @@
     reader_order(node).first() == Some(&node.settings.instance)
 }
 
+/// Position of this instance among the readers of the store; `None` if it is no reader.
+pub(crate) fn reader_position(node: &Node) -> Option<usize> {
+    let names = reader_order(node);
+    let count = tree::reader_count(names.len());
+    let mut readers = names.iter().take(count);
+    readers.position(|it| *it == node.settings.instance)
+}
+
 /// Instances that are not suspected, in the order in which they become readers of the store.
 fn reader_order(node: &Node) -> Vec<id::Instance> {
     let view = node.view();
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -15,6 +15,7 @@
 use forwarding::life::Lifecycle;
 use forwarding::life::Pending;
 use forwarding::life::Sent;
+use forwarding::origin::Continuation;
 use http::HeaderMap;
 use http::StatusCode;
 use platform::upstream;
@@ -35,11 +36,13 @@
 use crate::client_request::ClientRequest;
 use crate::client_request::RESPONSE_MARGIN;
 use crate::connection;
+use crate::origin;
 use crate::prepare;
 use crate::prepare::Preparation;
 use crate::quota;
 use crate::relay;
 use crate::relay::Relay;
+use crate::routing;
 use crate::routing::Connected;
 use crate::routing::RoutingHints;
 use crate::routing::UNSENT_ATTEMPTS_MAX;
@@ -94,15 +97,22 @@
     request: &Arc<ClientRequest>,
 ) -> Result<ClientResponse, Failure> {
     let mut pending = Pending::default();
-    let service = match request.route.target(&request.id) {
-        Some(service) => service.clone(),
-        None => return Err(pending.into_failure(Cause::NoUpstream, DEFAULT_RETRY_AFTER)),
+    let Some(service) = request.service() else {
+        return Err(pending.into_failure(Cause::NoUpstream, DEFAULT_RETRY_AFTER));
     };
     let shutdown = request.shutdown.get();
     if shutdown.is_some_and(|it| !it.accepts(request.time_limit(), request.received_at)) {
         return Err(pending.into_failure(Cause::Stopping, STOPPING_RETRY_AFTER));
     }
-    node.limits().record_request(&service, Instant::now());
+    node.limits().record_request(service, Instant::now());
+    let Some(continuation) = origin::resolve(node, request).await else {
+        return Err(not_run_failure(request, pending, Cause::UnknownOrigin));
+    };
+    let service = continuation.service().unwrap_or(service).clone();
+    if !routing::has_usable_upstream(node, &service, &continuation) {
+        let cause = routing::no_upstream(&continuation);
+        return Err(not_run_failure(request, pending, cause));
+    }
     let mut preparation: Option<Preparation> = None;
     let mut tries = 0;
     let mut last_upstream: Option<id::Upstream> = None;
@@ -113,8 +123,8 @@
                 pending.into_failure(cause, suggested_retry_after(node, request, &service, cause))
             );
         }
-        if let Some(prepare_request) =
-            prepare_request(node, request, &service).filter(|_| preparation.is_none())
+        if let Some(prepare_request) = prepare_request(node, request, &service, &continuation)
+            .filter(|_| preparation.is_none())
         {
             let has_steps = !prepare_request.prepare.steps.is_empty();
             if has_steps && !quota::accepts(node, &service, rand::random()) {
@@ -139,6 +149,7 @@
             node,
             request,
             &service,
+            &continuation,
             pending,
             &mut preparation,
             &mut last_upstream,
@@ -212,6 +223,7 @@
     node: &Arc<Node>,
     request: &Arc<ClientRequest>,
     service: &id::Service,
+    continuation: &Continuation,
     pending: Pending,
     preparation: &mut Option<Preparation>,
     last_upstream: &mut Option<id::Upstream>,
@@ -220,7 +232,8 @@
     let handles: Vec<Handle> = prepared.map_or_else(Vec::new, |it| it.handles.clone());
     let is_repeat = last_upstream.is_some();
     let excluded = last_upstream.as_slice();
-    let connect_result = connect_placed(node, request, service, preparation, excluded).await;
+    let connect_result =
+        connect_placed(node, request, service, continuation, preparation, excluded).await;
     let engine = preparation.as_ref().and_then(|it| it.engine.clone());
     let Connected {
         upstream,
@@ -353,11 +366,14 @@
         };
         let mut relay = Relay::new(node, request, source, sends, held_preparation);
         return Ok(match relay.wait_first_event().await {
-            true => Attempt::Answered(ClientResponse {
-                status,
-                headers,
-                body: Body::Events(Box::new(relay)),
-            }),
+            true => {
+                origin::record(node, request, &upstream);
+                Attempt::Answered(ClientResponse {
+                    status,
+                    headers,
+                    body: Body::Events(Box::new(relay)),
+                })
+            }
             false => {
                 *preparation = relay.take_preparation();
                 Attempt::Lost(lifecycle, Cause::ConnectionLost)
@@ -376,6 +392,7 @@
     node: &Arc<Node>,
     request: &Arc<ClientRequest>,
     service: &id::Service,
+    continuation: &Continuation,
     preparation: &mut Option<Preparation>,
     excluded: &[id::Upstream],
 ) -> Result<Connected, Cause> {
@@ -388,12 +405,12 @@
             excluded,
         };
         let has_engine = hints.engine.is_some();
-        let result = connect(node, request, service, &hints).await;
+        let result = connect(node, request, service, continuation, &hints).await;
         let is_denied = matches!(result, Err(Cause::RateLimit)) && has_engine;
         if !is_denied || placements == PLACEMENTS_MAX {
             return result;
         }
-        let prepare_request = prepare_request(node, request, service);
+        let prepare_request = prepare_request(node, request, service, continuation);
         let Some((preparation, prepare_request)) = preparation.as_mut().zip(prepare_request) else {
             return result;
         };
--- a/crates/node/src/forward/resume.rs
+++ b/crates/node/src/forward/resume.rs
@@ -4,6 +4,8 @@
 
 use catalog::RouteKind;
 use catalog::Upstream;
+use forwarding::origin::Continuation;
+use forwarding::origin::Origin;
 use platform::upstream::ResponseHead;
 
 use super::connect_placed;
@@ -13,6 +15,7 @@
 use crate::prepare;
 use crate::relay;
 use crate::routing::Connected;
+use crate::routing::has_usable_upstream;
 use crate::routing::prepare_request;
 use crate::send_guard::build_outgoing;
 use crate::state::Node;
@@ -30,17 +33,28 @@
     if suspicion::is_quarantined(node, request) {
         return None;
     }
-    if sends >= request.route.attempts_max || !take_retry(node, &lost.service) {
+    let continuation = Continuation::Resumes(Origin::of(lost));
+    if sends >= request.route.attempts_max
+        || !has_usable_upstream(node, &lost.service, &continuation)
+        || !take_retry(node, &lost.service)
+    {
         return None;
     }
     // The step results were freed at the first event, so the steps run again.
-    let mut preparation = match prepare_request(node, request, &lost.service) {
+    let mut preparation = match prepare_request(node, request, &lost.service, &continuation) {
         Some(prepare_request) => Some(prepare::run(node, &prepare_request).await.ok()?),
         None => None,
     };
     let excluded = std::slice::from_ref(&lost.name);
-    let connect_result =
-        connect_placed(node, request, &lost.service, &mut preparation, excluded).await;
+    let connect_result = connect_placed(
+        node,
+        request,
+        &lost.service,
+        &continuation,
+        &mut preparation,
+        excluded,
+    )
+    .await;
     let Connected {
         upstream,
         mut connection,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod front;
 pub mod limits;
+mod origin;
 pub mod owner;
 pub mod peers;
 pub mod prepare;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -13,6 +13,7 @@
 use forwarding::cold;
 use forwarding::cold::SendWindow;
 use forwarding::health::Health;
+use forwarding::origin::Origins;
 use forwarding::pace::LatencyModel;
 use forwarding::poison::Quarantine;
 use forwarding::retry;
@@ -57,6 +58,8 @@
     latency_model: LatencyModel,
     /// Requests that are suspected of crashing upstreams.
     pub quarantine: Quarantine,
+    /// Origins of the resumable streams that this instance began.
+    pub(crate) origins: Origins,
     /// When each upstream was last probed for a connection after a loss.
     last_probes: BTreeMap<id::Incarnation, Instant>,
     last_send_id: u64,
@@ -75,6 +78,7 @@
             health: BTreeMap::new(),
             latency_model: LatencyModel::default(),
             quarantine: Quarantine::default(),
+            origins: Origins::default(),
             last_probes: BTreeMap::new(),
             last_send_id: 0,
         }
--- /dev/null
+++ b/crates/node/src/origin.rs
@@ -0,0 +1,382 @@
+//! Which software version began a stream: records it, saves it in the store while several versions
+//! are in service, and looks it up when a client resumes the stream at this instance.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::id;
+use catalog::RouteKind;
+use catalog::Upstream;
+use catalog::View;
+use forwarding::origin;
+use forwarding::origin::Continuation;
+use forwarding::origin::Origin;
+use mirror::Table;
+use platform::rows;
+use platform::store;
+use tokio::time::Instant;
+
+use crate::client_request::ClientRequest;
+use crate::client_request::Resumption;
+use crate::follow;
+use crate::state::Node;
+
+/// Longest time for which the origin of a stream or a software version that is no longer registered
+/// is kept: clients do not wait longer for a stream.
+const RETENTION_MAX: Duration = Duration::from_secs(120);
+/// Shortest time for which a software version that is no longer registered is kept.
+const RETENTION_MIN: Duration = Duration::from_secs(10);
+/// Delay before origins are saved, so that streams that begin together are saved together.
+const BATCH_DELAY: Duration = Duration::from_millis(50);
+/// Pause after origins were saved. It is multiplied by the number of groups of
+/// [`MEMBERS_PER_WRITE`] members, so that all members together stay below a fifth of the writes that
+/// the store accepts.
+const SAVE_PAUSE: Duration = Duration::from_millis(200);
+const MEMBERS_PER_WRITE: usize = 16;
+/// Pause after a failed call to the store.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Interval at which expired origins are forgotten.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which rows that ended processes left behind are looked for.
+const SWEEP_INTERVAL: Duration = RETENTION_MAX;
+/// Lookups of an origin in the store: the instance that began the stream may be about to save it.
+const LOOKUPS_MAX: u32 = 3;
+const LOOKUP_PAUSE: Duration = Duration::from_millis(150);
+/// Timeout of one lookup.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Delay per position in the order of readers before a missing software version is recorded, so
+/// that mostly one of them writes it.
+const RECORD_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which that is looked at.
+const RECORD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The delay of instances that are no readers, which write if the readers cannot.
+const FALLBACK_RECORD_DELAY: Duration = Duration::from_millis(1_500);
+
+/// How the origin of a stream was found.
+#[derive(Clone, Copy, Debug, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum Source {
+    /// This instance began the stream.
+    Memory,
+    /// The store holds the origin.
+    Store,
+    /// Only one software version was in service.
+    OnlyVersion,
+}
+
+/// Remembers which software version began the stream that answers `request`.
+pub(crate) fn record(node: &Node, request: &ClientRequest, upstream: &Upstream) {
+    if request.continuation_kind() != Some(Resumption::New) {
+        return;
+    }
+    let time_limit = request.head.deadline.unwrap_or(request.route.timeout);
+    let expires_at = request.received_at + time_limit.min(RETENTION_MAX);
+    let stream = request.stream();
+    node.limits()
+        .origins
+        .record(stream, Origin::of(upstream), expires_at);
+    node.origin_waker.notify_one();
+}
+
+/// Upstreams that a request may be sent to, by the software version that began the stream which it
+/// resumes; `None` if that version cannot be known.
+pub(crate) async fn resolve(node: &Node, request: &ClientRequest) -> Option<Continuation> {
+    let stream = match request.continuation_kind() {
+        None => return Some(Continuation::Unrestricted),
+        Some(Resumption::New) => return Some(Continuation::Begins),
+        Some(Resumption::Stream(stream)) => stream,
+    };
+    let found = find_origin(node, request, stream).await;
+    let (source, origin) = found.unzip();
+    slog::info!(node.logger(), "stream_origin"; "request" => &request.id,
+        "resumes" => request.head.resumed_request.as_deref(),
+        "last_event" => request.head.last_event,
+        "source" => source.map(|it| it.to_string()),
+        "software" => origin.as_ref().map(|it| it.software.as_str()));
+    node.telemetry.count_tagged(
+        "streams.resumed_by_client",
+        source.map_or("unknown", |it| it.into()),
+        1,
+    );
+    let origin = origin?;
+    let targets = &request.route.targets;
+    let is_target = targets.iter().any(|it| it.service == origin.service);
+    is_target.then_some(Continuation::Resumes(origin))
+}
+
+async fn find_origin(
+    node: &Node,
+    request: &ClientRequest,
+    stream: Option<id::Fingerprint>,
+) -> Option<(Source, Origin)> {
+    for lookup in 0..LOOKUPS_MAX {
+        if lookup > 0 {
+            tokio::time::sleep(LOOKUP_PAUSE).await;
+        }
+        let known = stream.and_then(|it| node.limits().origins.get(it).cloned());
+        if let Some(origin) = known {
+            return Some((Source::Memory, origin));
+        }
+        let found = read_origin(node, request, stream);
+        let found = tokio::time::timeout(LOOKUP_TIMEOUT, found).await;
+        match found {
+            Ok(Ok(Some(found))) => return Some(found),
+            Ok(Ok(None)) if stream.is_none() => return None,
+            Ok(Ok(None)) => {}
+            Ok(Err(err)) => {
+                slog::warn!(node.logger(), "origin_unreadable"; "request" => &request.id,
+                    "reason" => %err);
+                return None;
+            }
+            Err(_) => {
+                slog::warn!(node.logger(), "origin_unreadable"; "request" => &request.id,
+                    "reason" => "timeout");
+                return None;
+            }
+        }
+    }
+    None
+}
+
+/// Reads the origin of a stream from the store. The recorded versions are read there too: this
+/// instance's view may be older than the stream.
+async fn read_origin(
+    node: &Node,
+    request: &ClientRequest,
+    stream: Option<id::Fingerprint>,
+) -> Result<Option<(Source, Origin)>, store::Error> {
+    let service = request.service();
+    let saved = async {
+        match stream {
+            Some(stream) => node.store.read_stream(&stream.to_string()).await,
+            None => Ok(None),
+        }
+    };
+    let versions = async {
+        match service {
+            Some(service) => {
+                node.store
+                    .member_keys(&rows::software_prefix(service))
+                    .await
+            }
+            None => Ok(Vec::new()),
+        }
+    };
+    let (saved, versions) = tokio::try_join!(saved, versions)?;
+    if let Some(value) = saved {
+        let origin = rows::decode_origin(&value);
+        let origin = origin.map_err(|err| store::Error::Protocol(err.to_string()))?;
+        return Ok(Some((Source::Store, origin)));
+    }
+    let versions = versions
+        .iter()
+        .filter_map(|it| rows::parse_software_key(it));
+    let versions: BTreeSet<id::Software> = versions.map(|it| it.1).collect();
+    let origin = service.and_then(|it| origin::only_origin(it, &versions));
+    Ok(origin.map(|it| (Source::OnlyVersion, it)))
+}
+
+/// Saves the origins of streams while several software versions are in service; never returns.
+pub(crate) async fn save(node: Arc<Node>) {
+    let mut view = node.watch_view();
+    let mut swept_at = Instant::now();
+    let mut leftovers = BTreeSet::new();
+    loop {
+        view.mark_unchanged();
+        node.limits().origins.expire(Instant::now());
+        if swept_at.elapsed() >= SWEEP_INTERVAL && follow::is_first_reader(&node) {
+            swept_at = Instant::now();
+            leftovers = sweep(&node, leftovers).await;
+        }
+        match save_batch(&node).await {
+            Ok(true) => {
+                let groups = node.member_count().div_ceil(MEMBERS_PER_WRITE) as u32;
+                tokio::time::sleep(SAVE_PAUSE * groups).await;
+                continue;
+            }
+            Ok(false) => {}
+            Err(err) => {
+                slog::warn!(node.logger(), "origins_not_saved"; "reason" => %err);
+                tokio::time::sleep(FAILURE_PAUSE).await;
+                continue;
+            }
+        }
+        tokio::select! {
+            () = node.origin_waker.notified() => {}
+            _ = view.changed() => {}
+            () = tokio::time::sleep(EXPIRY_INTERVAL) => {}
+        }
+        tokio::time::sleep(BATCH_DELAY).await;
+    }
+}
+
+/// Saves origins and deletes expired ones; returns false if there were none of either.
+async fn save_batch(node: &Node) -> Result<bool, store::Error> {
+    let view = node.view();
+    let is_mixed = |service: &id::Service| is_mixed(&view, service);
+    let (origins, obsolete) = {
+        let limits = node.limits();
+        let origins = limits
+            .origins
+            .unsaved(is_mixed, store::TRANSACTION_ROWS_MAX / 2);
+        let obsolete = limits.origins.obsolete(store::TRANSACTION_ROWS_MAX / 2);
+        (origins, obsolete)
+    };
+    // Deletions wait for a transaction that is needed anyway, or until they fill one.
+    if origins.is_empty() && obsolete.len() < store::TRANSACTION_ROWS_MAX / 2 {
+        return Ok(false);
+    }
+    let mut puts = Vec::with_capacity(origins.len());
+    for (stream, origin) in &origins {
+        match rows::encode_origin(origin) {
+            Ok(value) => puts.push((stream.to_string(), value)),
+            Err(err) => slog::error!(node.logger(), "origin_unwritable"; "reason" => %err),
+        }
+    }
+    let removes: Vec<String> = obsolete.iter().map(|it| it.to_string()).collect();
+    node.store.write_streams(&puts, &removes).await?;
+    let mut limits = node.limits();
+    limits
+        .origins
+        .mark_saved(origins.into_iter().map(|it| it.0));
+    limits.origins.mark_deleted(&obsolete);
+    Ok(true)
+}
+
+/// Deletes rows that were there at the sweep before and belong to no stream of this instance:
+/// instances delete their own within [`RETENTION_MAX`]. Returns the rows to look at next time.
+async fn sweep(node: &Node, seen_before: BTreeSet<String>) -> BTreeSet<String> {
+    let keys = match node.store.stream_keys().await {
+        Ok(keys) => keys,
+        Err(err) => {
+            slog::warn!(node.logger(), "origins_not_swept"; "reason" => %err);
+            return seen_before;
+        }
+    };
+    let (leftovers, rest): (Vec<String>, Vec<String>) =
+        keys.into_iter().partition(|it| seen_before.contains(it));
+    for leftovers in leftovers.chunks(store::TRANSACTION_ROWS_MAX) {
+        if let Err(err) = node.store.write_streams(&[], leftovers).await {
+            slog::warn!(node.logger(), "origins_not_swept"; "reason" => %err);
+        }
+    }
+    rest.into_iter().collect()
+}
+
+/// Whether an instance that knows nothing could not tell which version began a stream.
+fn is_mixed(view: &View, service: &id::Service) -> bool {
+    let recorded = view.software.get(service).map_or(0, BTreeSet::len);
+    recorded > 1 || view.registered_software(service).len() > 1
+}
+
+/// Records the software versions that are in service, and deletes the records of those that have
+/// not been for some time; never returns.
+pub(crate) async fn record_versions(node: Arc<Node>) {
+    let mut view = node.watch_view();
+    let mut gone_since: BTreeMap<(id::Service, id::Software), Instant> = BTreeMap::new();
+    let mut missing_since = None;
+    let fallback_delay = FALLBACK_RECORD_DELAY.mul_f64(rand::random_range(1.0..3.0));
+    loop {
+        view.mark_unchanged();
+        let position = follow::reader_position(&node);
+        let is_known = node.store_copy().mirror.complete_version(Table::Members);
+        let missing = node.view().unrecorded_software();
+        if missing.is_empty() || is_known.is_none() {
+            missing_since = None;
+        } else {
+            let since = *missing_since.get_or_insert_with(Instant::now);
+            let delay = position.map_or(fallback_delay, |it| RECORD_DELAY * it as u32);
+            if since.elapsed() >= delay {
+                put_versions(&node, &missing).await;
+            }
+        }
+        let obsolete = update_gone(&node, &mut gone_since);
+        if position == Some(0) && !obsolete.is_empty() {
+            delete_versions(&node, &obsolete).await;
+        }
+        let pause = match missing.is_empty() {
+            true => EXPIRY_INTERVAL,
+            false => RECORD_CHECK_INTERVAL,
+        };
+        tokio::select! {
+            _ = view.changed() => {}
+            () = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+async fn put_versions(node: &Node, versions: &[(id::Service, id::Software)]) {
+    let versions = versions.iter().take(store::TRANSACTION_ROWS_MAX);
+    let puts =
+        versions.map(|(service, software)| (rows::software_key(service, software), b"{}".to_vec()));
+    let puts: Vec<(String, Vec<u8>)> = puts.collect();
+    match node.store.write(&puts, &[]).await {
+        Ok(()) => {
+            slog::info!(node.logger(), "software_recorded"; "versions" => puts.len());
+            let mut view = node.watch_view();
+            let is_seen = |view: &Arc<View>| view.unrecorded_software().is_empty();
+            // After a timeout the caller writes the rows again.
+            let _ = tokio::time::timeout(FAILURE_PAUSE, view.wait_for(is_seen)).await;
+        }
+        Err(err) => {
+            slog::warn!(node.logger(), "software_not_recorded"; "reason" => %err);
+            tokio::time::sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+/// Updates since when recorded versions have not been registered; returns those for which no stream
+/// can be under way any more.
+fn update_gone(
+    node: &Node,
+    gone_since: &mut BTreeMap<(id::Service, id::Software), Instant>,
+) -> Vec<(id::Service, id::Software)> {
+    let view = node.view();
+    let now = Instant::now();
+    let mut gone = BTreeMap::new();
+    for (service, recorded) in &view.software {
+        let registered = view.registered_software(service);
+        for software in recorded.difference(&registered) {
+            let version = (service.clone(), software.clone());
+            let since = gone_since.get(&version).copied().unwrap_or(now);
+            gone.insert(version, since);
+        }
+    }
+    *gone_since = gone;
+    // Registrations may be missing from the view while the store is away.
+    if !node.is_fresh() {
+        return Vec::new();
+    }
+    let is_obsolete = |it: &(&(id::Service, id::Software), &Instant)| {
+        now.saturating_duration_since(*it.1) >= retention(&view, &it.0.0)
+    };
+    let obsolete = gone_since.iter().filter(is_obsolete);
+    obsolete.map(|it| it.0.clone()).collect()
+}
+
+/// Time for which clients may resume streams of a service.
+fn retention(view: &View, service: &id::Service) -> Duration {
+    let routes = view.catalog.iter().flat_map(|it| it.routes());
+    let routes = routes.filter(|it| it.kind == RouteKind::ResumableStream);
+    let routes = routes.filter(|it| it.targets.iter().any(|it| it.service == *service));
+    let longest = routes.map(|it| it.timeout).max().unwrap_or(RETENTION_MAX);
+    // Clients may wait longer than the route's timeout.
+    longest
+        .saturating_mul(2)
+        .clamp(RETENTION_MIN, RETENTION_MAX)
+}
+
+async fn delete_versions(node: &Node, versions: &[(id::Service, id::Software)]) {
+    let versions = versions.iter().take(store::TRANSACTION_ROWS_MAX);
+    let keys = versions.map(|(service, software)| rows::software_key(service, software));
+    let keys: Vec<String> = keys.collect();
+    match node.store.write(&[], &keys).await {
+        Ok(()) => slog::info!(node.logger(), "software_forgotten"; "versions" => keys.len()),
+        Err(err) => {
+            slog::warn!(node.logger(), "software_not_forgotten"; "reason" => %err);
+            tokio::time::sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -10,6 +10,7 @@
 use catalog::Upstream;
 use forwarding::choice;
 use forwarding::life::Cause;
+use forwarding::origin::Continuation;
 use forwarding::quota::Permit;
 use forwarding::quota::Urgency;
 use stages::Shard;
@@ -52,6 +53,7 @@
     node: &Node,
     request: &ClientRequest,
     service: &id::Service,
+    continuation: &Continuation,
 ) -> Option<PrepareRequest> {
     let steps = requested_steps(request);
     let has_prompt = request.prompt_prefix_hash().is_some();
@@ -59,7 +61,7 @@
         return None;
     }
     let engines = if has_prompt {
-        engine_choices(node, request, service)
+        engine_choices(node, request, service, continuation)
     } else {
         Engines::default()
     };
@@ -92,12 +94,18 @@
 }
 
 /// The best engines of each zone.
-fn engine_choices(node: &Node, request: &ClientRequest, service: &id::Service) -> Engines {
+fn engine_choices(
+    node: &Node,
+    request: &ClientRequest,
+    service: &id::Service,
+    continuation: &Continuation,
+) -> Engines {
     let view = node.view();
     let order = rank_upstreams(
         node,
         request,
         service,
+        continuation,
         &RoutingHints::default(),
         &Denials::default(),
         ColdLimitMode::Ignored,
@@ -164,6 +172,7 @@
     node: &Arc<Node>,
     request: &ClientRequest,
     service: &id::Service,
+    continuation: &Continuation,
     hints: &RoutingHints<'_>,
 ) -> Result<Connected, Cause> {
     let urgency = Urgency::Priority(request.priority);
@@ -176,7 +185,15 @@
             excluded: &excluded,
             ..*hints
         };
-        let upstream = match choose_upstream(node, request, service, &hints, &denials, tries) {
+        let upstream = match choose_upstream(
+            node,
+            request,
+            service,
+            continuation,
+            &hints,
+            &denials,
+            tries,
+        ) {
             Ok(upstream) => upstream,
             // Where owners keep the cold limits, the owner has to choose another engine.
             Err(Cause::ColdLimit) if denials.apply_to_engine(node, &hints) => {
@@ -328,6 +345,7 @@
     node: &Node,
     request: &ClientRequest,
     service: &id::Service,
+    continuation: &Continuation,
     hints: &RoutingHints<'_>,
     denials: &Denials,
     tries: u32,
@@ -338,19 +356,47 @@
         .engine
         .filter(|it| tries == 0 && !hints.excluded.contains(it))
         .and_then(|it| view.upstreams.get(it))
-        .filter(|it| view.is_usable(it) && !is_held_off(node, it));
+        .filter(|it| view.is_usable(it) && continuation.allows(&view, it))
+        .filter(|it| !is_held_off(node, it));
     let preferred = preferred.filter(|_| !denials.apply_to_engine(node, hints));
     if let Some(upstream) = preferred.filter(|_| is_owned) {
         return Ok(upstream.clone());
     }
     let cold_limits = ColdLimitMode::Enforced;
-    let order = rank_upstreams(node, request, service, hints, denials, cold_limits)?;
+    let order = rank_upstreams(
+        node,
+        request,
+        service,
+        continuation,
+        hints,
+        denials,
+        cold_limits,
+    )?;
     let preferred = preferred.map(|it| &it.name).filter(|it| order.contains(it));
     let chosen = preferred.or(order.first()).ok_or(Cause::ColdLimit)?;
     let chosen = view.upstreams.get(chosen);
     chosen.cloned().ok_or(Cause::NoUpstream)
 }
 
+/// Whether some upstream of the service may be sent to.
+pub(crate) fn has_usable_upstream(
+    node: &Node,
+    service: &id::Service,
+    continuation: &Continuation,
+) -> bool {
+    let view = node.view();
+    let mut usable = view.usable(service);
+    usable.any(|it| continuation.allows(&view, it))
+}
+
+/// Why a request is refused for which no upstream is usable.
+pub(crate) fn no_upstream(continuation: &Continuation) -> Cause {
+    match continuation {
+        Continuation::Resumes(_) => Cause::UnknownOrigin,
+        Continuation::Begins | Continuation::Unrestricted => Cause::NoUpstream,
+    }
+}
+
 /// Whether an upstream has asked this instance to send it no requests for now.
 fn is_held_off(node: &Node, upstream: &Upstream) -> bool {
     let mut limits = node.limits();
@@ -363,15 +409,18 @@
     node: &Node,
     request: &ClientRequest,
     service: &id::Service,
+    continuation: &Continuation,
     hints: &RoutingHints<'_>,
     denials: &Denials,
     cold_limits: ColdLimitMode,
 ) -> Result<Vec<id::Upstream>, Cause> {
     let view = node.view();
     let now = Instant::now();
-    let mut usable: Vec<&Arc<Upstream>> = view.usable(service).collect();
+    let usable = view.usable(service);
+    let usable = usable.filter(|it| continuation.allows(&view, it));
+    let mut usable: Vec<&Arc<Upstream>> = usable.collect();
     if usable.is_empty() {
-        return Err(Cause::NoUpstream);
+        return Err(no_upstream(continuation));
     }
     if usable.iter().any(|it| !hints.excluded.contains(&it.name)) {
         usable.retain(|it| !hints.excluded.contains(&it.name));
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::front::ClientHandler;
 use crate::front::MetricsHandler;
 use crate::front::ReadinessHandler;
+use crate::origin;
 use crate::owner::Owner;
 use crate::owner::UpstreamEvent;
 use crate::peers::Handler;
@@ -56,7 +57,8 @@
         settings.bounds,
         telemetry.clone(),
     );
-    let node = Node::new(settings, telemetry.clone(), owner, Peers::default());
+    let peers = Peers::default();
+    let node = Node::new(settings, telemetry.clone(), owner, peers, store.clone());
     let node = Arc::new(node);
     slog::info!(node.logger(), "started"; "version" => env!("CARGO_PKG_VERSION"),
         "front" => %node.settings.client_address, "peer" => %node.settings.peer_address);
@@ -142,6 +144,14 @@
     supervisor.spawn("owner", RestartPolicy::Always, move || {
         owner_node.owner.clone().run(owner_node.clone())
     });
+    let origin_node = node.clone();
+    supervisor.spawn("origins", RestartPolicy::Always, move || {
+        origin::save(origin_node.clone())
+    });
+    let version_node = node.clone();
+    supervisor.spawn("versions", RestartPolicy::Always, move || {
+        origin::record_versions(version_node.clone())
+    });
     let (join_node, store) = (node.clone(), store.clone());
     supervisor.spawn("join", RestartPolicy::Always, move || {
         join_cluster(join_node.clone(), store.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,8 +18,10 @@
 use mirror::Row;
 use mirror::Table;
 use platform::settings::Settings;
+use platform::store;
 use stages::Shard;
 use telemetry::Telemetry;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -92,12 +95,24 @@
     pub(crate) loss_wakers: suspicion::Wakers,
     /// Wakes the tasks that depend on the rate limits of upstreams.
     pub(crate) quota_wakers: quota::Wakers,
+    /// Whether all software versions were recorded in the store at some time since the start.
+    are_versions_recorded: AtomicBool,
+    /// Client of the store.
+    pub(crate) store: store::Client,
+    /// Wakes the task that saves the origins of streams.
+    pub(crate) origin_waker: Notify,
 }
 
 impl Node {
     /// A node with an empty view.
     #[must_use]
-    pub fn new(settings: Settings, telemetry: Telemetry, owner: Owner, peers: Peers) -> Node {
+    pub fn new(
+        settings: Settings,
+        telemetry: Telemetry,
+        owner: Owner,
+        peers: Peers,
+        store: store::Client,
+    ) -> Node {
         Node {
             limits: Mutex::new(Limits::new(settings.instance.clone(), settings.bounds)),
             pool: connection::Pool::default(),
@@ -113,10 +128,13 @@
             shutdown: Arc::default(),
             in_flight: AtomicUsize::new(0),
             loss_wakers: suspicion::Wakers::default(),
+            origin_waker: Notify::new(),
+            are_versions_recorded: AtomicBool::new(false),
             settings,
             telemetry,
             owner,
             peers,
+            store,
         }
     }
 
@@ -216,13 +234,19 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
+        let has_view = view.catalog.is_some() && !view.upstreams.is_empty();
+        // Resumable streams begin only at recorded versions. Versions that appear later are in use
+        // soon; until then, the others serve.
+        if has_view && view.unrecorded_software().is_empty() {
+            self.are_versions_recorded.store(true, Ordering::Relaxed);
+        }
         // Without a client, this node cannot reach the owners of step services and would run steps
         // itself in competition with them.
         let can_reach_owners = self.peers.has_client();
         can_reach_owners
+            && self.are_versions_recorded.load(Ordering::Relaxed)
             && !self.is_shutting_down()
-            && view.catalog.is_some()
-            && !view.upstreams.is_empty()
+            && has_view
     }
 
     /// Whether the process is stopping.
@@ -335,6 +359,9 @@
             | Change::UpstreamLapsed(name) => name.to_string(),
             Change::Evacuated(zone) | Change::Returned(zone) => zone.to_string(),
             Change::Member(name) | Change::MemberGone(name) => name.to_string(),
+            Change::Software(service, software) | Change::SoftwareGone(service, software) => {
+                format!("{service} {software}")
+            }
             Change::Loss(loss) => format!("{} {}", loss.fingerprint, loss.incarnation),
             Change::LossDropped(fingerprint, incarnation) => {
                 format!("{fingerprint} {incarnation}")
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -52,6 +52,10 @@
     Member(id::Instance),
     /// The row of an instance of this system was deleted.
     MemberGone(id::Instance),
+    /// A software version of a service was recorded.
+    Software(id::Service, id::Software),
+    /// A software version of a service has not been in service for some time.
+    SoftwareGone(id::Service, id::Software),
     /// An instance lost an upstream that was running a request.
     Loss(Loss),
     /// The record of a loss was deleted.
@@ -236,6 +240,9 @@
         if let Some((fingerprint, incarnation)) = rows::parse_loss_key(&row.key) {
             return Some(loss_change(fingerprint, incarnation, row));
         }
+        if let Some((service, software)) = rows::parse_software_key(&row.key) {
+            return Some(self.apply_software(service, software, row.value.is_some()));
+        }
         let name = rows::parse_member_key(&row.key)?;
         let Some(value) = row.value.as_deref() else {
             self.view.members.remove(&name);
@@ -251,6 +258,26 @@
     }
 }
 
+impl ViewTracker {
+    fn apply_software(
+        &mut self,
+        service: id::Service,
+        software: id::Software,
+        is_recorded: bool,
+    ) -> Change {
+        let recorded = self.view.software.entry(service.clone()).or_default();
+        if is_recorded {
+            recorded.insert(software.clone());
+            return Change::Software(service, software);
+        }
+        recorded.remove(&software);
+        if recorded.is_empty() {
+            self.view.software.remove(&service);
+        }
+        Change::SoftwareGone(service, software)
+    }
+}
+
 fn loss_change(fingerprint: id::Fingerprint, incarnation: id::Incarnation, row: &Row) -> Change {
     let Some(value) = row.value.as_deref() else {
         return Change::LossDropped(fingerprint, incarnation);
