Tell sequential crashes of a prompt part by when they were sent

What callers saw: with 269 instances and six upstreams, requests with a part that crashes engines crashed all six within 0.8 s, and again those that came back 3 s later: 6 sends later than 3 s after the fifth crash, 3 allowed (found by the property of `parts`).

Cause: a part is blamed for crashes that follow each other, and whether one follows another was decided by what the sender knew when it sent. At 269 instances news of a crash takes about a second to reach all; by then no upstream was left, so that a crash 0.8 s after the first one counted as simultaneous with it. At five instances the same crashes are sequential.

Ruled out: blame of a part for simultaneous crashes alone. A power loss of all upstreams looks the same for each part that is in use at that time, and nothing could clear a part that is refused.

Now the instance to which a loss is announced compares its send time with the losses that it knew by then, and passes the longer chain on. Readers learn of each loss at once, so the order no longer depends on the size of the fleet. Rows of the store hold no send times and extend no chain; what failed at once (no send began after the first loss) still counts as one.

a_deadly_part_is_refused_when_all_upstreams_crashed_at_once failed before and passes now; parts 28, poison 33, poison_schedule 5, and node's crashes, parts and poison 15 pass unchanged.

--- a/crates/forwarding/src/poison.rs
+++ b/crates/forwarding/src/poison.rs
@@ -174,6 +174,9 @@
     /// Merges a loss reported by a peer or the store; returns whether it adds new evidence.
     pub fn merge_loss(&mut self, loss: &Loss, source: Source, now: Instant) -> bool {
         let is_new = self.upsert_loss(loss, source, now);
+        if is_new && source == Source::Peer {
+            self.extend_part_chains(loss.fingerprint, &loss.incarnation);
+        }
         let suspect = self.suspects.get_mut(&loss.fingerprint);
         let record = suspect.and_then(|it| it.losses.get_mut(&loss.incarnation));
         if let Some(record) = record.filter(|_| source == Source::Store) {
@@ -367,6 +370,9 @@
             refused_at: None,
         });
         if let Some(record) = suspect.losses.get_mut(&loss.incarnation) {
+            if record.raise_part_depths(&loss.parts) {
+                record.changed_at = now;
+            }
             let is_new = loss.evidence > record.evidence;
             if is_new {
                 self.has_pending_updates = true;
--- a/crates/forwarding/src/poison/part.rs
+++ b/crates/forwarding/src/poison/part.rs
@@ -17,6 +17,7 @@
 
 use super::Quarantine;
 use super::is_within;
+use super::loss::Source;
 use super::share::GOSSIP_WINDOW;
 use super::suspect::LOSS_TTL;
 use super::suspect::LossRecord;
@@ -152,6 +153,49 @@
         depths.max().copied().unwrap_or(0)
     }
 
+    /// Continues the chains of a loss that another instance reported with the losses that were known
+    /// here before its send began: news takes a while to reach the sender, and meanwhile every
+    /// upstream of a service may be lost.
+    pub(super) fn extend_part_chains(
+        &mut self,
+        fingerprint: id::Fingerprint,
+        incarnation: &id::Incarnation,
+    ) {
+        let suspect = self.suspects.get(&fingerprint);
+        let record = suspect.and_then(|it| it.losses.get(incarnation));
+        // Rows of the store do not tell when a send began.
+        let Some(record) = record.filter(|it| it.source == Source::Peer) else {
+            return;
+        };
+        let parts = record.parts.iter().map(|it| PartLoss {
+            part: it.part,
+            depth: self.part_depth_at(it.part, record.sent_at, incarnation) + 1,
+        });
+        let parts: Vec<PartLoss> = parts.collect();
+        let suspect = self.suspects.get_mut(&fingerprint);
+        if let Some(record) = suspect.and_then(|it| it.losses.get_mut(incarnation)) {
+            record.raise_part_depths(&parts);
+        }
+    }
+
+    /// Depth of the part's chain of losses of other upstreams that were known here at `sent_at`.
+    fn part_depth_at(
+        &self,
+        part: id::Fingerprint,
+        sent_at: Instant,
+        incarnation: &id::Incarnation,
+    ) -> u32 {
+        let sound = self.successes.get(&part).map(|it| it.latest_at);
+        let losses = self.suspects.values().flat_map(|it| &it.losses);
+        let losses = losses.filter(|(other, _)| *other != incarnation);
+        let losses = losses.map(|(_, it)| it);
+        let losses = losses.filter(|it| it.confirmed_at.is_some_and(|at| at <= sent_at));
+        let losses = losses.filter(|it| sound.is_none_or(|at| at < it.sent_at));
+        let parts = losses.flat_map(|it| &it.parts);
+        let depths = parts.filter(|it| it.part == part).map(|it| it.depth);
+        depths.max().unwrap_or(0)
+    }
+
     /// Whether a request with the part had a sound run within the last minute.
     pub(super) fn was_sound_lately(&self, part: id::Fingerprint, now: Instant) -> bool {
         let sound = self.successes.get(&part);
--- a/crates/forwarding/src/poison/suspect.rs
+++ b/crates/forwarding/src/poison/suspect.rs
@@ -64,6 +64,20 @@
     pub(super) fn is_confirmed(&self) -> bool {
         self.evidence > Evidence::Unanswered
     }
+
+    /// Adopts the longer chains of `parts`; returns whether there were any. A part that is not
+    /// suspected stays so.
+    pub(super) fn raise_part_depths(&mut self, parts: &[PartLoss]) -> bool {
+        let mut is_raised = false;
+        for known in self.parts.iter_mut().filter(|it| it.depth > 0) {
+            let other = parts.iter().find(|it| it.part == known.part);
+            if let Some(other) = other.filter(|it| it.depth > known.depth) {
+                known.depth = other.depth;
+                is_raised = true;
+            }
+        }
+        is_raised
+    }
 }
 
 #[derive(Debug)]
