Show ordinary prompt parts that are blamed for failures of many upstreams

In four of them less than half of the ordinary requests are sent after many upstreams fail at once and a deadly part crashes others, with restarts of all instances in two; in the fifth a deadly part that was blamed is sent again, as an ordinary part with more crashes is blamed in its place: 5 late sends, 3 allowed.

By the lines of the model: the ordinary parts had been in no sound run that their instance knew of, were in the failure and in some of the other crashes, and once refused nothing clears them.

Trial, dropped: a part is not blamed if a rarer one explains all of its crashes but simultaneous ones, and has further crashes.

--- a/crates/forwarding/tests/parts/main.rs
+++ b/crates/forwarding/tests/parts/main.rs
@@ -99,3 +99,54 @@
         seed: 9_275_346_921_493_178_714,
     });
 }
+
+macro_rules! schedules {
+    ($($(#[$doc:meta])* $name:ident: $upstreams:literal upstreams of $instances:literal instances,
+        every $ordinary:literal and $deadly:literal ms, $faults:expr, seed $seed:literal;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                check(Schedule {
+                    instances: $instances,
+                    upstreams: $upstreams,
+                    ordinary_interval: $ordinary,
+                    deadly_interval: $deadly,
+                    faults: $faults.to_vec(),
+                    seed: $seed,
+                });
+            }
+        )*
+    };
+}
+
+schedules! {
+    /// Guards against blaming the parts of ordinary requests for a failure of many upstreams that
+    /// came shortly before or after crashes of a deadly part.
+    a_failure_of_many_upstreams_before_the_first_sound_runs_blames_no_ordinary_part:
+        20 upstreams of 261 instances, every 16 and 584 ms,
+        [(1_395, Fault::Crash(2)), (1_840, Fault::RestartAll), (11_914, Fault::StoreOutage)],
+        seed 3_487_381_191_057_467_323;
+    a_failure_of_many_upstreams_before_the_deadly_part_blames_no_ordinary_part:
+        16 upstreams of 176 instances, every 12 and 122 ms,
+        [(10_761, Fault::CutFromPeers(232)), (11_234, Fault::Crash(4)), (1_708, Fault::Crash(3))],
+        seed 18_041_373_643_180_443_793;
+    a_failure_of_many_upstreams_after_the_blame_blames_no_ordinary_part:
+        7 upstreams of 235 instances, every 50 and 66 ms,
+        [(14_432, Fault::Restart(135)), (7_460, Fault::Crash(2))],
+        seed 13_732_786_793_754_057_937;
+    restarts_of_all_instances_blame_no_ordinary_part:
+        7 upstreams of 257 instances, every 18 and 558 ms,
+        [
+            (7_744, Fault::Restart(16)),
+            (11_511, Fault::Crash(4)),
+            (5_340, Fault::RestartAll),
+            (7_856, Fault::RestartAll),
+        ],
+        seed 2_241_537_654_149_520_312;
+    /// Guards against sending a blamed part again because a failure of many upstreams blames another.
+    a_failure_of_many_upstreams_does_not_end_the_blame:
+        8 upstreams of 238 instances, every 10 and 131 ms,
+        [(9_739, Fault::Crash(3))],
+        seed 17_539_426_021_541_865_504;
+}
