Check which process answers before a stream of several versions goes on

Streams were joined at an upstream that returned under its name with another software version: until instances read its new registration, streams went on at it, and began at it under the old version.

Cause: the registration tells which version an upstream runs, but not whether the process that answers is the registered one; the name is checked by the upstream, its start by nobody. A connection leads to one process, and engines report their start on it without a slot. Before a stream is resumed, and while several versions of the service are known also before one begins, a new connection is asked for the report; one that leads to another process, or to none that answers within 250 ms, is not used for the request.

--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -110,6 +110,13 @@
         upstreams.map(|it| it.software.clone()).collect()
     }
 
+    /// Whether several software versions of a service are in service now, or were shortly before.
+    #[must_use]
+    pub fn has_several_versions(&self, service: &id::Service) -> bool {
+        let recorded = self.software.get(service).map_or(0, BTreeSet::len);
+        recorded > 1 || self.registered_software(service).len() > 1
+    }
+
     /// Services that begin resumable streams.
     #[must_use]
     pub fn resumable_services(&self) -> BTreeSet<id::Service> {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -63,6 +63,8 @@
     Lost,
     /// No response head arrived before the sender's timeout.
     Silent,
+    /// Another process than the registered one answers at the address, or none says which it is.
+    UnknownProcess,
 }
 
 impl std::error::Error for Error {}
@@ -71,7 +73,7 @@
     /// Whether the error is evidence against the upstream, and not due to this instance's limit.
     #[must_use]
     pub fn counts_against_upstream(&self) -> bool {
-        !matches!(self, Error::TooMany)
+        !matches!(self, Error::TooMany | Error::UnknownProcess)
     }
 }
 
@@ -80,6 +82,7 @@
     task: AbortHandle,
     idle_since: Instant,
     expires_at: Instant,
+    process: Option<u64>,
 }
 
 #[derive(Default)]
@@ -103,6 +106,9 @@
     pool: Pool,
     /// Whether the connection came from the pool and has served a request before.
     pub is_reused: bool,
+    /// Start time, in Unix milliseconds, that the process at the other end reported on this
+    /// connection.
+    pub(crate) process: Option<u64>,
 }
 
 impl Pool {
@@ -161,6 +167,7 @@
             address,
             pool: self.clone(),
             is_reused: false,
+            process: None,
         })
     }
 
@@ -193,6 +200,7 @@
                     address,
                     pool: self.clone(),
                     is_reused: true,
+                    process: candidate.process,
                 });
             }
             candidate.task.abort();
@@ -243,12 +251,25 @@
     /// if the outcome is unknown.
     pub async fn send(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
         permit: Permit,
     ) -> Result<Response<Incoming>, Error> {
         if !permit.is_valid(clock::now_with_suspension()) {
             return Err(Error::Unsent);
         }
+        self.exchange(request).await
+    }
+
+    /// Sends a request that the upstream's limits do not count, and waits for the head of its
+    /// response.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`] if no byte was sent, [`Error::Lost`] if the outcome is unknown.
+    pub(crate) async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
         let (interim_count, task) = (AtomicUsize::new(0), self.task.clone());
         hyper::ext::on_informational(&mut request, move |_| {
             if interim_count.fetch_add(1, Ordering::Relaxed) == INTERIM_RESPONSES_MAX {
@@ -291,6 +312,7 @@
             task: self.task.clone(),
             idle_since: now,
             expires_at: now + keep_alive.min(IDLE_TIMEOUT_MAX),
+            process: self.process,
         });
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod owner;
 pub mod peers;
 pub mod prepare;
+mod process;
 mod quota;
 pub mod relay;
 pub mod routing;
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -215,7 +215,8 @@
 /// Saves origins and deletes expired ones; returns false if there were none of either.
 async fn save_batch(node: &Node) -> Result<bool, store::Error> {
     let view = node.view();
-    let is_mixed = |service: &id::Service| is_mixed(&view, service);
+    // With one version, an instance that knows nothing can tell which began a stream.
+    let is_mixed = |service: &id::Service| view.has_several_versions(service);
     let (origins, obsolete) = {
         let limits = node.limits();
         let origins = limits
@@ -265,12 +266,6 @@
     rest.into_iter().collect()
 }
 
-/// Whether an instance that knows nothing could not tell which version began a stream.
-fn is_mixed(view: &View, service: &id::Service) -> bool {
-    let recorded = view.software.get(service).map_or(0, BTreeSet::len);
-    recorded > 1 || view.registered_software(service).len() > 1
-}
-
 /// Records the software versions that are in service, and deletes the records of those that have
 /// not been for some time; never returns.
 pub(crate) async fn record_versions(node: Arc<Node>) {
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -23,9 +23,11 @@
 use crate::client_request::ClientRequest;
 use crate::client_request::RESPONSE_MARGIN;
 use crate::clock;
+use crate::connection;
 use crate::connection::PooledConnection;
 use crate::limits;
 use crate::prepare::PrepareRequest;
+use crate::process;
 use crate::quota;
 use crate::state::Node;
 use crate::suspicion;
@@ -222,14 +224,7 @@
                 continue;
             }
         };
-        let opened = node
-            .pool
-            .acquire(
-                upstream.address,
-                request.connection_idle_max(),
-                connection_limit(node, &upstream),
-            )
-            .await;
+        let opened = open(node, request, &upstream, continuation).await;
         match opened {
             // Connecting takes time, so the view, quarantine and cold limit are checked again.
             Ok(connection) if node.view().is_still_usable(&upstream) => {
@@ -266,6 +261,33 @@
     }
 }
 
+/// Takes a connection to an upstream. It leads to the registered process where another one may run
+/// another software version, and the request begins or resumes a stream that depends on it.
+async fn open(
+    node: &Node,
+    request: &ClientRequest,
+    upstream: &Upstream,
+    continuation: &Continuation,
+) -> Result<PooledConnection, connection::Error> {
+    let idle_max = request.connection_idle_max();
+    let limit = connection_limit(node, upstream);
+    let acquired = node.pool.acquire(upstream.address, idle_max, limit);
+    let mut connection = acquired.await?;
+    let view = node.view();
+    let catalog = view.catalog.as_ref();
+    let service = catalog.and_then(|it| it.services.get(&upstream.service));
+    let is_engine = service.is_some_and(|it| it.engine.is_some());
+    let is_checked = match continuation {
+        Continuation::Unrestricted => false,
+        Continuation::Begins => view.has_several_versions(&upstream.service),
+        Continuation::Resumes(_) => true,
+    };
+    if is_engine && is_checked {
+        process::check(node, upstream, &mut connection).await?;
+    }
+    Ok(connection)
+}
+
 /// Whether the cold limit allows a request now: either the owner that placed the request has
 /// applied the limit, or this instance's own share has room.
 fn is_within_cold_limit(node: &Node, upstream: &Upstream, is_placed: bool) -> bool {
--- a/crates/node/tests/it/versions.rs
+++ b/crates/node/tests/it/versions.rs
@@ -377,16 +377,14 @@
     assert_eq!(fixture.site.store.tables(), tables);
 }
 
-/// Guards against a stream that goes on at an upstream which has returned under its name with
-/// another software version than the one that it is registered with.
-#[tokio::test]
-async fn streams_do_not_go_on_at_an_upstream_that_returned_with_another_version() {
-    let mut fixture = Fixture::start(2).await;
-    let mut downloads = begin_streams(&fixture, "before", TAKE_UPS).await;
-    let restarted = fixture.site.restart(2, NEW_VERSION).await;
+/// Restarts the upstream `idx` with [`NEW_VERSION`], and panics if a stream is joined that began
+/// before it, or between it and its registration.
+async fn check_restart(fixture: &mut Fixture, idx: usize) {
+    let mut downloads = begin_streams(fixture, "before", TAKE_UPS).await;
+    let restarted = fixture.site.restart(idx, NEW_VERSION).await;
     restarted.expect("the port of the upstream");
     // Attempts between the start of the upstream and its registration may fail.
-    let addresses = client_addresses(&fixture);
+    let addresses = client_addresses(fixture);
     for idx in 0..TAKE_UPS {
         let mut download = Download::new("summary", &format!("between{idx}"));
         download
@@ -394,13 +392,30 @@
             .await;
         downloads.push(download);
     }
-    take_up(&fixture, &mut downloads[..TAKE_UPS / 2]).await;
-    fixture.site.register(2, "ready");
-    take_up(&fixture, &mut downloads[TAKE_UPS / 2..]).await;
+    take_up(fixture, &mut downloads[..TAKE_UPS / 2]).await;
+    fixture.site.register(idx, "ready");
+    take_up(fixture, &mut downloads[TAKE_UPS / 2..]).await;
     check(&downloads, |_| false);
-    let mut after = begin_streams(&fixture, "after", TAKE_UPS).await;
+    let mut after = begin_streams(fixture, "after", TAKE_UPS).await;
     tokio::time::sleep(RECORDING_TIME).await;
-    take_up(&fixture, &mut after).await;
-    // A single upstream of each version is left.
+    take_up(fixture, &mut after).await;
     check(&after, |_| true);
 }
+
+/// Guards against a stream that goes on at an upstream which has returned under its name with
+/// another software version than the one that it is registered with.
+#[tokio::test]
+async fn streams_do_not_go_on_at_an_upstream_that_returned_with_another_version() {
+    let mut fixture = Fixture::start(2).await;
+    // A single upstream of each version is left.
+    check_restart(&mut fixture, 2).await;
+}
+
+/// The same, while upstreams of both versions serve.
+#[tokio::test]
+async fn streams_of_mixed_versions_do_not_go_on_at_an_upstream_that_returned_with_another_one() {
+    let Mixed {
+        mut fixture, old, ..
+    } = start_mixed(2).await;
+    check_restart(&mut fixture, old[0]).await;
+}
