Hand the origins of streams to another instance at once

Cause: each instance saved its own streams in the store, with a pause that grows with the members so that all together keep within the store's writes: 0.85 s at 58 instances, and streams live for about a second.

Origins go to one of a few other instances some 10 ms after the first event; those save what they hold for all with a pause of 0.1 s, so that a lookup (three, 0.15 s apart) finds it. If none takes them, an instance saves its own as before. The message is new: instances of earlier builds do not take it.

streams_that_have_just_begun_go_on_after_the_loss_of_their_instance failed on the code before with 12 of 12 streams refused, twice, and passes.

--- a/crates/forwarding/src/origin.rs
+++ b/crates/forwarding/src/origin.rs
@@ -3,8 +3,9 @@
 //! What two software versions write does not fit together, and upstreams do not check which version
 //! wrote the events before. Every way to choose an upstream therefore takes a [`Continuation`]. An
 //! instance remembers the origin of each resumable stream that it began ([`Origins`]). While
-//! several versions are in service, it also saves the origins in the store, since a client may
-//! resume its stream at any instance, also after all of them were lost.
+//! several versions are in service, the origins are also saved in the store, since a client may
+//! resume its stream at any instance, also after all of them were lost. An instance hands them to
+//! another one at once, which saves those of several instances together.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -92,45 +93,103 @@
     })
 }
 
+/// Who keeps the origin of a stream from being lost with this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Custody {
+    /// Nobody yet.
+    Own,
+    /// Another instance, which saves it.
+    Other,
+    /// This instance is about to save it.
+    Unsaved,
+    /// The store.
+    Saved,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     origin: Origin,
     expires_at: Instant,
-    is_saved: bool,
+    custody: Custody,
 }
 
-/// Origins of the streams that this instance began, by the hash of the id of the request that began
-/// each.
+/// Streams by the service that began them.
+#[derive(Debug, Default)]
+struct Pending(BTreeMap<id::Service, BTreeSet<id::Fingerprint>>);
+
+impl Pending {
+    fn insert(&mut self, service: &id::Service, stream: id::Fingerprint) {
+        self.0.entry(service.clone()).or_default().insert(stream);
+    }
+
+    fn remove(&mut self, service: &id::Service, stream: id::Fingerprint) {
+        if let Some(streams) = self.0.get_mut(service) {
+            streams.remove(&stream);
+            if streams.is_empty() {
+                self.0.remove(service);
+            }
+        }
+    }
+}
+
+/// A stream and where it began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Hash of the id of the request that began the stream.
+    pub stream: id::Fingerprint,
+    /// Where it began.
+    pub origin: Origin,
+    /// When its client stops waiting.
+    pub expires_at: Instant,
+}
+
+/// Origins of the streams that this instance began, and of those that it saves for others.
 #[derive(Debug, Default)]
 pub struct Origins {
     streams: HashMap<id::Fingerprint, Entry>,
     expiries: BTreeSet<(Instant, id::Fingerprint)>,
-    unsaved: BTreeMap<id::Service, BTreeSet<id::Fingerprint>>,
+    /// Streams in the custody of nobody else.
+    own: Pending,
+    /// Streams that this instance has to save.
+    unsaved: Pending,
     /// Streams that have expired and whose rows in the store are to be deleted.
     obsolete: BTreeSet<id::Fingerprint>,
 }
 
 impl Origins {
-    /// Remembers the origin of a stream until `expires_at`, when its client has stopped waiting.
-    pub fn record(&mut self, stream: id::Fingerprint, origin: Origin, expires_at: Instant) {
+    /// Remembers the origin of a stream that this instance began.
+    pub fn record(&mut self, record: Record) {
+        self.insert(record, Custody::Own);
+    }
+
+    /// Remembers the origin of a stream that another instance began, to save it.
+    pub fn hold(&mut self, record: Record) {
+        self.insert(record, Custody::Unsaved);
+    }
+
+    fn insert(&mut self, record: Record, custody: Custody) {
+        let Record {
+            stream,
+            origin,
+            expires_at,
+        } = record;
         self.remove(stream);
         if self.streams.len() >= STREAMS_MAX
             && let Some((_, first)) = self.expiries.first().copied()
         {
             self.remove(first);
         }
-        let unsaved = self.unsaved.entry(origin.service.clone()).or_default();
-        unsaved.insert(stream);
         self.expiries.insert((expires_at, stream));
         let entry = Entry {
             origin,
             expires_at,
-            is_saved: false,
+            custody: Custody::Other,
         };
         self.streams.insert(stream, entry);
+        self.set_custody(stream, custody);
     }
 
-    /// Origin of a stream that this instance began.
+    /// Origin of a stream, if this instance began it or saves it.
     #[must_use]
     pub fn get(&self, stream: id::Fingerprint) -> Option<&Origin> {
         self.streams.get(&stream).map(|it| &it.origin)
@@ -145,32 +204,59 @@
         }
     }
 
-    /// Origins that are not saved yet, of services for which `is_mixed` holds; at most `count`.
-    pub fn unsaved(
+    /// Streams that this instance began and that are in the custody of nobody else, of services for
+    /// which `is_mixed` holds; at most `count`.
+    pub fn own(&self, is_mixed: impl Fn(&id::Service) -> bool, count: usize) -> Vec<Record> {
+        self.records(&self.own, is_mixed, count)
+    }
+
+    /// Streams that this instance has to save, of services for which `is_mixed` holds; at most
+    /// `count`.
+    pub fn unsaved(&self, is_mixed: impl Fn(&id::Service) -> bool, count: usize) -> Vec<Record> {
+        self.records(&self.unsaved, is_mixed, count)
+    }
+
+    fn records(
         &self,
+        pending: &Pending,
         is_mixed: impl Fn(&id::Service) -> bool,
         count: usize,
-    ) -> Vec<(id::Fingerprint, Origin)> {
-        let unsaved = self.unsaved.iter().filter(|(service, _)| is_mixed(service));
-        let unsaved = unsaved.flat_map(|(_, streams)| streams);
-        let unsaved = unsaved.filter_map(|it| Some((*it, self.get(*it)?.clone())));
-        unsaved.take(count).collect()
+    ) -> Vec<Record> {
+        let streams = pending.0.iter().filter(|(service, _)| is_mixed(service));
+        let streams = streams.flat_map(|(_, streams)| streams);
+        let records = streams.filter_map(|stream| {
+            let entry = self.streams.get(stream)?;
+            Some(Record {
+                stream: *stream,
+                origin: entry.origin.clone(),
+                expires_at: entry.expires_at,
+            })
+        });
+        records.take(count).collect()
+    }
+
+    /// Records that another instance has taken these streams into custody.
+    pub fn mark_handed_over(&mut self, records: &[Record]) {
+        for record in records {
+            self.set_custody(record.stream, Custody::Other);
+        }
+    }
+
+    /// Leaves the saving of these streams to this instance.
+    pub fn keep(&mut self, records: &[Record]) {
+        for record in records {
+            self.set_custody(record.stream, Custody::Unsaved);
+        }
     }
 
     /// Records that the store holds the origins of these streams.
-    pub fn mark_saved(&mut self, streams: impl IntoIterator<Item = id::Fingerprint>) {
-        for stream in streams {
-            match self.streams.get_mut(&stream) {
-                Some(entry) => {
-                    entry.is_saved = true;
-                    if let Some(unsaved) = self.unsaved.get_mut(&entry.origin.service) {
-                        unsaved.remove(&stream);
-                    }
-                }
+    pub fn mark_saved(&mut self, records: &[Record]) {
+        for record in records {
+            if self.streams.contains_key(&record.stream) {
+                self.set_custody(record.stream, Custody::Saved);
+            } else {
                 // It expired while it was being saved.
-                None => {
-                    self.obsolete.insert(stream);
-                }
+                self.obsolete.insert(record.stream);
             }
         }
     }
@@ -188,19 +274,30 @@
         }
     }
 
+    fn set_custody(&mut self, stream: id::Fingerprint, custody: Custody) {
+        let Some(entry) = self.streams.get_mut(&stream) else {
+            return;
+        };
+        entry.custody = custody;
+        let service = &entry.origin.service;
+        self.own.remove(service, stream);
+        self.unsaved.remove(service, stream);
+        match custody {
+            Custody::Own => self.own.insert(service, stream),
+            Custody::Unsaved => self.unsaved.insert(service, stream),
+            Custody::Other | Custody::Saved => {}
+        }
+    }
+
     fn remove(&mut self, stream: id::Fingerprint) {
         let Some(entry) = self.streams.remove(&stream) else {
             return;
         };
         self.expiries.remove(&(entry.expires_at, stream));
-        if entry.is_saved {
+        self.own.remove(&entry.origin.service, stream);
+        self.unsaved.remove(&entry.origin.service, stream);
+        if entry.custody == Custody::Saved {
             self.obsolete.insert(stream);
         }
-        if let Some(unsaved) = self.unsaved.get_mut(&entry.origin.service) {
-            unsaved.remove(&stream);
-            if unsaved.is_empty() {
-                self.unsaved.remove(&entry.origin.service);
-            }
-        }
     }
 }
--- a/crates/forwarding/tests/origin.rs
+++ b/crates/forwarding/tests/origin.rs
@@ -11,6 +11,7 @@
 use forwarding::origin::Continuation;
 use forwarding::origin::Origin;
 use forwarding::origin::Origins;
+use forwarding::origin::Record;
 use tokio::time::Instant;
 
 fn name<T: std::str::FromStr<Err = id::ParseError>>(text: &str) -> T {
@@ -92,34 +93,62 @@
     without_a_record_no_version_is_guessed: [] => None;
 }
 
+fn record(stream: u64, service: &str, expires_at: Instant) -> Record {
+    Record {
+        stream: id::Fingerprint(stream),
+        origin: origin_of(service, "v1"),
+        expires_at,
+    }
+}
+
 #[test]
-fn only_origins_of_services_with_several_versions_are_saved() {
+fn only_origins_of_services_with_several_versions_are_handed_over() {
     let mut origins = Origins::default();
     let expires_at = Instant::now() + Duration::from_secs(6);
-    origins.record(id::Fingerprint(1), origin_of("s", "v1"), expires_at);
-    origins.record(id::Fingerprint(2), origin_of("t", "v1"), expires_at);
-    let unsaved = origins.unsaved(|it| it.as_str() == "t", 10);
-    assert_eq!(unsaved, [(id::Fingerprint(2), origin_of("t", "v1"))]);
-    origins.mark_saved([id::Fingerprint(2)]);
-    assert!(origins.unsaved(|it| it.as_str() == "t", 10).is_empty());
-    assert_eq!(origins.unsaved(|_| true, 10).len(), 1);
+    let (other, mixed) = (record(1, "s", expires_at), record(2, "t", expires_at));
+    origins.record(other.clone());
+    origins.record(mixed.clone());
+    let is_mixed = |it: &id::Service| it.as_str() == "t";
+    let own = origins.own(is_mixed, 10);
+    assert_eq!(own, [mixed]);
+    origins.mark_handed_over(&own);
+    assert!(origins.own(is_mixed, 10).is_empty());
+    assert!(origins.unsaved(|_| true, 10).is_empty());
+    // The other service gets a second version.
+    assert_eq!(origins.own(|_| true, 10), [other]);
 }
 
 #[test]
-fn rows_of_expired_streams_are_deleted_once() {
+fn origins_that_no_instance_takes_are_saved_by_their_own() {
     let mut origins = Origins::default();
-    let now = Instant::now();
-    let expires_at = now + Duration::from_secs(6);
-    for stream in 1..=3 {
-        origins.record(id::Fingerprint(stream), origin_of("s", "v1"), expires_at);
-    }
-    origins.mark_saved([id::Fingerprint(1)]);
+    let expires_at = Instant::now() + Duration::from_secs(6);
+    origins.record(record(1, "s", expires_at));
+    origins.keep(&origins.own(|_| true, 10));
+    origins.hold(record(2, "s", expires_at));
+    assert!(origins.own(|_| true, 10).is_empty());
+    let unsaved = origins.unsaved(|_| true, 10);
+    assert_eq!(unsaved.len(), 2);
+    origins.mark_saved(&unsaved);
+    assert!(origins.unsaved(|_| true, 10).is_empty());
+}
+
+#[test]
+fn rows_of_expired_streams_are_deleted_once_by_who_saved_them() {
+    let mut origins = Origins::default();
+    let expires_at = Instant::now() + Duration::from_secs(6);
+    let records: Vec<Record> = (1..=4).map(|it| record(it, "s", expires_at)).collect();
+    origins.hold(records[0].clone());
+    origins.hold(records[1].clone());
+    origins.record(records[2].clone());
+    origins.record(records[3].clone());
+    origins.mark_handed_over(&records[2..3]);
+    origins.mark_saved(&records[..1]);
     origins.expire(expires_at - Duration::from_millis(1));
     assert!(origins.get(id::Fingerprint(1)).is_some());
     origins.expire(expires_at);
     assert_eq!(origins.get(id::Fingerprint(1)), None);
-    // The second one expired while it was being saved, the third one was never saved.
-    origins.mark_saved([id::Fingerprint(2)]);
+    // The second one expired while it was being saved.
+    origins.mark_saved(&records[1..2]);
     let obsolete = origins.obsolete(10);
     assert_eq!(obsolete, [id::Fingerprint(1), id::Fingerprint(2)]);
     origins.mark_deleted(&obsolete);
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -6,17 +6,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::hash;
 use base::id;
+use catalog::Member;
 use catalog::RouteKind;
 use catalog::Upstream;
 use catalog::View;
 use forwarding::origin;
 use forwarding::origin::Continuation;
 use forwarding::origin::Origin;
+use forwarding::origin::Record;
 use mirror::Table;
 use platform::rows;
 use platform::store;
 use tokio::time::Instant;
+use wire::Reply;
+use wire::Request;
 
 use crate::client_request::ClientRequest;
 use crate::client_request::Resumption;
@@ -30,11 +35,21 @@
 const RETENTION_MIN: Duration = Duration::from_secs(10);
 /// Delay before origins are saved, so that streams that begin together are saved together.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
-/// Pause after origins were saved. It is multiplied by the number of groups of
-/// [`MEMBERS_PER_WRITE`] members, so that all members together stay below a fifth of the writes that
-/// the store accepts.
-const SAVE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after origins were saved.
+const SAVE_PAUSE: Duration = Duration::from_millis(100);
+/// Members that share that pause while they save their own origins.
 const MEMBERS_PER_WRITE: usize = 16;
+/// Delay before origins are handed over, so that streams that begin together go together.
+const HAND_OVER_DELAY: Duration = Duration::from_millis(5);
+/// Timeout for the answer of the instance that origins are handed to.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Most origins that are handed over in one message.
+const HAND_OVER_MAX: usize = 1_000;
+/// Key whose preference order of the members determines which of them save the origins of others.
+const CUSTODY_KEY: &str = "origins";
+/// Members for each instance that saves origins. At the pauses above, these write at most 6 times a
+/// second each, so that at 350 members they stay below a fifth of the writes that the store accepts.
+const MEMBERS_PER_CUSTODIAN: usize = 32;
 /// Pause after a failed call to the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 /// Interval at which expired origins are forgotten.
@@ -73,11 +88,12 @@
     }
     let time_limit = request.head.deadline.unwrap_or(request.route.timeout);
     let expires_at = request.received_at + time_limit.min(RETENTION_MAX);
-    let stream = request.stream();
-    node.limits()
-        .origins
-        .record(stream, Origin::of(upstream), expires_at);
-    node.origin_waker.notify_one();
+    node.limits().origins.record(Record {
+        stream: request.stream(),
+        origin: Origin::of(upstream),
+        expires_at,
+    });
+    node.origin_wakers.hand_over.notify_one();
 }
 
 /// Upstreams that a request may be sent to, by the software version that began the stream which it
@@ -178,6 +194,85 @@
     Ok(origin.map(|it| (Source::OnlyVersion, it)))
 }
 
+/// Hands the origins of streams that this instance begins to another one while several software
+/// versions are in service; never returns. Streams are short, so that most of those that the loss of
+/// an instance breaks have just begun.
+pub(crate) async fn hand_over(node: Arc<Node>) {
+    let mut view = node.watch_view();
+    loop {
+        view.mark_unchanged();
+        let records = {
+            let current = node.view();
+            let is_mixed = |service: &id::Service| current.has_several_versions(service);
+            node.limits().origins.own(is_mixed, HAND_OVER_MAX)
+        };
+        if records.is_empty() {
+            tokio::select! {
+                () = node.origin_wakers.hand_over.notified() => {}
+                _ = view.changed() => {}
+            }
+            tokio::time::sleep(HAND_OVER_DELAY).await;
+            continue;
+        }
+        let is_taken = match custodian(&node) {
+            Some(member) => send_records(&node, &member, &records).await,
+            None => false,
+        };
+        let origins = &mut node.limits().origins;
+        if is_taken {
+            origins.mark_handed_over(&records);
+        } else {
+            origins.keep(&records);
+            node.origin_wakers.save.notify_one();
+        }
+    }
+}
+
+/// The instances that save the origins of all: a few, so that the number of calls to the store stays
+/// small in a large deployment, and at least two, so that none has to keep its own.
+fn custodians(node: &Node) -> Vec<Arc<Member>> {
+    let members = node.view().members.clone();
+    let count = members.len().div_ceil(MEMBERS_PER_CUSTODIAN) + 1;
+    let order = ownership::preference_order(CUSTODY_KEY, members.values().map(Arc::as_ref));
+    let order = order.into_iter().map(|it| &it.instance);
+    let order = order.filter(|it| !node.peers.is_suspected(it));
+    let custodians = order.filter_map(|it| members.get(it).cloned());
+    custodians.take(count).collect()
+}
+
+/// The instance that saves the origins of this one.
+fn custodian(node: &Node) -> Option<Arc<Member>> {
+    let own = &node.settings.instance;
+    let mut custodians = custodians(node);
+    custodians.retain(|it| it.instance != *own);
+    let hash = hash::hash_strs([own.as_str()]) as usize;
+    let idx = hash.checked_rem(custodians.len())?;
+    Some(custodians.swap_remove(idx))
+}
+
+/// Sends origins to another instance; returns whether it has taken them.
+async fn send_records(node: &Node, member: &Member, records: &[Record]) -> bool {
+    let now = Instant::now();
+    let origins = records.iter().map(|it| wire::message::Origin {
+        stream: it.stream,
+        origin: it.origin.clone(),
+        remaining: it.expires_at.saturating_duration_since(now),
+    });
+    let request = Request::Origins(origins.collect());
+    let reply = async {
+        let mut replies = node.peers.open(member, request).await.ok()?;
+        replies.next().await
+    };
+    let reply = tokio::time::timeout(HAND_OVER_TIMEOUT, reply).await;
+    let is_taken = matches!(reply, Ok(Some(Reply::Done)));
+    if is_taken {
+        node.peers.record_answer(&member.instance);
+    } else if node.peers.record_timeout(member).await {
+        slog::warn!(node.logger(), "custodian_lost"; "instance" => %member.instance);
+    }
+    is_taken
+}
+
 /// Saves the origins of streams while several software versions are in service; never returns.
 pub(crate) async fn save(node: Arc<Node>) {
     let mut view = node.watch_view();
@@ -192,8 +287,7 @@
         }
         match save_batch(&node).await {
             Ok(true) => {
-                let groups = node.member_count().div_ceil(MEMBERS_PER_WRITE) as u32;
-                tokio::time::sleep(SAVE_PAUSE * groups).await;
+                tokio::time::sleep(save_pause(&node)).await;
                 continue;
             }
             Ok(false) => {}
@@ -204,7 +298,7 @@
             }
         }
         tokio::select! {
-            () = node.origin_waker.notified() => {}
+            () = node.origin_wakers.save.notified() => {}
             _ = view.changed() => {}
             () = tokio::time::sleep(EXPIRY_INTERVAL) => {}
         }
@@ -212,6 +306,15 @@
     }
 }
 
+/// Pause after origins were saved. It is longer for instances that save only because no other one
+/// took their origins.
+fn save_pause(node: &Node) -> Duration {
+    let own = &node.settings.instance;
+    let is_custodian = custodians(node).iter().any(|it| it.instance == *own);
+    let groups = node.member_count().div_ceil(MEMBERS_PER_WRITE) as u32;
+    SAVE_PAUSE * if is_custodian { 1 } else { groups }
+}
+
 /// Saves origins and deletes expired ones; returns false if there were none of either.
 async fn save_batch(node: &Node) -> Result<bool, store::Error> {
     let view = node.view();
@@ -230,18 +333,16 @@
         return Ok(false);
     }
     let mut puts = Vec::with_capacity(origins.len());
-    for (stream, origin) in &origins {
-        match rows::encode_origin(origin) {
-            Ok(value) => puts.push((stream.to_string(), value)),
+    for record in &origins {
+        match rows::encode_origin(&record.origin) {
+            Ok(value) => puts.push((record.stream.to_string(), value)),
             Err(err) => slog::error!(node.logger(), "origin_unwritable"; "reason" => %err),
         }
     }
     let removes: Vec<String> = obsolete.iter().map(|it| it.to_string()).collect();
     node.store.write_streams(&puts, &removes).await?;
     let mut limits = node.limits();
-    limits
-        .origins
-        .mark_saved(origins.into_iter().map(|it| it.0));
+    limits.origins.mark_saved(&origins);
     limits.origins.mark_deleted(&obsolete);
     Ok(true)
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 
 use base::id;
 use catalog::Member;
+use forwarding::origin::Record;
 use forwarding::poison::Source;
 use futures_util::future::BoxFuture;
 use stages::Plan;
@@ -45,6 +46,9 @@
 /// requesting instance how old its rows are.
 const ROWS_POLL_MAX: Duration = Duration::from_millis(400);
 
+/// Longest time for which the origin of a stream of another instance is kept.
+const ORIGIN_TTL_MAX: Duration = Duration::from_secs(120);
+
 #[derive(Debug, Default)]
 struct PeerStatus {
     /// Incarnation that the connection belongs to; 0 before the first call.
@@ -199,6 +203,10 @@
                     let known = quota::news::observations(&node);
                     send_reply(&replies, Reply::RateLimits(known)).await;
                 }
+                Request::Origins(origins) => {
+                    hold_origins(&node, origins);
+                    send_reply(&replies, Reply::Done).await;
+                }
                 // All other requests are for dispatchers, which this deployment does not have.
                 _ => {}
             }
@@ -302,6 +310,20 @@
     }
 }
 
+/// Takes the origins of streams that another instance began into custody.
+fn hold_origins(node: &Node, origins: Vec<wire::message::Origin>) {
+    let now = Instant::now();
+    let held = &mut node.limits().origins;
+    for origin in origins {
+        held.hold(Record {
+            stream: origin.stream,
+            origin: origin.origin,
+            expires_at: now + origin.remaining.min(ORIGIN_TTL_MAX),
+        });
+    }
+    node.origin_wakers.save.notify_one();
+}
+
 async fn send_reply(replies: &mpsc::Sender<Reply>, reply: Reply) {
     // Fails only if the requesting instance has closed the stream.
     let _ = replies.send(reply).await;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -148,6 +148,10 @@
     supervisor.spawn("origins", RestartPolicy::Always, move || {
         origin::save(origin_node.clone())
     });
+    let hand_over_node = node.clone();
+    supervisor.spawn("custody", RestartPolicy::Always, move || {
+        origin::hand_over(hand_over_node.clone())
+    });
     let version_node = node.clone();
     supervisor.spawn("versions", RestartPolicy::Always, move || {
         origin::record_versions(version_node.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -99,8 +99,8 @@
     are_versions_recorded: AtomicBool,
     /// Client of the store.
     pub(crate) store: store::Client,
-    /// Wakes the task that saves the origins of streams.
-    pub(crate) origin_waker: Notify,
+    /// Wakes the tasks that keep the origins of streams.
+    pub(crate) origin_wakers: OriginWakers,
 }
 
 impl Node {
@@ -128,7 +128,7 @@
             shutdown: Arc::default(),
             in_flight: AtomicUsize::new(0),
             loss_wakers: suspicion::Wakers::default(),
-            origin_waker: Notify::new(),
+            origin_wakers: OriginWakers::default(),
             are_versions_recorded: AtomicBool::new(false),
             settings,
             telemetry,
@@ -385,6 +385,15 @@
     }
 }
 
+/// Wakes the tasks that keep the origins of streams.
+#[derive(Debug, Default)]
+pub(crate) struct OriginWakers {
+    /// This instance began a stream.
+    pub(crate) hand_over: Notify,
+    /// There are origins that this instance has to save.
+    pub(crate) save: Notify,
+}
+
 /// Counts one request as in flight until it is dropped.
 pub struct InFlightGuard(Arc<Node>);
 
--- a/crates/node/tests/it/versions.rs
+++ b/crates/node/tests/it/versions.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use platform_standin::site::EVENTS_PER_STREAM;
 use platform_standin::site::SECOND_ENGINE_SERVICE;
 use platform_standin::upstream::DEFAULT_VERSION;
@@ -26,6 +27,11 @@
 /// Time from the first event of a stream after which a loss of all instances does not keep it from
 /// going on.
 const RECORDING_TIME: Duration = Duration::from_millis(1_200);
+/// Time after which an instance has begun to save the origin of a stream.
+const SAVE_DELAY: Duration = Duration::from_millis(70);
+/// Time from the first event of a stream after which the loss of its instance alone does not keep it
+/// from going on.
+const HAND_OVER_TIME: Duration = Duration::from_millis(60);
 /// Time within which nodes learn of a changed registration.
 const NOTICE_TIME: Duration = Duration::from_millis(100);
 /// Time that an upstream takes before the first event.
@@ -241,6 +247,34 @@
     check(&downloads, |_| true);
 }
 
+/// Guards against streams that do not go on because the instance that began them was lost before it
+/// saved where they began: streams are short, and most of those that it breaks have just begun.
+#[tokio::test]
+async fn streams_that_have_just_begun_go_on_after_the_loss_of_their_instance() {
+    let mut mixed = start_mixed(3).await;
+    let addresses = client_addresses(&mixed.fixture);
+    // Keeps the instance busy with saving.
+    let mut earlier = Download::new("summary", "earlier");
+    earlier.begin(addresses[0]).await;
+    tokio::time::sleep(SAVE_DELAY).await;
+    let downloads = (0..TAKE_UPS / 2).map(|idx| {
+        let client_address = addresses[0];
+        async move {
+            let mut download = Download::new("summary", &format!("s{idx}"));
+            download.begin(client_address).await;
+            download
+        }
+    });
+    let mut downloads: Vec<Download> = join_all(downloads).await;
+    tokio::time::sleep(HAND_OVER_TIME).await;
+    mixed.fixture.nodes.remove(0).kill();
+    for (idx, download) in downloads.iter_mut().enumerate() {
+        let client_address = addresses[1 + idx % 2];
+        download.attempt(client_address, usize::MAX).await;
+    }
+    check(&downloads, |_| true);
+}
+
 /// Guards against streams of two software versions that are joined after the loss of all instances,
 /// and against those that do not go on though their version was recorded in time.
 #[tokio::test]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,6 +5,7 @@
 
 use base::id;
 use config::Document;
+use forwarding::origin;
 use forwarding::poison::Loss;
 use forwarding::quota::belief::Observation;
 use forwarding::quota::loan::Stamp;
@@ -56,6 +57,8 @@
     Recall(Box<quota::Recall>),
     /// Tells the rate limits of upstreams that the sender knows; the reply tells the receiver's.
     RateLimits(Vec<Observation>),
+    /// Hands the origins of streams that the sender began to the receiver, which saves them.
+    Origins(Vec<Origin>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -92,6 +95,17 @@
     RateLimits(Vec<Observation>),
 }
 
+/// Where a stream began, for the instance that saves it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Hash of the id of the request that began the stream.
+    pub stream: id::Fingerprint,
+    /// Where it began.
+    pub origin: origin::Origin,
+    /// Time from the send of the message for which the client waits for the stream.
+    pub remaining: Duration,
+}
+
 /// What the requester of [`Request::Rows`] may not know yet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RowsUpdate {
