--- a/crates/node/tests/it/versions.rs
+++ b/crates/node/tests/it/versions.rs
@@ -2,26 +2,28 @@
 //! together, so a stream goes on only at the version that began it, within an answer and over the
 //! attempts of its client.
 
-mod download;
-
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use platform_standin::client::Response;
+use platform_standin::download::Download;
 use platform_standin::site::EVENTS_PER_STREAM;
 use platform_standin::site::SECOND_ENGINE_SERVICE;
 use platform_standin::upstream::DEFAULT_VERSION;
 use platform_standin::upstream::Fault;
 use serde_json::json;
 
-use self::download::Download;
-use self::download::EVENTS_BEFORE_BREAK;
 use crate::crashes::restart_all;
 use crate::fixture::Fixture;
 use crate::fixture::eventually;
 
 /// Version that is released while [`DEFAULT_VERSION`] serves.
 const NEW_VERSION: &str = "v1.1";
+/// Events after which a client loses its connection.
+const EVENTS_BEFORE_BREAK: usize = 3;
+/// Attempts of a client for one stream.
+const CLIENT_ATTEMPTS_MAX: usize = 3;
 /// Number of streams of a test that clients take up.
 const TAKE_UPS: usize = 24;
 /// Time from the first event of a stream after which a loss of all instances does not keep it from
@@ -103,14 +105,40 @@
     added
 }
 
+/// Begins a stream, and loses the connection after [`EVENTS_BEFORE_BREAK`] events.
+async fn begin(name: &str, route: &str, client_address: SocketAddr) -> Download {
+    let mut download = Download::new(route, name);
+    let response = download.attempt(client_address, EVENTS_BEFORE_BREAK).await;
+    assert_eq!(response.status, 200, "{name}: {}", response.head);
+    assert!(!download.events.is_empty(), "{name}: {}", response.head);
+    download
+}
+
+/// Sends attempts, at most [`CLIENT_ATTEMPTS_MAX`] in all, until the stream is complete. Waits
+/// after each as long as the response asks for.
+async fn finish(download: &mut Download, client_addresses: &[SocketAddr]) {
+    while !download.is_complete && download.statuses.len() < CLIENT_ATTEMPTS_MAX {
+        let client_address = client_addresses[download.statuses.len() % client_addresses.len()];
+        let response = download.attempt(client_address, usize::MAX).await;
+        tokio::time::sleep(retry_after(&response)).await;
+    }
+}
+
+/// Pause that a response asks for.
+fn retry_after(response: &Response) -> Duration {
+    let mut lines = response.head.lines();
+    let seconds = lines.find_map(|it| it.strip_prefix("retry-after: "));
+    let seconds = seconds.and_then(|it| it.trim().parse().ok());
+    seconds.map_or(Duration::ZERO, Duration::from_secs_f64)
+}
+
 /// Begins `count` streams at the nodes in turn.
 async fn begin_streams(fixture: &Fixture, name: &str, count: usize) -> Vec<Download> {
     let addresses = client_addresses(fixture);
     let mut downloads = Vec::new();
     for idx in 0..count {
-        let mut download = Download::new("summary", &format!("{name}{idx}"));
-        download.begin(addresses[idx % addresses.len()]).await;
-        downloads.push(download);
+        let client_address = addresses[idx % addresses.len()];
+        downloads.push(begin(&format!("{name}{idx}"), "summary", client_address).await);
     }
     downloads
 }
@@ -134,7 +162,13 @@
         joined.len(),
         downloads.len()
     );
-    downloads.iter().for_each(Download::check_events);
+    for download in downloads {
+        let is_whole = download.events.len() == EVENTS_PER_STREAM as usize;
+        assert!(
+            download.is_in_sequence() && download.is_complete == is_whole,
+            "{download:?}"
+        );
+    }
     let lost: Vec<_> = downloads
         .iter()
         .filter(|it| has_to_go_on(it) && !it.is_complete)
@@ -213,13 +247,11 @@
     let addresses = client_addresses(&mixed.fixture);
     let mut downloads = Vec::new();
     for idx in 0..TAKE_UPS {
-        let mut download = Download::new("summary", &format!("s{idx}"));
-        download.begin(addresses[0]).await;
-        downloads.push(download);
+        downloads.push(begin(&format!("s{idx}"), "summary", addresses[0]).await);
     }
     mixed.shrink().await;
     for download in &mut downloads {
-        download.finish(&addresses).await;
+        finish(download, &addresses).await;
     }
     check(&downloads, |_| true);
 }
@@ -255,13 +287,13 @@
     let addresses = client_addresses(&mixed.fixture);
     // Keeps the instance busy with saving.
     let mut earlier = Download::new("summary", "earlier");
-    earlier.begin(addresses[0]).await;
+    begin(&mut earlier, addresses[0]).await;
     tokio::time::sleep(SAVE_DELAY).await;
     let downloads = (0..TAKE_UPS / 2).map(|idx| {
         let client_address = addresses[0];
         async move {
             let mut download = Download::new("summary", &format!("s{idx}"));
-            download.begin(client_address).await;
+            begin(&mut download, client_address).await;
             download
         }
     });
@@ -374,9 +406,7 @@
     };
     let mut downloads = Vec::new();
     for idx in 0..TAKE_UPS {
-        let mut download = Download::new("split", &format!("s{idx}"));
-        download.begin(addresses[0]).await;
-        downloads.push(download);
+        downloads.push(begin(&format!("s{idx}"), "split", addresses[0]).await);
     }
     tokio::time::sleep(RECORDING_TIME).await;
     let mut moved = Vec::new();
