Let the soak release software versions and take up streams

The soak had a single software version, and its clients sent each request once. It now draws two further versions of the engine service, released one after the other under new names or in place, old upstreams that leave at once, later or not, and a loss of all nodes where the store is not away as well. Four clients lose their connections after some events and take their streams up at random nodes. No stream may have events of two versions, and a complete body has to be that of one version.

--- a/crates/soak/src/bin/catkinvane-soak.rs
+++ b/crates/soak/src/bin/catkinvane-soak.rs
@@ -33,9 +33,11 @@
     for seed in first..first + runs {
         let outcome = runtime.block_on(soak::run(&options, seed))?;
         println!(
-            "seed {seed}: {} of {} requests succeeded, {} faults, {} violations",
+            "seed {seed}: {} of {} requests succeeded, {} of {} take-ups, {} faults, {} violations",
             outcome.succeeded,
             outcome.requests,
+            outcome.taken_up,
+            outcome.take_ups,
             outcome.faults.len(),
             outcome.violations.len()
         );
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -6,6 +6,8 @@
 use platform_standin::site::Site;
 use platform_standin::upstream::RecordedRequest;
 
+use crate::versions::VERSIONS;
+
 /// Time beyond the timeout of its route that a response may take, in milliseconds.
 pub(crate) const RESPONSE_SLACK_MS: u128 = 500;
 
@@ -45,6 +47,12 @@
     /// requests in 4 s.
     #[strum(to_string = "{0} got {1} requests in 4 s, more than it announced")]
     OverLimit(String, usize),
+    /// A stream has events of two software versions.
+    #[strum(to_string = "stream {0} has events of two software versions")]
+    Joined(String),
+    /// A stream lacks an event or has one twice.
+    #[strum(to_string = "stream {0} lacks an event or has one twice")]
+    OutOfSequence(String),
     /// A node process exited that the soak had not stopped.
     #[strum(to_string = "node {0} exited unexpectedly")]
     Ended(usize),
@@ -57,6 +65,8 @@
     pub(crate) service: &'static str,
     pub(crate) is_idempotent: bool,
     pub(crate) timeout_ms: u128,
+    /// Number of the last event that the client has from earlier attempts; 0 without one.
+    pub(crate) last_event: u64,
     pub(crate) response: Response,
     pub(crate) elapsed_ms: u128,
     /// Whether it is exempt from the response time limit, because its node received a signal.
@@ -103,7 +113,10 @@
     }
     let mut upstreams = site.upstreams.iter();
     let upstream = upstreams.find(|it| it.1 == request.service)?;
-    let is_own = upstream.0.body(&request.id) == request.response.body;
+    let mut bodies = VERSIONS
+        .iter()
+        .map(|it| upstream.0.body_of(&request.id, it, request.last_event));
+    let is_own = bodies.any(|it| it == request.response.body);
     (!is_own).then(|| Violation::ForeignBody(request.id.clone()))
 }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -36,6 +36,21 @@
     Evacuate(&'static str),
     /// Writes a newer version of the configuration. Has no end.
     Configure,
+    /// Sends SIGKILL to all nodes; restarts them at the end.
+    KillAll,
+    /// Starts an engine with a software version under a new name. Has no end.
+    Release(&'static str),
+    /// Starts an engine again with a software version under its name. Has no end.
+    Replace(&'static str),
+    /// Deregisters the oldest engine, which serves on. Has no end.
+    Retire,
+}
+
+impl Fault {
+    /// Whether nodes cannot reach the store meanwhile.
+    pub(crate) fn is_of_store(&self) -> bool {
+        matches!(self, Fault::Store(_) | Fault::StorePath(_))
+    }
 }
 
 /// A fault with its start, relative to that of the load, and its duration.
@@ -61,7 +76,7 @@
     let mut faults: Vec<ScheduledFault> = (0..count)
         .map(|_| ScheduledFault {
             at: load_duration.mul_f64(rng.random_range(0.05..0.75)),
-            duration: rng.random_range(MIN_DURATION..MAX_DURATION),
+            duration: random_duration(rng),
             fault: random_fault(rng, nodes, upstreams),
         })
         .collect();
@@ -69,6 +84,11 @@
     faults
 }
 
+/// A random duration of a fault.
+pub(crate) fn random_duration(rng: &mut SmallRng) -> Duration {
+    rng.random_range(MIN_DURATION..MAX_DURATION)
+}
+
 fn random_fault(rng: &mut SmallRng, nodes: usize, upstreams: usize) -> Fault {
     let node = rng.random_range(0..nodes);
     let upstream = rng.random_range(0..upstreams);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod proxy;
 mod run;
+mod versions;
 
 pub use check::Violation;
 pub use run::Options;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -35,6 +35,8 @@
 use crate::poison;
 use crate::proxy;
 use crate::proxy::Proxy;
+use crate::versions;
+use crate::versions::Engines;
 
 /// Time within which a started node serves, and for which requests to a node that received a signal
 /// are exempt from the response time limit.
@@ -47,6 +49,8 @@
 const CLIENT_PAUSE: Duration = Duration::from_millis(25);
 /// Number of concurrent clients.
 const CLIENT_COUNT: u64 = 6;
+/// Number of concurrent clients that take up their streams.
+const DOWNLOAD_COUNT: u64 = 4;
 
 /// Options that all seeds of an invocation share.
 #[derive(Clone, Debug)]
@@ -68,6 +72,10 @@
     pub requests: usize,
     /// Number of those with status 200 and a complete body.
     pub succeeded: usize,
+    /// Attempts to take a stream up that brought an event.
+    pub taken_up: usize,
+    /// Attempts to take a stream up.
+    pub take_ups: usize,
     /// Injected faults with their start times, in order of time.
     pub faults: Vec<String>,
     /// Violated invariants.
@@ -90,6 +98,7 @@
     store_proxy: Proxy,
     upstream_proxies: Vec<Proxy>,
     nodes: Vec<NodeProcess>,
+    engines: Engines,
     config_version: u64,
     /// Runs of poison requests sent before this time are exempt from their bound, because nodes may
     /// have missed crash reports in the store.
@@ -105,7 +114,7 @@
 pub async fn run(options: &Options, seed: u64) -> eyre::Result<Outcome> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut run = Run::start(options).await?;
-    let faults = fault::generate(
+    let mut faults = fault::generate(
         &mut rng,
         options.load_duration,
         options.node_count,
@@ -119,8 +128,17 @@
         let rng = SmallRng::seed_from_u64(seed ^ (client << 32));
         clients.spawn(run_client(targets, rng, next_id.clone(), end));
     }
+    let mut downloads = JoinSet::new();
+    for client in 0..DOWNLOAD_COUNT {
+        let rng = SmallRng::seed_from_u64(!seed ^ (client << 32));
+        downloads.spawn(versions::run_client(run.targets(), rng, client, end));
+    }
     // Its own generator, so that the faults of a seed stay the same.
-    let limit = Limit::start(&run.site, &mut SmallRng::seed_from_u64(!seed));
+    let mut own_rng = SmallRng::seed_from_u64(!seed);
+    let limit = Limit::start(&run.site, &mut own_rng);
+    let releases = versions::generate(&mut own_rng, options.load_duration, &faults);
+    faults.extend(releases);
+    faults.sort_by_key(|it| it.at);
     let crashes = poison::start(&run.site.store, &mut rng).await?;
     let targets = run.targets();
     let excused_until = run.store_excused_until.clone();
@@ -137,6 +155,11 @@
     while let Some(client_requests) = clients.join_next().await {
         requests.extend(client_requests.wrap_err("a client failed")?);
     }
+    while let Some(result) = downloads.join_next().await {
+        let (downloads, download_requests) = result.wrap_err("a client of streams failed")?;
+        run.violations.extend(versions::check(&downloads));
+        requests.extend(download_requests);
+    }
     run.violations.extend(limit.end());
     run.recover_and_check().await?;
     run.violations
@@ -144,6 +167,7 @@
     let sent = poison.await.wrap_err("the poison client failed")?;
     run.violations.extend(poison::check(&crashes, &sent));
     outcome.requests = requests.len();
+    (outcome.taken_up, outcome.take_ups) = versions::count_take_ups(&requests);
     let succeeded = requests
         .iter()
         .filter(|it| it.response.status == 200 && it.response.is_complete);
@@ -164,12 +188,14 @@
             site.register(idx, "ready");
             upstream_proxies.push(proxy);
         }
+        let engines = Engines::new(&site);
         let mut run = Run {
             options: options.clone(),
             site,
             store_proxy,
             upstream_proxies,
             nodes: Vec::new(),
+            engines,
             config_version: 1,
             store_excused_until: Arc::new(Mutex::new(Instant::now())),
             violations: Vec::new(),
@@ -241,14 +267,14 @@
                 let (_, fault) = active.remove(0);
                 self.end_fault(&fault).await?;
             } else if let Some(scheduled) = upcoming.next() {
-                self.start_fault(&scheduled.fault)?;
+                self.start_fault(&scheduled.fault).await?;
                 active.push((next + scheduled.duration, scheduled.fault));
             }
         }
         Ok(())
     }
 
-    fn start_fault(&mut self, fault: &Fault) -> eyre::Result<()> {
+    async fn start_fault(&mut self, fault: &Fault) -> eyre::Result<()> {
         match fault {
             Fault::Kill(idx) => {
                 self.excuse_node(*idx);
@@ -281,6 +307,15 @@
                 self.config_version += 1;
                 self.site.configure(self.config_version, json!([]));
             }
+            Fault::KillAll => {
+                for idx in 0..self.nodes.len() {
+                    self.excuse_node(idx);
+                    self.nodes[idx].daemon = None;
+                }
+            }
+            Fault::Release(version) => self.engines.release(&mut self.site, version).await?,
+            Fault::Replace(version) => self.engines.replace(&mut self.site, version).await?,
+            Fault::Retire => self.engines.retire(&self.site),
         }
         Ok(())
     }
@@ -311,7 +346,18 @@
             Fault::Evacuate(zone) => {
                 self.site.store.delete("op", &format!("evacuate/{zone}"));
             }
-            Fault::Compact | Fault::Configure => {}
+            Fault::KillAll => {
+                for idx in 0..self.nodes.len() {
+                    if self.nodes[idx].daemon.is_none() {
+                        self.restart_node(idx)?;
+                    }
+                }
+            }
+            Fault::Compact
+            | Fault::Configure
+            | Fault::Release(_)
+            | Fault::Replace(_)
+            | Fault::Retire => {}
         }
         Ok(())
     }
@@ -319,6 +365,8 @@
     /// Waits for a node that received SIGTERM to exit, and starts it again.
     async fn restart_terminated(&mut self, idx: usize) -> eyre::Result<()> {
         if let Some(mut daemon) = self.nodes[idx].daemon.take() {
+            // The process may have been killed and started again since.
+            daemon.signal(Signal::TERM)?;
             // A stopped process handles a pending SIGTERM only after SIGCONT.
             daemon.signal(Signal::CONT)?;
             tokio::task::spawn_blocking(move || daemon.wait(STOP_TIMEOUT)).await??;
@@ -441,6 +489,7 @@
             service,
             is_idempotent,
             timeout_ms,
+            last_event: 0,
             response: response.unwrap_or_default(),
             elapsed_ms: start.elapsed().as_millis(),
             is_excused: start < excused_until,
