--- a/crates/node/tests/it/versions.rs
+++ b/crates/node/tests/it/versions.rs
@@ -286,16 +286,11 @@
     let mut mixed = start_mixed(3).await;
     let addresses = client_addresses(&mixed.fixture);
     // Keeps the instance busy with saving.
-    let mut earlier = Download::new("summary", "earlier");
-    begin(&mut earlier, addresses[0]).await;
+    begin("earlier", "summary", addresses[0]).await;
     tokio::time::sleep(SAVE_DELAY).await;
     let downloads = (0..TAKE_UPS / 2).map(|idx| {
         let client_address = addresses[0];
-        async move {
-            let mut download = Download::new("summary", &format!("s{idx}"));
-            begin(&mut download, client_address).await;
-            download
-        }
+        async move { begin(&format!("s{idx}"), "summary", client_address).await }
     });
     let mut downloads: Vec<Download> = join_all(downloads).await;
     tokio::time::sleep(HAND_OVER_TIME).await;
