Log how many upstreams an instance reaches

Each instance now keeps, per upstream, whether its latest connection or answer reached it. `upstream_unreached`, `not_sent` and `steps_refused` state the numbers of reached and unreached upstreams, and the gauge `upstreams.unreached` follows them. No decision depends on them.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod life;
 pub mod origin;
 pub mod pace;
+pub mod path;
 pub mod poison;
 pub mod quota;
 pub mod retry;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -245,7 +245,9 @@
             if cause == Cause::RateLimit {
                 quota::record_accepted(node, service, false);
             }
+            let counts = node.paths().counts();
             slog::info!(node.logger(), "not_sent"; "request" => &request.id, "cause" => %cause,
+                "reached" => counts.reached, "unreached" => counts.unreached,
                 "placed_at" => engine.as_ref().map(id::Upstream::as_str),
                 "prompt" => request.prompt_prefix_hash().map(|it| format!("{it:x}")));
             return Err(
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -65,7 +65,10 @@
                     fingerprints: call.items.iter().map(|it| it.fingerprint).collect(),
                     sent_at,
                 }),
-                Outcome::Done(_) | Outcome::Rejected | Outcome::Unsent => {}
+                Outcome::Done(_) | Outcome::Rejected => {
+                    node.paths().record_reached(&upstream.name);
+                }
+                Outcome::Unsent => {}
             }
             TaskResult::Call(shard, call.id, reply.outcome)
         });
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -248,7 +248,9 @@
 }
 
 async fn send_refusal(node: &Node, request: &str, refusal: &Refusal, replies: mpsc::Sender<Reply>) {
-    slog::info!(node.logger(), "steps_refused"; "request" => request, "reason" => %refusal);
+    let counts = node.paths().counts();
+    slog::info!(node.logger(), "steps_refused"; "request" => request, "reason" => %refusal,
+        "reached" => counts.reached, "unreached" => counts.unreached);
     let progress = match refusal {
         Refusal::TooLate(drain) => Progress::TooLate(*drain),
         Refusal::NoUpstream => Progress::NoUpstream,
--- a/crates/node/src/send_guard.rs
+++ b/crates/node/src/send_guard.rs
@@ -63,6 +63,7 @@
             is_failure,
             now,
         };
+        self.node.paths().record_reached(&self.upstream.name);
         let mut limits = self.node.limits();
         limits.record_answer(&self.upstream.name, &self.request, first_byte);
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,6 +13,7 @@
 
 use base::id;
 use catalog::View;
+use forwarding::path::Paths;
 use forwarding::stop::Shutdown;
 use mirror::Mirror;
 use mirror::Row;
@@ -88,6 +89,7 @@
     store_copy: Mutex<StoreCopy>,
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
+    paths: Mutex<Paths>,
     shard_waits: Mutex<ShardWaits>,
     shutdown: Arc<OnceLock<Shutdown>>,
     in_flight: AtomicUsize,
@@ -119,6 +121,7 @@
             memory: MemoryBudget::for_instance(settings.memory_bytes),
             quotas: Mutex::new(Quotas::new(settings.instance.clone())),
             quota_wakers: quota::Wakers::new(),
+            paths: Mutex::default(),
             started_at: clock::now_with_suspension(),
             incarnation: rand::random(),
             view: watch::Sender::new(Arc::default()),
@@ -217,6 +220,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the paths to upstreams. The guard must not be held across an await.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the rows and the view tracker. The guard must not be held across an await.
     pub fn store_copy(&self) -> MutexGuard<'_, StoreCopy> {
         self.store_copy
@@ -335,6 +343,7 @@
         if changes.iter().any(Change::affects_view) {
             self.limits().retain(&view);
             self.quotas().retain(&view);
+            self.paths().retain(|it| view.upstreams.contains_key(it));
             self.owner.configure(&view);
             self.view.send_replace(view);
         }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -125,12 +125,22 @@
         .quarantine
         .mark_unreachable(&upstream.incarnation(), now);
     drop(limits);
+    let counts = {
+        let mut paths = node.paths();
+        paths.record_unreached(&upstream.name);
+        paths.counts()
+    };
+    node.telemetry
+        .gauge("upstreams.unreached", counts.unreached as u64);
+    slog::info!(node.logger(), "upstream_unreached"; "upstream" => upstream.name.as_str(),
+        "reached" => counts.reached, "unreached" => counts.unreached);
     node.loss_wakers.wake();
     cancel_quarantined_plans(node);
 }
 
 /// Records that an upstream accepted a connection.
 pub(crate) fn record_reachable(node: &Node, upstream: &Upstream) {
+    node.paths().record_reached(&upstream.name);
     let quarantine = &mut node.limits().quarantine;
     quarantine.mark_reachable(&upstream.incarnation());
 }
