Send step calls on the node's own connections

They now use the connections of `node::connection`, and `platform::steps` only encodes and decodes the messages.

A permit is checked again after connecting, since the pool does not send with one that has expired; calls are not limited by this instance's share of connections, as before. Idle connections follow the keep-alive time that the upstream states.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -2,6 +2,7 @@
 //! upstreams and reports the outcomes.
 
 mod calls;
+mod exchange;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,7 +20,6 @@
 use forwarding::board::Ticket;
 use forwarding::cold;
 use platform::settings::Bounds;
-use platform::steps;
 use stages::Handle;
 use stages::Outcome;
 use stages::Plan;
@@ -81,7 +81,6 @@
     state: Mutex<State>,
     changed: Notify,
     events: mpsc::UnboundedSender<UpstreamEvent>,
-    client: steps::Client,
     bounds: Bounds,
     telemetry: Telemetry,
 }
@@ -133,11 +132,9 @@
 }
 
 impl Owner {
-    /// Creates an owner that sends its calls with `client`, and the receiver of what these calls
-    /// observe of upstreams.
+    /// Creates an owner, and the receiver of what its calls observe of upstreams.
     #[must_use]
     pub fn new(
-        client: steps::Client,
         bounds: Bounds,
         telemetry: Telemetry,
     ) -> (Owner, mpsc::UnboundedReceiver<UpstreamEvent>) {
@@ -146,7 +143,6 @@
             state: Mutex::default(),
             changed: Notify::new(),
             events,
-            client,
             bounds,
             telemetry,
         };
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -20,6 +20,7 @@
 use super::Shared;
 use super::TaskResult;
 use super::UpstreamEvent;
+use super::exchange;
 use crate::quota;
 use crate::state::Node;
 
@@ -45,18 +46,17 @@
                     return TaskResult::Call(shard, call.id, Outcome::Unsent);
                 }
             };
-            let (address, name) = (upstream.address, upstream.name.as_str());
             let sent_at = Instant::now();
-            let client = &shared.client;
-            let items = &call.items;
-            let reply = client.run(address, name, items, call.timeout, permit).await;
+            let reply = exchange::run(&node, &upstream, &call, permit).await;
             log_call(&shared.telemetry, &call, &reply.outcome, sent_at.elapsed());
-            if let Some(time) = reply.retry_after {
-                shared.hold_off(&upstream.name, time);
-            }
-            quota::news::record_answer(&node, &upstream, reply.rate_limit, sent_at);
-            if reply.is_leaving {
-                shared.report(UpstreamEvent::Leaving(upstream.incarnation()));
+            if let Some(head) = &reply.head {
+                if let Some(time) = head.retry_after {
+                    shared.hold_off(&upstream.name, time);
+                }
+                quota::news::record_answer(&node, &upstream, head.rate_limit, sent_at);
+                if head.is_leaving {
+                    shared.report(UpstreamEvent::Leaving(upstream.incarnation()));
+                }
             }
             match reply.outcome {
                 Outcome::Unreachable => shared.report(UpstreamEvent::Unreachable(upstream.clone())),
@@ -136,7 +136,7 @@
 
 /// Frees results at an upstream. If it asked for no calls or its rate limit leaves no capacity for
 /// that, they are left to expire.
-async fn free(shared: &Shared, node: &Node, upstream: &Upstream, handles: &[Handle]) {
+async fn free(shared: &Shared, node: &Arc<Node>, upstream: &Arc<Upstream>, handles: &[Handle]) {
     let logger = shared.telemetry.logger();
     let name = upstream.name.as_str();
     let permit = match shared.is_held_off(&upstream.name) {
@@ -148,9 +148,11 @@
         return;
     };
     let sent_at = Instant::now();
-    let client = &shared.client;
-    let (is_freed, rate_limit) = client.free(upstream.address, name, handles, permit).await;
-    quota::news::record_answer(node, upstream, rate_limit, sent_at);
+    let head = exchange::free(node, upstream, handles, permit).await;
+    if let Some(head) = &head {
+        quota::news::record_answer(node, upstream, head.rate_limit, sent_at);
+    }
+    let is_freed = head.is_some_and(|it| it.status.is_success());
     if !is_freed {
         slog::info!(logger, "free_failed"; "upstream" => name, "results" => handles.len());
     }
--- /dev/null
+++ b/crates/node/src/owner/exchange.rs
@@ -0,0 +1,135 @@
+//! One call to an upstream that runs steps, over the connections that all requests use.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use catalog::Upstream;
+use forwarding::quota::Permit;
+use forwarding::quota::Urgency;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use platform::steps;
+use platform::upstream::ResponseHead;
+use stages::Call;
+use stages::Handle;
+use stages::Outcome;
+
+use crate::buffer;
+use crate::clock;
+use crate::connection;
+use crate::quota;
+use crate::state::Node;
+
+/// Bounds a call that frees results. Freeing is best effort, since upstreams drop results after
+/// some seconds anyway.
+const FREE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How a batched call ended.
+pub(super) struct Reply {
+    /// Results of the pieces, or the failure of the whole call.
+    pub(super) outcome: Outcome,
+    /// Head of the response, if there was one.
+    pub(super) head: Option<ResponseHead>,
+}
+
+impl From<Outcome> for Reply {
+    fn from(outcome: Outcome) -> Reply {
+        Reply {
+            outcome,
+            head: None,
+        }
+    }
+}
+
+/// Runs the items of `call` at `upstream`, as `permit` allows.
+pub(super) async fn run(
+    node: &Arc<Node>,
+    upstream: &Arc<Upstream>,
+    call: &Call,
+    permit: Permit,
+) -> Reply {
+    let (authority, name) = (upstream.address.to_string(), upstream.name.as_str());
+    let request = match steps::run_request(&authority, name, &call.items) {
+        Ok(request) => request,
+        Err(err) => {
+            slog::error!(node.logger(), "call_unwritable"; "call" => call.id, "reason" => %err);
+            return Outcome::Lost.into();
+        }
+    };
+    let exchange = exchange(node, upstream, request, Urgency::Priority(0), permit);
+    match tokio::time::timeout(call.timeout, exchange).await {
+        Ok(Ok((head, body))) => Reply {
+            outcome: body.map_or(Outcome::Lost, |body| {
+                steps::read_outcome(head.status, &body, &call.items)
+            }),
+            head: Some(head),
+        },
+        Ok(Err(connection::Error::Connect)) => Outcome::Unreachable.into(),
+        Ok(Err(
+            connection::Error::Unsent
+            | connection::Error::TooMany
+            | connection::Error::UnknownProcess,
+        )) => Outcome::Unsent.into(),
+        Ok(Err(connection::Error::Lost | connection::Error::Silent)) | Err(_) => {
+            Outcome::Lost.into()
+        }
+    }
+}
+
+/// Frees results at the upstream that holds them, as `permit` allows; returns the head of its
+/// response.
+pub(super) async fn free(
+    node: &Arc<Node>,
+    upstream: &Arc<Upstream>,
+    handles: &[Handle],
+    permit: Permit,
+) -> Option<ResponseHead> {
+    let (authority, name) = (upstream.address.to_string(), upstream.name.as_str());
+    let request = match steps::free_request(&authority, name, handles) {
+        Ok(request) => request,
+        Err(err) => {
+            slog::error!(node.logger(), "free_unwritable"; "upstream" => name, "reason" => %err);
+            return None;
+        }
+    };
+    let exchange = exchange(node, upstream, request, Urgency::Deferrable, permit);
+    let result = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
+    result.ok()?.ok().map(|it| it.0)
+}
+
+/// Sends a request and reads its response; the body is `None` if it broke or was too large.
+async fn exchange(
+    node: &Arc<Node>,
+    upstream: &Arc<Upstream>,
+    request: Request<Bytes>,
+    urgency: Urgency,
+    mut permit: Permit,
+) -> Result<(ResponseHead, Option<Bytes>), connection::Error> {
+    let request = request.map(Full::new);
+    // The planner limits the calls to an upstream, and their connections with them.
+    let opened = node
+        .pool
+        .acquire(upstream.address, Duration::MAX, usize::MAX);
+    let mut connection = opened.await?;
+    // Connecting can outlast the permit.
+    if !permit.is_valid(clock::now_with_suspension()) {
+        permit = match quota::admit(node, upstream, urgency).await {
+            Ok(permit) => permit,
+            Err(_) => return Err(connection::Error::Unsent),
+        };
+    }
+    let response = connection.send(request, permit).await?;
+    let head = ResponseHead::read(response.status(), response.headers());
+    let max = match head.status {
+        StatusCode::OK => steps::RESPONSE_BYTES_MAX,
+        _ => buffer::REFUSAL_BODY_BYTES_MAX,
+    };
+    let body = buffer::collect(response.into_body(), &node.memory, max).await;
+    let is_whole = body.is_ok();
+    if is_whole && !head.closes_connection {
+        connection.return_to_pool(head.keep_alive).await;
+    }
+    Ok((head, body.ok()))
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -52,11 +52,7 @@
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
     let store = store::Client::new(settings.store_address)?;
-    let (owner, events) = Owner::new(
-        platform::steps::Client::new()?,
-        settings.bounds,
-        telemetry.clone(),
-    );
+    let (owner, events) = Owner::new(settings.bounds, telemetry.clone());
     let peers = Peers::default();
     let node = Node::new(settings, telemetry.clone(), owner, peers, store.clone());
     let node = Arc::new(node);
