Let tests cut single instances off from upstreams

`node::connection::Dial` opens the connections of the pool; the tests put `platform_standin::link` there, which holds back, resets or refuses the connections of one instance, all or those to one upstream. Nodes in production connect as before.

--- a/crates/node/src/bin/catkinvane-node.rs
+++ b/crates/node/src/bin/catkinvane-node.rs
@@ -1,7 +1,9 @@
 //! The node process, which runs once per instance on the users' platform.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 
+use node::connection::Dialer;
 use platform::settings;
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
@@ -30,7 +32,8 @@
         let registry = Registry::default();
         let name = settings.instance.as_str();
         let telemetry = Telemetry::with_registry(name, registry.clone());
-        node::serve::run(settings, path, telemetry, registry, signals).await
+        let dialer = Arc::new(Dialer);
+        node::serve::run(settings, path, telemetry, registry, dialer, signals).await
     })
 }
 
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use forwarding::quota::Permit;
+use futures_util::future::BoxFuture;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -91,9 +92,26 @@
     open: HashMap<SocketAddr, usize>,
 }
 
+/// Opens TCP connections to upstreams.
+pub trait Dial: Send + Sync + 'static {
+    /// Connects to `address`. The caller bounds the time.
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>>;
+}
+
+/// Connects through the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dialer;
+
+impl Dial for Dialer {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// Idle connections and counts of open ones by address; cheap to clone.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
+    dialer: Arc<dyn Dial>,
     connections: Arc<Mutex<Connections>>,
 }
 
@@ -112,6 +130,15 @@
 }
 
 impl Pool {
+    /// A pool without connections that opens them with `dialer`.
+    #[must_use]
+    pub fn new(dialer: Arc<dyn Dial>) -> Pool {
+        Pool {
+            dialer,
+            connections: Arc::default(),
+        }
+    }
+
     /// Takes a connection to `address` that has been idle for at most `idle_max`, or opens a new
     /// one.
     ///
@@ -147,7 +174,7 @@
             pool: self.clone(),
             address,
         };
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.dialer.dial(address))
             .await
             .map_err(|_| Error::Connect)?
             .map_err(|_| Error::Connect)?;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -19,6 +19,7 @@
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 
+use crate::connection::Dial;
 use crate::follow;
 use crate::front::ClientHandler;
 use crate::front::MetricsHandler;
@@ -38,7 +39,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// Serves until `stop` completes, then shuts down gracefully. The metrics of `registry` are served
-/// as text.
+/// as text; upstreams are connected to with `dialer`.
 ///
 /// # Errors
 ///
@@ -49,12 +50,14 @@
     path: PathBuf,
     telemetry: Telemetry,
     registry: Registry,
+    dialer: Arc<dyn Dial>,
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
     let store = store::Client::new(settings.store_address)?;
     let (owner, events) = Owner::new(settings.bounds, telemetry.clone());
     let peers = Peers::default();
-    let node = Node::new(settings, telemetry.clone(), owner, peers, store.clone());
+    let store_client = store.clone();
+    let node = Node::new(settings, telemetry.clone(), owner, peers, store_client, dialer);
     let node = Arc::new(node);
     slog::info!(node.logger(), "started"; "version" => env!("CARGO_PKG_VERSION"),
         "front" => %node.settings.client_address, "peer" => %node.settings.peer_address);
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -29,6 +29,7 @@
 use crate::buffer::MemoryBudget;
 use crate::clock;
 use crate::connection;
+use crate::connection::Dial;
 use crate::limits::Limits;
 use crate::owner::Owner;
 use crate::peers::Peers;
@@ -106,7 +107,7 @@
 }
 
 impl Node {
-    /// A node with an empty view.
+    /// A node with an empty view, which connects to upstreams with `dialer`.
     #[must_use]
     pub fn new(
         settings: Settings,
@@ -114,10 +115,11 @@
         owner: Owner,
         peers: Peers,
         store: store::Client,
+        dialer: Arc<dyn Dial>,
     ) -> Node {
         Node {
             limits: Mutex::new(Limits::new(settings.instance.clone(), settings.bounds)),
-            pool: connection::Pool::default(),
+            pool: connection::Pool::new(dialer),
             memory: MemoryBudget::for_instance(settings.memory_bytes),
             quotas: Mutex::new(Quotas::new(settings.instance.clone())),
             quota_wakers: quota::Wakers::new(),
--- a/crates/node/tests/it/connections.rs
+++ b/crates/node/tests/it/connections.rs
@@ -3,6 +3,8 @@
 use node::connection;
 use node::limits;
 
+use crate::fixture::Fixture;
+
 fn check(total: u32, members: usize, share: usize) {
     assert_eq!(limits::connections_share(total, members), share);
 }
@@ -33,3 +35,16 @@
     assert!(!connection::Error::TooMany.counts_against_upstream());
     assert!(connection::Error::Connect.counts_against_upstream());
 }
+
+/// Guards against a connection for each request, each of which may hold a slot of the upstream.
+#[tokio::test]
+async fn requests_in_sequence_share_a_connection() {
+    let fixture = Fixture::start(1).await;
+    for idx in 0..6 {
+        let response = fixture.send("GET /read/1", &format!("r{idx}"), &[]).await;
+        assert_eq!(response.status, 200);
+    }
+    let opened: usize = fixture.nodes[0].link.attempts().values().sum();
+    let upstreams = fixture.site.upstreams.iter();
+    assert!(opened <= upstreams.filter(|it| it.1 == "ledger").count());
+}
--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -2,8 +2,12 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
+use node::connection::Dial;
+use platform_standin::link::Link;
 use platform_standin::site;
 use platform_standin::site::API_KEY;
 use platform_standin::site::Site;
@@ -24,6 +28,17 @@
     readiness_address: SocketAddr,
     shutdown: Option<oneshot::Sender<()>>,
     task: JoinHandle<eyre::Result<()>>,
+    /// Its network to the upstreams.
+    pub(crate) link: Arc<Link>,
+}
+
+/// Connects a node to the upstreams over a [`Link`].
+struct LinkDialer(Arc<Link>);
+
+impl Dial for LinkDialer {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, std::io::Result<TcpStream>> {
+        Box::pin(self.0.connect(address))
+    }
 }
 
 /// A site and the nodes that serve its clients.
@@ -41,15 +56,19 @@
             (settings.client_address, settings.readiness_address);
         let path = PathBuf::from("/nonexistent");
         let telemetry = Telemetry::events_only(name);
-        let run = node::serve::run(settings, path, telemetry, Registry::default(), async {
+        let link = Arc::new(Link::default());
+        let dialer = Arc::new(LinkDialer(link.clone()));
+        let stop = async {
             // A dropped sender shuts the node down as well.
             let _ = shutdown_signal.await;
-        });
+        };
+        let run = node::serve::run(settings, path, telemetry, Registry::default(), dialer, stop);
         Node {
             client_address,
             readiness_address,
             shutdown: Some(shutdown),
             task: tokio::spawn(run),
+            link,
         }
     }
 
