Run the tests of cut instances one at a time

Beside each other, and beside other load on the machine, the nodes of nine tests got too little processor time: in a failed run 52 to 57 requests were sent in 2 s where 98 were due, and 309 `owner_lost` lines show instances that took longer than 300 ms for an answer, cut or not. The bounds stay.

--- a/crates/node/tests/cuts/main.rs
+++ b/crates/node/tests/cuts/main.rs
@@ -13,6 +13,7 @@
 use platform_standin::client;
 use platform_standin::link::Cut;
 use platform_standin::site::API_KEY;
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -32,6 +33,10 @@
 /// Time after which a client stops waiting for its response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Held by the running test: nodes that take turns on the processor with those of other tests
+/// answer later than the time-outs between instances.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Kind {
@@ -197,6 +202,7 @@
 }
 
 async fn check(case: Case) {
+    let _turn = TURN.lock().await;
     let fixture = Fixture::start(NODES).await;
     load(&fixture, "before", case.kinds, Duration::from_secs(1)).await;
     let cut: Vec<usize> = match case.who {
@@ -273,6 +279,7 @@
 /// requests had crashed them, so that every instance refused these.
 #[tokio::test]
 async fn requests_of_a_cut_instance_are_not_quarantined() {
+    let _turn = TURN.lock().await;
     let mut fixture = Fixture::start(NODES).await;
     for idx in 0..fixture.site.upstreams.len() {
         if fixture.site.upstreams[idx].1 == "ledger" {
