Reach upstreams through other instances when the own path is lost

Connections now have two ways. A reset stays a reset and an end an end. `forwarding::path` keeps which paths are lost. After two of them with no upstream reached since, all connections take the detour at once. Lost paths are probed, at most every 0.3 s over all of them, and used again as soon as a probe succeeds.

Only where no instance reaches an upstream does it count as unreachable. Where nobody can tell, the upstream is avoided for a time, but nothing is held against requests. A quarter of an instance's descriptors may serve tunnels.

A connection that outlasted its permit is kept for the next try instead of being closed.

Ruled out: handing requests over whole, as two instances would then own one outcome; owners that decline, as placements, cold limits and local plans would need the same.

--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -328,7 +328,8 @@
                 | Request::Admit(_)
                 | Request::Lend(_)
                 | Request::Recall(_)
-                | Request::RateLimits(_) => return,
+                | Request::RateLimits(_)
+                | Request::Tunnel(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -23,6 +23,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -54,8 +56,12 @@
 #[derive(Debug, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Error {
-    /// Connecting failed or timed out.
+    /// The upstream accepts no connections: connecting failed or timed out here, and no other
+    /// instance reached it.
     Connect,
+    /// Connecting failed or timed out, but whether the upstream accepts connections is not known, as
+    /// this instance has lost its paths.
+    CutOff,
     /// This instance has used up its share of the upstream's connections.
     TooMany,
     /// The connection was closed before any byte of the request was sent.
@@ -71,14 +77,16 @@
 impl std::error::Error for Error {}
 
 impl Error {
-    /// Whether the error is evidence against the upstream, and not due to this instance's limit.
+    /// Whether the error is evidence against the upstream, and not due to this instance's limit or
+    /// its lost paths.
     #[must_use]
     pub fn counts_against_upstream(&self) -> bool {
-        !matches!(self, Error::TooMany | Error::UnknownProcess)
+        !matches!(self, Error::TooMany | Error::CutOff | Error::UnknownProcess)
     }
 }
 
 struct IdleConnection {
+    is_detour: bool,
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_since: Instant,
@@ -127,6 +135,8 @@
     /// Start time, in Unix milliseconds, that the process at the other end reported on this
     /// connection.
     pub(crate) process: Option<u64>,
+    /// Whether the connection leads through another instance.
+    pub is_detour: bool,
 }
 
 impl Pool {
@@ -139,26 +149,31 @@
         }
     }
 
-    /// Takes a connection to `address` that has been idle for at most `idle_max`, or opens a new
-    /// one.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::TooMany`] if a new one would exceed `connection_limit`, [`Error::Connect`] if
-    /// connecting fails.
-    pub async fn acquire(
-        &self,
-        address: SocketAddr,
-        idle_max: Duration,
-        connection_limit: usize,
-    ) -> Result<PooledConnection, Error> {
-        if let Some(connection) = self.take_idle(address, idle_max) {
-            return Ok(connection);
+    /// Takes a connection to `address` that has been idle for at most `idle_max`.
+    #[must_use]
+    pub fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<PooledConnection> {
+        let now = Instant::now();
+        let mut connections = self.lock();
+        let idle = connections.idle.get_mut(&address)?;
+        while let Some(candidate) = idle.pop() {
+            let is_fresh = now.saturating_duration_since(candidate.idle_since) <= idle_max;
+            if is_fresh && candidate.expires_at > now && candidate.sender.is_ready() {
+                return Some(PooledConnection {
+                    sender: Some(candidate.sender),
+                    task: candidate.task,
+                    address,
+                    pool: self.clone(),
+                    is_reused: true,
+                    process: candidate.process,
+                    is_detour: candidate.is_detour,
+                });
+            }
+            candidate.task.abort();
         }
-        self.connect(address, connection_limit).await
+        None
     }
 
-    /// Opens a new connection to `address`.
+    /// Opens a new direct connection to `address`.
     ///
     /// # Errors
     ///
@@ -169,22 +184,61 @@
         address: SocketAddr,
         connection_limit: usize,
     ) -> Result<PooledConnection, Error> {
-        self.reserve_open(address, connection_limit)?;
-        let guard = OpenCountGuard {
-            pool: self.clone(),
-            address,
-        };
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, self.dialer.dial(address))
+        let slot = self.reserve(address, connection_limit)?;
+        let stream = self.dial(address, CONNECT_TIMEOUT).await?;
+        self.start(slot, stream, false).await
+    }
+
+    /// Connects to `address` without counting or keeping the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if that fails or takes longer than `timeout`.
+    pub async fn dial(&self, address: SocketAddr, timeout: Duration) -> Result<TcpStream, Error> {
+        let stream = tokio::time::timeout(timeout, self.dialer.dial(address))
             .await
             .map_err(|_| Error::Connect)?
             .map_err(|_| Error::Connect)?;
         set_socket_options(&stream).map_err(|_| Error::Connect)?;
+        Ok(stream)
+    }
+
+    /// Counts a connection to `address` as open until the slot is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooMany`] if this instance has `connection_limit` open connections to it.
+    pub fn reserve(&self, address: SocketAddr, connection_limit: usize) -> Result<Slot, Error> {
+        let mut connections = self.lock();
+        let open = connections.open.entry(address).or_default();
+        if *open >= connection_limit {
+            return Err(Error::TooMany);
+        }
+        *open += 1;
+        Ok(Slot {
+            pool: self.clone(),
+            address,
+        })
+    }
+
+    /// Starts HTTP on an open byte stream to the address of `slot`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if that fails.
+    pub async fn start(
+        &self,
+        slot: Slot,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        is_detour: bool,
+    ) -> Result<PooledConnection, Error> {
+        let address = slot.address;
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(|_| Error::Connect)?;
         let task = tokio::spawn(async move {
-            let _guard = guard;
+            let _slot = slot;
             // The sender reports the error to the request.
             let _ = connection.await;
         });
@@ -195,9 +249,24 @@
             pool: self.clone(),
             is_reused: false,
             process: None,
+            is_detour,
         })
     }
 
+    /// Closes the idle direct connections to `address`, since the path to it is lost.
+    pub fn close_idle_direct(&self, address: SocketAddr) {
+        let mut connections = self.lock();
+        let Some(idle) = connections.idle.get_mut(&address) else {
+            return;
+        };
+        idle.retain(|it| {
+            if !it.is_detour {
+                it.task.abort();
+            }
+            it.is_detour
+        });
+    }
+
     /// Closes idle connections that have expired or that the upstream has closed.
     pub fn close_expired(&self) {
         let now = Instant::now();
@@ -214,37 +283,6 @@
         connections.idle.retain(|_, it| !it.is_empty());
     }
 
-    fn take_idle(&self, address: SocketAddr, idle_max: Duration) -> Option<PooledConnection> {
-        let now = Instant::now();
-        let mut connections = self.lock();
-        let idle = connections.idle.get_mut(&address)?;
-        while let Some(candidate) = idle.pop() {
-            let is_fresh = now.saturating_duration_since(candidate.idle_since) <= idle_max;
-            if is_fresh && candidate.expires_at > now && candidate.sender.is_ready() {
-                return Some(PooledConnection {
-                    sender: Some(candidate.sender),
-                    task: candidate.task,
-                    address,
-                    pool: self.clone(),
-                    is_reused: true,
-                    process: candidate.process,
-                });
-            }
-            candidate.task.abort();
-        }
-        None
-    }
-
-    fn reserve_open(&self, address: SocketAddr, connection_limit: usize) -> Result<(), Error> {
-        let mut connections = self.lock();
-        let open = connections.open.entry(address).or_default();
-        if *open >= connection_limit {
-            return Err(Error::TooMany);
-        }
-        *open += 1;
-        Ok(())
-    }
-
     fn lock(&self) -> MutexGuard<'_, Connections> {
         self.connections
             .lock()
@@ -252,12 +290,13 @@
     }
 }
 
-struct OpenCountGuard {
+/// Counts one connection as open until it is dropped.
+pub struct Slot {
     pool: Pool,
     address: SocketAddr,
 }
 
-impl Drop for OpenCountGuard {
+impl Drop for Slot {
     fn drop(&mut self) {
         let mut connections = self.pool.lock();
         if let Some(open) = connections.open.get_mut(&self.address) {
@@ -335,6 +374,7 @@
             return;
         }
         idle.push(IdleConnection {
+            is_detour: self.is_detour,
             sender,
             task: self.task.clone(),
             idle_since: now,
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -273,7 +273,8 @@
         "software" => upstream.software.as_str(),
         "resumes" => request.head.resumed_request.as_deref(),
         "last_event" => request.head.last_event,
-        "kept" => connection.is_reused, "repeat" => is_repeat, "results" => handles.len(),
+        "kept" => connection.is_reused, "detour" => connection.is_detour,
+        "repeat" => is_repeat, "results" => handles.len(),
         "placed" => engine.as_ref() == Some(&upstream.name),
         "prompt" => request.prompt_prefix_hash().map(|it| format!("{it:x}")),
         "parts" => request.shared_parts_text(),
@@ -309,6 +310,9 @@
             return Ok(Attempt::Unsent(lifecycle.not_run(), Cause::NoUpstream));
         }
     };
+    if !connection.is_detour {
+        node.paths().record_answered(&upstream.name);
+    }
     let head = ResponseHead::read(response.status(), response.headers());
     let is_for_request = head.request_id.as_deref() == Some(&request.id);
     record_announcements(node, &send_guard, &head, is_for_request);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client_request;
 pub mod clock;
 pub mod connection;
+mod detour;
 pub mod follow;
 pub mod forward;
 pub mod front;
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -59,16 +59,16 @@
                 }
             }
             match reply.outcome {
-                Outcome::Unreachable => shared.report(UpstreamEvent::Unreachable(upstream.clone())),
+                // The connection has recorded that it failed; this is another upstream's answer.
+                Outcome::Unreachable if reply.head.is_some() => {
+                    shared.report(UpstreamEvent::Unreachable(upstream.clone()));
+                }
                 Outcome::Lost => shared.report(UpstreamEvent::Lost {
                     upstream: upstream.clone(),
                     fingerprints: call.items.iter().map(|it| it.fingerprint).collect(),
                     sent_at,
                 }),
-                Outcome::Done(_) | Outcome::Rejected => {
-                    node.paths().record_reached(&upstream.name);
-                }
-                Outcome::Unsent => {}
+                Outcome::Done(_) | Outcome::Rejected | Outcome::Unreachable | Outcome::Unsent => {}
             }
             TaskResult::Call(shard, call.id, reply.outcome)
         });
--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -19,6 +19,7 @@
 use crate::buffer;
 use crate::clock;
 use crate::connection;
+use crate::detour;
 use crate::quota;
 use crate::state::Node;
 
@@ -66,7 +67,9 @@
             }),
             head: Some(head),
         },
-        Ok(Err(connection::Error::Connect)) => Outcome::Unreachable.into(),
+        Ok(Err(connection::Error::Connect | connection::Error::CutOff)) => {
+            Outcome::Unreachable.into()
+        }
         Ok(Err(
             connection::Error::Unsent
             | connection::Error::TooMany
@@ -109,10 +112,7 @@
 ) -> Result<(ResponseHead, Option<Bytes>), connection::Error> {
     let request = request.map(Full::new);
     // The planner limits the calls to an upstream, and their connections with them.
-    let opened = node
-        .pool
-        .acquire(upstream.address, Duration::MAX, usize::MAX);
-    let mut connection = opened.await?;
+    let mut connection = detour::acquire(node, upstream, Duration::MAX, usize::MAX).await?;
     // Connecting can outlast the permit.
     if !permit.is_valid(clock::now_with_suspension()) {
         permit = match quota::admit(node, upstream, urgency).await {
@@ -121,6 +121,9 @@
         };
     }
     let response = connection.send(request, permit).await?;
+    if !connection.is_detour {
+        node.paths().record_answered(&upstream.name);
+    }
     let head = ResponseHead::read(response.status(), response.headers());
     let max = match head.status {
         StatusCode::OK => steps::RESPONSE_BYTES_MAX,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -25,7 +25,10 @@
 use wire::peer::Peer;
 use wire::steps::Prepare;
 use wire::steps::Progress;
+use wire::tunnel;
+use wire::tunnel::Tunnel;
 
+use crate::detour;
 use crate::quota;
 use crate::state::Node;
 use crate::suspicion;
@@ -101,6 +104,24 @@
         client.open(member.address, request).await
     }
 
+    /// Opens a tunnel through a member.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the member cannot be reached or the client is not set yet; its answer if it opened
+    /// no tunnel.
+    pub async fn open_tunnel(
+        &self,
+        member: &Member,
+        open: tunnel::Open,
+    ) -> Result<Result<Tunnel, tunnel::Answer>, peer::Error> {
+        let client = self.client.get().ok_or(peer::Error::Unreachable)?;
+        if self.update_incarnation(member) {
+            client.disconnect(member.address).await;
+        }
+        client.open_tunnel(member.address, open).await
+    }
+
     /// Records the member's incarnation; returns whether it has restarted since the last call.
     fn update_incarnation(&self, member: &Member) -> bool {
         let mut statuses = self.statuses();
@@ -204,6 +225,14 @@
             }
         })
     }
+
+    fn carry(&self, tunnel: tunnel::Incoming) -> BoxFuture<'_, ()> {
+        Box::pin(async move {
+            if let Some(node) = self.0.upgrade() {
+                detour::serve(&node, tunnel).await;
+            }
+        })
+    }
 }
 
 /// Runs the steps of a request and places it at an engine. Keeps the results and the placement
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -25,6 +25,7 @@
 use crate::clock;
 use crate::connection;
 use crate::connection::PooledConnection;
+use crate::detour;
 use crate::limits;
 use crate::prepare::PrepareRequest;
 use crate::process;
@@ -231,9 +232,6 @@
                 if suspicion::is_quarantined(node, request) {
                     return Err(Cause::Quarantined);
                 }
-                if !connection.is_reused {
-                    suspicion::record_reachable(node, &upstream);
-                }
                 let is_placed = tries == 0 && hints.engine == Some(&upstream.name);
                 let is_valid = permit.is_valid(clock::now_with_suspension());
                 if is_valid && is_within_cold_limit(node, &upstream, is_placed) {
@@ -243,12 +241,11 @@
                         permit,
                     });
                 }
+                // The next try may use it.
+                connection.return_to_pool(None).await;
             }
             Ok(_) => {}
             Err(err) => {
-                if err.counts_against_upstream() {
-                    suspicion::record_unreachable(node, &upstream);
-                }
                 slog::info!(node.logger(), "unreachable"; "request" => &request.id,
                     "upstream" => upstream.name.as_str(), "reason" => %err);
                 excluded.push(upstream.name.clone());
@@ -264,15 +261,14 @@
 /// Takes a connection to an upstream. It leads to the registered process where another one may run
 /// another software version, and the request begins or resumes a stream that depends on it.
 async fn open(
-    node: &Node,
+    node: &Arc<Node>,
     request: &ClientRequest,
     upstream: &Upstream,
     continuation: &Continuation,
 ) -> Result<PooledConnection, connection::Error> {
     let idle_max = request.connection_idle_max();
     let limit = connection_limit(node, upstream);
-    let acquired = node.pool.acquire(upstream.address, idle_max, limit);
-    let mut connection = acquired.await?;
+    let mut connection = detour::acquire(node, upstream, idle_max, limit).await?;
     let view = node.view();
     let catalog = view.catalog.as_ref();
     let service = catalog.and_then(|it| it.services.get(&upstream.service));
--- a/crates/node/src/send_guard.rs
+++ b/crates/node/src/send_guard.rs
@@ -63,7 +63,6 @@
             is_failure,
             now,
         };
-        self.node.paths().record_reached(&self.upstream.name);
         let mut limits = self.node.limits();
         limits.record_answer(&self.upstream.name, &self.request, first_byte);
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 
 use crate::connection::Dial;
+use crate::detour;
 use crate::follow;
 use crate::front::ClientHandler;
 use crate::front::MetricsHandler;
@@ -57,7 +58,14 @@
     let (owner, events) = Owner::new(settings.bounds, telemetry.clone());
     let peers = Peers::default();
     let store_client = store.clone();
-    let node = Node::new(settings, telemetry.clone(), owner, peers, store_client, dialer);
+    let node = Node::new(
+        settings,
+        telemetry.clone(),
+        owner,
+        peers,
+        store_client,
+        dialer,
+    );
     let node = Arc::new(node);
     slog::info!(node.logger(), "started"; "version" => env!("CARGO_PKG_VERSION"),
         "front" => %node.settings.client_address, "peer" => %node.settings.peer_address);
@@ -131,6 +139,10 @@
     supervisor.spawn("keep", RestartPolicy::Always, move || {
         suspicion::persist_losses(persist_node.clone(), persist_store.clone())
     });
+    let path_node = node.clone();
+    supervisor.spawn("paths", RestartPolicy::Always, move || {
+        detour::probe_paths(path_node.clone())
+    });
     let lend_node = node.clone();
     supervisor.spawn("lend", RestartPolicy::Always, move || {
         quota::lend::run(lend_node.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -23,6 +23,7 @@
 use stages::Shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -30,6 +31,7 @@
 use crate::clock;
 use crate::connection;
 use crate::connection::Dial;
+use crate::detour;
 use crate::limits::Limits;
 use crate::owner::Owner;
 use crate::peers::Peers;
@@ -94,6 +96,10 @@
     shard_waits: Mutex<ShardWaits>,
     shutdown: Arc<OnceLock<Shutdown>>,
     in_flight: AtomicUsize,
+    /// Tunnels that this instance carries for others.
+    pub(crate) tunnels: Arc<Semaphore>,
+    /// Wakes the task that probes lost paths when one is lost.
+    pub(crate) path_lost: Notify,
     /// Wakes the tasks that publish losses when these have changed.
     pub(crate) loss_wakers: suspicion::Wakers,
     /// Wakes the tasks that depend on the rate limits of upstreams.
@@ -132,6 +138,8 @@
             shard_waits: Mutex::default(),
             shutdown: Arc::default(),
             in_flight: AtomicUsize::new(0),
+            tunnels: detour::tunnel_permits(settings.max_fds),
+            path_lost: Notify::new(),
             loss_wakers: suspicion::Wakers::default(),
             origin_waker: Notify::new(),
             are_versions_recorded: AtomicBool::new(false),
@@ -345,7 +353,10 @@
         if changes.iter().any(Change::affects_view) {
             self.limits().retain(&view);
             self.quotas().retain(&view);
-            self.paths().retain(|it| view.upstreams.contains_key(it));
+            self.paths().retain(
+                |it| view.upstreams.contains_key(it),
+                |it| view.members.contains_key(it),
+            );
             self.owner.configure(&view);
             self.view.send_replace(view);
         }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -24,6 +24,7 @@
 
 use crate::client_request::ClientRequest;
 use crate::connection;
+use crate::detour;
 use crate::follow;
 use crate::routing;
 use crate::send_guard::SendGuard;
@@ -116,7 +117,7 @@
     probe(node, upstream);
 }
 
-/// Records that an upstream accepted no connection.
+/// Records that an upstream accepts no connections.
 pub(crate) fn record_unreachable(node: &Node, upstream: &Upstream) {
     let now = Instant::now();
     let mut limits = node.limits();
@@ -125,22 +126,12 @@
         .quarantine
         .mark_unreachable(&upstream.incarnation(), now);
     drop(limits);
-    let counts = {
-        let mut paths = node.paths();
-        paths.record_unreached(&upstream.name);
-        paths.counts()
-    };
-    node.telemetry
-        .gauge("upstreams.unreached", counts.unreached as u64);
-    slog::info!(node.logger(), "upstream_unreached"; "upstream" => upstream.name.as_str(),
-        "reached" => counts.reached, "unreached" => counts.unreached);
     node.loss_wakers.wake();
     cancel_quarantined_plans(node);
 }
 
 /// Records that an upstream accepted a connection.
 pub(crate) fn record_reachable(node: &Node, upstream: &Upstream) {
-    node.paths().record_reached(&upstream.name);
     let quarantine = &mut node.limits().quarantine;
     quarantine.mark_reachable(&upstream.incarnation());
 }
@@ -338,16 +329,12 @@
     let (node, upstream) = (node.clone(), upstream.clone());
     tokio::spawn(async move {
         let connection_limit = routing::connection_limit(&node, &upstream);
-        match node.pool.connect(upstream.address, connection_limit).await {
-            Ok(connection) => {
-                record_reachable(&node, &upstream);
-                connection.return_to_pool(None).await;
-            }
+        match detour::connect(&node, &upstream, connection_limit).await {
+            Ok(connection) => connection.return_to_pool(None).await,
             Err(connection::Error::TooMany) => {}
             Err(err) => {
                 slog::info!(node.logger(), "probe_failed"; "upstream" => upstream.name.as_str(),
                     "started_ms" => upstream.started_ms, "reason" => %err);
-                record_unreachable(&node, &upstream);
             }
         }
     });
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod status;
 pub mod steps;
 pub mod tls;
+pub mod tunnel;
 
 pub use message::Reply;
 pub use message::Request;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -18,6 +18,7 @@
 use crate::quota;
 use crate::status;
 use crate::steps;
+use crate::tunnel;
 
 /// A request of one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -56,6 +57,8 @@
     Recall(Box<quota::Recall>),
     /// Tells the rate limits of upstreams that the sender knows; the reply tells the receiver's.
     RateLimits(Vec<Observation>),
+    /// Connects to an upstream. If that succeeds, the stream carries its bytes both ways.
+    Tunnel(tunnel::Open),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -90,6 +93,8 @@
     Lent(Stamp),
     /// Rate limits of upstreams.
     RateLimits(Vec<Observation>),
+    /// Whether a tunnel is open.
+    Tunnel(tunnel::Answer),
 }
 
 /// What the requester of [`Request::Rows`] may not know yet.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,6 +7,7 @@
 
 use crate::message::Reply;
 use crate::message::Request;
+use crate::tunnel;
 
 /// Capacity, in replies, of the channel between a handler and its stream.
 pub const REPLY_BUFFER: usize = 64;
@@ -46,6 +47,11 @@
 pub trait Handler: Send + Sync + 'static {
     /// Serves one request. `replies` closes when the requester cancels or disconnects.
     fn handle(&self, request: Request, replies: mpsc::Sender<Reply>) -> BoxFuture<'_, ()>;
+
+    /// Serves a tunnel; without an implementation there are none.
+    fn carry(&self, tunnel: tunnel::Incoming) -> BoxFuture<'_, ()> {
+        Box::pin(tunnel.refuse(tunnel::Answer::Unknown))
+    }
 }
 
 /// Sends `request` and returns its first reply.
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -20,6 +20,8 @@
 use crate::peer::Replies;
 use crate::tls;
 use crate::tls::Identity;
+use crate::tunnel;
+use crate::tunnel::Tunnel;
 
 const ALPN: &[u8] = b"catkinvane/1";
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -29,6 +31,8 @@
 /// Maximum number of requests in flight per connection; further ones wait. The transport allocates
 /// state for all of them when it connects: 8,192 streams took half a megabyte at each end.
 const STREAMS_MAX: u32 = 1_024;
+/// Bytes of a stream that are kept for a reader that is slow, such as the client of a tunnel.
+const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
 /// Why the transport cannot start.
 #[derive(Debug, strum::Display)]
@@ -108,16 +112,40 @@
         Ok(connection)
     }
 
-    async fn open(&self, to: SocketAddr, request: Request) -> Result<Replies, peer::Error> {
+    /// Opens a tunnel through the process at `to`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be reached; its answer if it opened none.
+    pub async fn open_tunnel(
+        &self,
+        to: SocketAddr,
+        open: tunnel::Open,
+    ) -> Result<Result<Tunnel, tunnel::Answer>, peer::Error> {
+        let (send, recv) = self.send(to, &Request::Tunnel(open)).await?;
+        Tunnel::open(send, recv).await
+    }
+
+    /// Opens a stream and sends a request on it.
+    async fn send(
+        &self,
+        to: SocketAddr,
+        request: &Request,
+    ) -> Result<(quinn::SendStream, quinn::RecvStream), peer::Error> {
         let connection = self.connection(to).await?;
         let (mut send, recv) = connection
             .open_bi()
             .await
             .map_err(|_| peer::Error::Unreachable)?;
-        let frame = codec::encode(&request).map_err(|_| peer::Error::Protocol)?;
+        let frame = codec::encode(request).map_err(|_| peer::Error::Protocol)?;
         send.write_all(&frame)
             .await
             .map_err(|_| peer::Error::Lost)?;
+        Ok((send, recv))
+    }
+
+    async fn open(&self, to: SocketAddr, request: Request) -> Result<Replies, peer::Error> {
+        let (mut send, recv) = self.send(to, &request).await?;
         // Fails only if the stream is already closed.
         let _ = send.finish();
         let (replies, receiver) = mpsc::channel(peer::REPLY_BUFFER);
@@ -220,6 +248,9 @@
     let Ok(Some(request)) = codec::read::<Request>(&mut recv).await else {
         return;
     };
+    if let Request::Tunnel(open) = request {
+        return handler.carry(tunnel::Incoming { open, send, recv }).await;
+    }
     let (replies, mut receiver) = mpsc::channel(peer::REPLY_BUFFER);
     let write = async move {
         let stopped = send.stopped();
@@ -255,6 +286,7 @@
     let mut transport = quinn::TransportConfig::default();
     transport.max_concurrent_bidi_streams(streams_max.into());
     transport.max_concurrent_uni_streams(0u32.into());
+    transport.stream_receive_window(STREAM_WINDOW_BYTES.into());
     transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
     Arc::new(transport)
