--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -329,7 +329,8 @@
                 | Request::Lend(_)
                 | Request::Recall(_)
                 | Request::RateLimits(_)
-                | Request::Origins(_) => return,
+                | Request::Origins(_)
+                | Request::Tunnel(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 
+use crate::connection::Dial;
+use crate::detour;
 use crate::follow;
 use crate::front::ClientHandler;
 use crate::front::MetricsHandler;
@@ -38,7 +40,7 @@
 const BACKLOG: u32 = 1_024;
 
 /// Serves until `stop` completes, then shuts down gracefully. The metrics of `registry` are served
-/// as text.
+/// as text; upstreams are connected to with `dialer`.
 ///
 /// # Errors
 ///
@@ -49,16 +51,21 @@
     path: PathBuf,
     telemetry: Telemetry,
     registry: Registry,
+    dialer: Arc<dyn Dial>,
     stop: impl Future<Output = ()>,
 ) -> eyre::Result<()> {
     let store = store::Client::new(settings.store_address)?;
-    let (owner, events) = Owner::new(
-        platform::steps::Client::new()?,
-        settings.bounds,
+    let (owner, events) = Owner::new(settings.bounds, telemetry.clone());
+    let peers = Peers::default();
+    let store_client = store.clone();
+    let node = Node::new(
+        settings,
         telemetry.clone(),
+        owner,
+        peers,
+        store_client,
+        dialer,
     );
-    let peers = Peers::default();
-    let node = Node::new(settings, telemetry.clone(), owner, peers, store.clone());
     let node = Arc::new(node);
     slog::info!(node.logger(), "started"; "version" => env!("CARGO_PKG_VERSION"),
         "front" => %node.settings.client_address, "peer" => %node.settings.peer_address);
@@ -132,6 +139,10 @@
     supervisor.spawn("keep", RestartPolicy::Always, move || {
         suspicion::persist_losses(persist_node.clone(), persist_store.clone())
     });
+    let path_node = node.clone();
+    supervisor.spawn("paths", RestartPolicy::Always, move || {
+        detour::probe_paths(path_node.clone())
+    });
     let lend_node = node.clone();
     supervisor.spawn("lend", RestartPolicy::Always, move || {
         quota::lend::run(lend_node.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -13,6 +13,7 @@
 
 use base::id;
 use catalog::View;
+use forwarding::path::Paths;
 use forwarding::stop::Shutdown;
 use mirror::Mirror;
 use mirror::Row;
@@ -22,12 +23,15 @@
 use stages::Shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::buffer::MemoryBudget;
 use crate::clock;
 use crate::connection;
+use crate::connection::Dial;
+use crate::detour;
 use crate::limits::Limits;
 use crate::owner::Owner;
 use crate::peers::Peers;
@@ -88,9 +92,14 @@
     store_copy: Mutex<StoreCopy>,
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
+    paths: Mutex<Paths>,
     shard_waits: Mutex<ShardWaits>,
     shutdown: Arc<OnceLock<Shutdown>>,
     in_flight: AtomicUsize,
+    /// Tunnels that this instance carries for others.
+    pub(crate) tunnels: Arc<Semaphore>,
+    /// Wakes the task that probes lost paths when one is lost.
+    pub(crate) path_lost: Notify,
     /// Wakes the tasks that publish losses when these have changed.
     pub(crate) loss_wakers: suspicion::Wakers,
     /// Wakes the tasks that depend on the rate limits of upstreams.
@@ -104,7 +113,7 @@
 }
 
 impl Node {
-    /// A node with an empty view.
+    /// A node with an empty view, which connects to upstreams with `dialer`.
     #[must_use]
     pub fn new(
         settings: Settings,
@@ -112,13 +121,15 @@
         owner: Owner,
         peers: Peers,
         store: store::Client,
+        dialer: Arc<dyn Dial>,
     ) -> Node {
         Node {
             limits: Mutex::new(Limits::new(settings.instance.clone(), settings.bounds)),
-            pool: connection::Pool::default(),
+            pool: connection::Pool::new(dialer),
             memory: MemoryBudget::for_instance(settings.memory_bytes),
             quotas: Mutex::new(Quotas::new(settings.instance.clone())),
             quota_wakers: quota::Wakers::new(),
+            paths: Mutex::default(),
             started_at: clock::now_with_suspension(),
             incarnation: rand::random(),
             view: watch::Sender::new(Arc::default()),
@@ -127,6 +138,8 @@
             shard_waits: Mutex::default(),
             shutdown: Arc::default(),
             in_flight: AtomicUsize::new(0),
+            tunnels: detour::tunnel_permits(settings.max_fds),
+            path_lost: Notify::new(),
             loss_wakers: suspicion::Wakers::default(),
             origin_wakers: OriginWakers::default(),
             are_versions_recorded: AtomicBool::new(false),
@@ -217,6 +230,11 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the paths to upstreams. The guard must not be held across an await.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
+        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the rows and the view tracker. The guard must not be held across an await.
     pub fn store_copy(&self) -> MutexGuard<'_, StoreCopy> {
         self.store_copy
@@ -335,6 +353,10 @@
         if changes.iter().any(Change::affects_view) {
             self.limits().retain(&view);
             self.quotas().retain(&view);
+            self.paths().retain(
+                |it| view.upstreams.contains_key(it),
+                |it| view.members.contains_key(it),
+            );
             self.owner.configure(&view);
             self.view.send_replace(view);
         }
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -24,6 +24,7 @@
 
 use crate::client_request::ClientRequest;
 use crate::connection;
+use crate::detour;
 use crate::follow;
 use crate::routing;
 use crate::send_guard::SendGuard;
@@ -116,7 +117,7 @@
     probe(node, upstream);
 }
 
-/// Records that an upstream accepted no connection.
+/// Records that an upstream accepts no connections.
 pub(crate) fn record_unreachable(node: &Node, upstream: &Upstream) {
     let now = Instant::now();
     let mut limits = node.limits();
@@ -328,16 +329,12 @@
     let (node, upstream) = (node.clone(), upstream.clone());
     tokio::spawn(async move {
         let connection_limit = routing::connection_limit(&node, &upstream);
-        match node.pool.connect(upstream.address, connection_limit).await {
-            Ok(connection) => {
-                record_reachable(&node, &upstream);
-                connection.return_to_pool(None).await;
-            }
+        match detour::connect(&node, &upstream, connection_limit).await {
+            Ok(connection) => connection.return_to_pool(None).await,
             Err(connection::Error::TooMany) => {}
             Err(err) => {
                 slog::info!(node.logger(), "probe_failed"; "upstream" => upstream.name.as_str(),
                     "started_ms" => upstream.started_ms, "reason" => %err);
-                record_unreachable(&node, &upstream);
             }
         }
     });
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -19,6 +19,7 @@
 use crate::quota;
 use crate::status;
 use crate::steps;
+use crate::tunnel;
 
 /// A request of one process to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     RateLimits(Vec<Observation>),
     /// Hands the origins of streams that the sender began to the receiver, which saves them.
     Origins(Vec<Origin>),
+    /// Connects to an upstream. If that succeeds, the stream carries its bytes both ways.
+    Tunnel(tunnel::Open),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -93,6 +96,8 @@
     Lent(Stamp),
     /// Rate limits of upstreams.
     RateLimits(Vec<Observation>),
+    /// Whether a tunnel is open.
+    Tunnel(tunnel::Answer),
 }
 
 /// Where a stream began, for the instance that saves it.
