Close gaps that a review of the software versions found

- A recorded version was deleted 10 s after its last registration: an instance with an older view could still begin streams there.
Now 60 s at least, counted only while the rows are fresh.
- The only recorded version was taken for the origin though the instance itself knew another one; now both have to agree.
- One failed read of the store refused a resumed stream; the next lookup is tried.
Lookups end with the request.
- Origins in the custody of an instance that was lost stayed unsaved; they are handed over again when the custodian changes.
Only a time-out counts against it, not a message that an earlier build does not know.
- A resumed stream is remembered where it goes on, in case it breaks again; what arrives again keeps its row.
- A last event that is no number made a request a new stream.
- Engines that answer the report with anything but a report or 404 counted as the registered process; registrations without a start matched none.

Left: the service of a resumed stream follows today's configuration if only one version was in service, so that a route that moves to another service may join two services; streams begun shortly before a second version appears, at an instance that is lost then, are refused.

--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -110,11 +110,27 @@
         upstreams.map(|it| it.software.clone()).collect()
     }
 
+    /// Software versions of a service that are in service now, or were shortly before.
+    #[must_use]
+    pub fn known_software(&self, service: &id::Service) -> BTreeSet<id::Software> {
+        let mut software = self.registered_software(service);
+        let recorded = self.software.get(service).into_iter().flatten();
+        software.extend(recorded.cloned());
+        software
+    }
+
     /// Whether several software versions of a service are in service now, or were shortly before.
     #[must_use]
     pub fn has_several_versions(&self, service: &id::Service) -> bool {
-        let recorded = self.software.get(service).map_or(0, BTreeSet::len);
-        recorded > 1 || self.registered_software(service).len() > 1
+        self.known_software(service).len() > 1
+    }
+
+    /// Services of resumable streams of which that holds.
+    #[must_use]
+    pub fn mixed_services(&self) -> BTreeSet<id::Service> {
+        let mut services = self.resumable_services();
+        services.retain(|it| self.has_several_versions(it));
+        services
     }
 
     /// Services that begin resumable streams.
--- a/crates/forwarding/src/origin.rs
+++ b/crates/forwarding/src/origin.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use base::id;
 use catalog::Upstream;
@@ -22,6 +23,9 @@
 /// forgotten.
 const STREAMS_MAX: usize = 100_000;
 
+/// Longest time for which the origin of a stream is kept: clients do not wait longer for a stream.
+pub const ORIGIN_TTL_MAX: Duration = Duration::from_secs(120);
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -162,6 +166,11 @@
         self.insert(record, Custody::Own);
     }
 
+    /// Remembers the origin of a stream that a client resumed at this instance.
+    pub fn remember(&mut self, record: Record) {
+        self.insert(record, Custody::Other);
+    }
+
     /// Remembers the origin of a stream that another instance began, to save it.
     pub fn hold(&mut self, record: Record) {
         self.insert(record, Custody::Unsaved);
@@ -173,7 +182,19 @@
             origin,
             expires_at,
         } = record;
-        self.remove(stream);
+        self.obsolete.remove(&stream);
+        if let Some(known) = self.streams.get_mut(&stream) {
+            let previous = known.expires_at;
+            let expires_at = previous.max(expires_at);
+            known.expires_at = expires_at;
+            let is_kept = known.custody == Custody::Saved || custody == Custody::Other;
+            self.expiries.remove(&(previous, stream));
+            self.expiries.insert((expires_at, stream));
+            if !is_kept {
+                self.set_custody(stream, custody);
+            }
+            return;
+        }
         if self.streams.len() >= STREAMS_MAX
             && let Some((_, first)) = self.expiries.first().copied()
         {
@@ -242,6 +263,16 @@
         }
     }
 
+    /// Takes back the streams that other instances have in custody, since one of them may be lost.
+    pub fn reclaim(&mut self) {
+        let streams = self.streams.iter();
+        let handed_over = streams.filter(|(_, it)| it.custody == Custody::Other);
+        let handed_over: Vec<id::Fingerprint> = handed_over.map(|(stream, _)| *stream).collect();
+        for stream in handed_over {
+            self.set_custody(stream, Custody::Own);
+        }
+    }
+
     /// Leaves the saving of these streams to this instance.
     pub fn keep(&mut self, records: &[Record]) {
         for record in records {
--- a/crates/forwarding/tests/origin.rs
+++ b/crates/forwarding/tests/origin.rs
@@ -154,3 +154,36 @@
     origins.mark_deleted(&obsolete);
     assert!(origins.obsolete(10).is_empty());
 }
+
+/// Guards against the deletion of a row that is needed, when a client resumes its stream at the
+/// instance that saved its origin, or the origin is handed over once more.
+#[test]
+fn origins_that_arrive_again_keep_their_rows() {
+    let mut origins = Origins::default();
+    let expires_at = Instant::now() + Duration::from_secs(6);
+    let saved = record(1, "s", expires_at);
+    origins.hold(saved.clone());
+    origins.mark_saved(std::slice::from_ref(&saved));
+    origins.remember(saved.clone());
+    origins.hold(saved.clone());
+    assert!(origins.obsolete(10).is_empty());
+    assert!(origins.unsaved(|_| true, 10).is_empty());
+    origins.expire(expires_at);
+    assert_eq!(origins.obsolete(10), [id::Fingerprint(1)]);
+    origins.hold(saved);
+    assert!(origins.obsolete(10).is_empty());
+}
+
+/// Guards against the loss of origins with the instance that has taken them.
+#[test]
+fn reclaimed_origins_are_handed_over_again() {
+    let mut origins = Origins::default();
+    let expires_at = Instant::now() + Duration::from_secs(6);
+    origins.record(record(1, "s", expires_at));
+    origins.hold(record(2, "s", expires_at));
+    origins.mark_handed_over(&origins.own(|_| true, 10));
+    assert!(origins.own(|_| true, 10).is_empty());
+    origins.reclaim();
+    assert_eq!(origins.own(|_| true, 10), [record(1, "s", expires_at)]);
+    assert_eq!(origins.unsaved(|_| true, 10).len(), 1);
+}
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -178,10 +178,10 @@
         if self.route.kind != RouteKind::ResumableStream {
             return None;
         }
-        match (&self.head.resumed_request, self.head.last_event) {
+        match (&self.head.resumed_request, self.head.has_last_event) {
             (Some(request), _) => Some(Resumption::Stream(Some(stream_hash(request)))),
-            (None, Some(_)) => Some(Resumption::Stream(None)),
-            (None, None) => Some(Resumption::New),
+            (None, true) => Some(Resumption::Stream(None)),
+            (None, false) => Some(Resumption::New),
         }
     }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -105,7 +105,12 @@
         return Err(pending.into_failure(Cause::Stopping, STOPPING_RETRY_AFTER));
     }
     node.limits().record_request(service, Instant::now());
-    let Some(continuation) = origin::resolve(node, request).await else {
+    let continuation = tokio::select! {
+        biased;
+        continuation = origin::resolve(node, request) => continuation,
+        () = request.expired() => None,
+    };
+    let Some(continuation) = continuation else {
         return Err(not_run_failure(request, pending, Cause::UnknownOrigin));
     };
     let service = continuation.service().unwrap_or(service).clone();
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -14,6 +14,7 @@
 use catalog::View;
 use forwarding::origin;
 use forwarding::origin::Continuation;
+use forwarding::origin::ORIGIN_TTL_MAX;
 use forwarding::origin::Origin;
 use forwarding::origin::Record;
 use mirror::Table;
@@ -28,11 +29,10 @@
 use crate::follow;
 use crate::state::Node;
 
-/// Longest time for which the origin of a stream or a software version that is no longer registered
-/// is kept: clients do not wait longer for a stream.
-const RETENTION_MAX: Duration = Duration::from_secs(120);
+/// Longest time for which a software version that is no longer registered is kept.
+const RETENTION_MAX: Duration = Duration::from_secs(600);
 /// Shortest time for which a software version that is no longer registered is kept.
-const RETENTION_MIN: Duration = Duration::from_secs(10);
+const RETENTION_MIN: Duration = Duration::from_secs(60);
 /// Delay before origins are saved, so that streams that begin together are saved together.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 /// Pause after origins were saved.
@@ -52,10 +52,12 @@
 const MEMBERS_PER_CUSTODIAN: usize = 32;
 /// Pause after a failed call to the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause after software versions could not be recorded; it doubles with each failure.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(8);
 /// Interval at which expired origins are forgotten.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which rows that ended processes left behind are looked for.
-const SWEEP_INTERVAL: Duration = RETENTION_MAX;
+const SWEEP_INTERVAL: Duration = ORIGIN_TTL_MAX;
 /// Lookups of an origin in the store: the instance that began the stream may be about to save it.
 const LOOKUPS_MAX: u32 = 3;
 const LOOKUP_PAUSE: Duration = Duration::from_millis(150);
@@ -83,17 +85,24 @@
 
 /// Remembers which software version began the stream that answers `request`.
 pub(crate) fn record(node: &Node, request: &ClientRequest, upstream: &Upstream) {
-    if request.continuation_kind() != Some(Resumption::New) {
-        return;
-    }
+    let (stream, is_new) = match request.continuation_kind() {
+        Some(Resumption::New) => (request.stream(), true),
+        Some(Resumption::Stream(Some(stream))) => (stream, false),
+        Some(Resumption::Stream(None)) | None => return,
+    };
     let time_limit = request.head.deadline.unwrap_or(request.route.timeout);
-    let expires_at = request.received_at + time_limit.min(RETENTION_MAX);
-    node.limits().origins.record(Record {
-        stream: request.stream(),
+    let expires_at = request.received_at + time_limit.min(ORIGIN_TTL_MAX);
+    let record = Record {
+        stream,
         origin: Origin::of(upstream),
         expires_at,
-    });
-    node.origin_wakers.hand_over.notify_one();
+    };
+    if is_new {
+        node.limits().origins.record(record);
+        node.origin_wakers.hand_over.notify_one();
+    } else {
+        node.limits().origins.remember(record);
+    }
 }
 
 /// Upstreams that a request may be sent to, by the software version that began the stream which it
@@ -141,16 +150,10 @@
             Ok(Ok(Some(found))) => return Some(found),
             Ok(Ok(None)) if stream.is_none() => return None,
             Ok(Ok(None)) => {}
-            Ok(Err(err)) => {
-                slog::warn!(node.logger(), "origin_unreadable"; "request" => &request.id,
-                    "reason" => %err);
-                return None;
-            }
-            Err(_) => {
-                slog::warn!(node.logger(), "origin_unreadable"; "request" => &request.id,
-                    "reason" => "timeout");
-                return None;
-            }
+            Ok(Err(err)) => slog::warn!(node.logger(), "origin_unreadable";
+                "request" => &request.id, "reason" => %err),
+            Err(_) => slog::warn!(node.logger(), "origin_unreadable";
+                "request" => &request.id, "reason" => "timeout"),
         }
     }
     None
@@ -199,12 +202,20 @@
 /// an instance breaks have just begun.
 pub(crate) async fn hand_over(node: Arc<Node>) {
     let mut view = node.watch_view();
+    let mut last_custodian = None;
     loop {
         view.mark_unchanged();
+        let mixed = node.view().mixed_services();
+        let custodian = custodian(&node);
+        let incarnation = custodian.as_ref().map(|it| it.incarnation);
         let records = {
-            let current = node.view();
-            let is_mixed = |service: &id::Service| current.has_several_versions(service);
-            node.limits().origins.own(is_mixed, HAND_OVER_MAX)
+            let origins = &mut node.limits().origins;
+            if incarnation != last_custodian {
+                // The one before may be lost with what it has not saved.
+                origins.reclaim();
+                last_custodian = incarnation;
+            }
+            origins.own(|it| mixed.contains(it), HAND_OVER_MAX)
         };
         if records.is_empty() {
             tokio::select! {
@@ -214,7 +225,7 @@
             tokio::time::sleep(HAND_OVER_DELAY).await;
             continue;
         }
-        let is_taken = match custodian(&node) {
+        let is_taken = match custodian {
             Some(member) => send_records(&node, &member, &records).await,
             None => false,
         };
@@ -267,7 +278,8 @@
     let is_taken = matches!(reply, Ok(Some(Reply::Done)));
     if is_taken {
         node.peers.record_answer(&member.instance);
-    } else if node.peers.record_timeout(member).await {
+    }
+    if reply.is_err() && node.peers.record_timeout(member).await {
         slog::warn!(node.logger(), "custodian_lost"; "instance" => %member.instance);
     }
     is_taken
@@ -281,9 +293,12 @@
     loop {
         view.mark_unchanged();
         node.limits().origins.expire(Instant::now());
-        if swept_at.elapsed() >= SWEEP_INTERVAL && follow::is_first_reader(&node) {
+        if swept_at.elapsed() >= SWEEP_INTERVAL {
             swept_at = Instant::now();
-            leftovers = sweep(&node, leftovers).await;
+            leftovers = match follow::is_first_reader(&node) {
+                true => sweep(&node, leftovers).await,
+                false => BTreeSet::new(),
+            };
         }
         match save_batch(&node).await {
             Ok(true) => {
@@ -317,9 +332,9 @@
 
 /// Saves origins and deletes expired ones; returns false if there were none of either.
 async fn save_batch(node: &Node) -> Result<bool, store::Error> {
-    let view = node.view();
     // With one version, an instance that knows nothing can tell which began a stream.
-    let is_mixed = |service: &id::Service| view.has_several_versions(service);
+    let mixed = node.view().mixed_services();
+    let is_mixed = |service: &id::Service| mixed.contains(service);
     let (origins, obsolete) = {
         let limits = node.limits();
         let origins = limits
@@ -373,6 +388,7 @@
     let mut view = node.watch_view();
     let mut gone_since: BTreeMap<(id::Service, id::Software), Instant> = BTreeMap::new();
     let mut missing_since = None;
+    let mut failure_pause = FAILURE_PAUSE;
     let fallback_delay = FALLBACK_RECORD_DELAY.mul_f64(rand::random_range(1.0..3.0));
     loop {
         view.mark_unchanged();
@@ -385,7 +401,14 @@
             let since = *missing_since.get_or_insert_with(Instant::now);
             let delay = position.map_or(fallback_delay, |it| RECORD_DELAY * it as u32);
             if since.elapsed() >= delay {
-                put_versions(&node, &missing).await;
+                match put_versions(&node, &missing).await {
+                    true => failure_pause = FAILURE_PAUSE,
+                    false => {
+                        let jitter: f64 = rand::random_range(0.7..1.3);
+                        tokio::time::sleep(failure_pause.mul_f64(jitter)).await;
+                        failure_pause = (failure_pause * 2).min(FAILURE_PAUSE_MAX);
+                    }
+                }
             }
         }
         let obsolete = update_gone(&node, &mut gone_since);
@@ -403,24 +426,21 @@
     }
 }
 
-async fn put_versions(node: &Node, versions: &[(id::Service, id::Software)]) {
+/// Records software versions in the store; returns whether this instance has seen them recorded.
+async fn put_versions(node: &Node, versions: &[(id::Service, id::Software)]) -> bool {
     let versions = versions.iter().take(store::TRANSACTION_ROWS_MAX);
     let puts =
         versions.map(|(service, software)| (rows::software_key(service, software), b"{}".to_vec()));
     let puts: Vec<(String, Vec<u8>)> = puts.collect();
-    match node.store.write(&puts, &[]).await {
-        Ok(()) => {
-            slog::info!(node.logger(), "software_recorded"; "versions" => puts.len());
-            let mut view = node.watch_view();
-            let is_seen = |view: &Arc<View>| view.unrecorded_software().is_empty();
-            // After a timeout the caller writes the rows again.
-            let _ = tokio::time::timeout(FAILURE_PAUSE, view.wait_for(is_seen)).await;
-        }
-        Err(err) => {
-            slog::warn!(node.logger(), "software_not_recorded"; "reason" => %err);
-            tokio::time::sleep(FAILURE_PAUSE).await;
-        }
+    if let Err(err) = node.store.write(&puts, &[]).await {
+        slog::warn!(node.logger(), "software_not_recorded"; "reason" => %err);
+        return false;
     }
+    slog::info!(node.logger(), "software_recorded"; "versions" => puts.len());
+    let mut view = node.watch_view();
+    let is_seen = |view: &Arc<View>| view.unrecorded_software().is_empty();
+    let seen = tokio::time::timeout(FAILURE_PAUSE, view.wait_for(is_seen)).await;
+    matches!(seen, Ok(Ok(_)))
 }
 
 /// Updates since when recorded versions have not been registered; returns those for which no stream
@@ -441,9 +461,9 @@
         }
     }
     *gone_since = gone;
-    // Registrations may be missing from the view while the store is away.
+    // Registrations may come and go unseen while the rows are old.
     if !node.is_fresh() {
-        return Vec::new();
+        gone_since.clear();
     }
     let is_obsolete = |it: &(&(id::Service, id::Software), &Instant)| {
         now.saturating_duration_since(*it.1) >= retention(&view, &it.0.0)
@@ -457,7 +477,7 @@
     let routes = view.catalog.iter().flat_map(|it| it.routes());
     let routes = routes.filter(|it| it.kind == RouteKind::ResumableStream);
     let routes = routes.filter(|it| it.targets.iter().any(|it| it.service == *service));
-    let longest = routes.map(|it| it.timeout).max().unwrap_or(RETENTION_MAX);
+    let longest = routes.map(|it| it.timeout).max().unwrap_or_default();
     // Clients may wait longer than the route's timeout.
     longest
         .saturating_mul(2)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 
 use base::id;
 use catalog::Member;
+use forwarding::origin::ORIGIN_TTL_MAX;
 use forwarding::origin::Record;
 use forwarding::poison::Source;
 use futures_util::future::BoxFuture;
@@ -49,9 +50,6 @@
 /// requesting instance how old its rows are.
 const ROWS_POLL_MAX: Duration = Duration::from_millis(400);
 
-/// Longest time for which the origin of a stream of another instance is kept.
-const ORIGIN_TTL_MAX: Duration = Duration::from_secs(120);
-
 #[derive(Debug, Default)]
 struct PeerStatus {
     /// Incarnation that the connection belongs to; 0 before the first call.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -31,6 +31,10 @@
     upstream: &Upstream,
     connection: &mut PooledConnection,
 ) -> Result<(), Error> {
+    if upstream.started_ms == 0 {
+        // The registration does not state the start.
+        return Ok(());
+    }
     if connection.process.is_none() {
         let started_ms = read_start(node, upstream, connection);
         let started_ms = tokio::time::timeout(REPORT_TIMEOUT, started_ms).await;
@@ -57,8 +61,10 @@
     let status = response.status();
     let body = buffer::collect(response.into_body(), &node.memory, REPORT_BYTES_MAX);
     let body = body.await.ok()?;
-    if status != StatusCode::OK {
-        return Some(upstream.started_ms);
+    match status {
+        StatusCode::OK => {}
+        StatusCode::NOT_FOUND => return Some(upstream.started_ms),
+        _ => return None,
     }
     match report::decode_start(&body) {
         Ok(started_ms) => Some(started_ms.unwrap_or(upstream.started_ms)),
