--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod fixture;
 mod lapse;
+mod odd_rows;
 mod parts;
 mod peers;
 mod poison;
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -37,7 +37,7 @@
 
 impl Candidate {
     fn bytes(&self, pieces: usize) -> u64 {
-        self.result_bytes * pieces as u64
+        self.result_bytes.saturating_mul(pieces as u64)
     }
 
     fn may_run_in(&self, zone: &id::Zone, now: Instant) -> bool {
@@ -99,11 +99,16 @@
     fn preferred_zone(&self, active: &ActivePlan, step: usize, now: Instant) -> Option<id::Zone> {
         let steps = &active.plan.steps;
         let inputs = &steps[step].after;
-        let input_bytes = inputs
-            .iter()
-            .map(|it| steps[*it].result_bytes * steps[*it].pieces as u64);
-        let input_bytes = input_bytes.sum::<u64>() * steps[step].pieces as u64;
-        let output_bytes = steps[step].result_bytes * steps[step].pieces as u64;
+        let input_bytes = inputs.iter().map(|it| {
+            steps[*it]
+                .result_bytes
+                .saturating_mul(steps[*it].pieces as u64)
+        });
+        let input_bytes = input_bytes.fold(0, u64::saturating_add);
+        let input_bytes = input_bytes.saturating_mul(steps[step].pieces as u64);
+        let output_bytes = steps[step]
+            .result_bytes
+            .saturating_mul(steps[step].pieces as u64);
         let zone = if input_bytes >= ZONE_AFFINITY_BYTES_MIN {
             let mut pieces = inputs.iter().flat_map(|it| &active.steps[*it].pieces);
             let producer = pieces.find_map(|it| match it {
