--- a/crates/node/tests/it/odd_rows.rs
+++ b/crates/node/tests/it/odd_rows.rs
@@ -259,6 +259,7 @@
         values.push(json!({"service": {"max_conns": number}}));
         values.push(json!({"route": {"attempts": number}}));
     }
+    values.push(json!({"step": {"after": [0]}}));
     values.push(json!({"step": {"after": [99]}}));
     values.push(
         json!({"route": {"split": [{"service": "ledger", "weight": 1e308},
