Count losses without overflow

A loss row of another writer with the greatest depth makes the count of the next send overflow: a panic in builds that check it, a chain that starts anew in others. The counts now stop at the greatest number.

a_loss_of_the_greatest_depth_is_counted_once: "attempt to add with overflow" before; the 34 tests of poison pass now.

--- a/crates/forwarding/src/poison.rs
+++ b/crates/forwarding/src/poison.rs
@@ -111,13 +111,13 @@
         let depth = self.suspects.get(&fingerprint).map_or(0, Suspect::depth);
         let parts = parts.iter().map(|part| PartLoss {
             part: *part,
-            depth: self.part_depth(*part, now) + 1,
+            depth: self.part_depth(*part, now).saturating_add(1),
         });
         let in_flight = InFlightSend {
             fingerprint,
             parts: parts.collect(),
             incarnation,
-            depth: depth + 1,
+            depth: depth.saturating_add(1),
             sent_at: now,
         };
         self.in_flight.insert(send, in_flight);
@@ -159,7 +159,9 @@
         let is_unreachable = self.unreachable.contains_key(&incarnation);
         let loss = Loss {
             fingerprint,
-            depth: suspect.map_or(0, |it| it.depth_at(sent_at)) + 1,
+            depth: suspect
+                .map_or(0, |it| it.depth_at(sent_at))
+                .saturating_add(1),
             evidence: Evidence::of_unanswered(is_unreachable),
             is_batched: true,
             // A step runs before the request's answer begins.
--- a/crates/forwarding/src/poison/part.rs
+++ b/crates/forwarding/src/poison/part.rs
@@ -169,7 +169,9 @@
         };
         let parts = record.parts.iter().map(|it| PartLoss {
             part: it.part,
-            depth: self.part_depth_at(it.part, record.sent_at, incarnation) + 1,
+            depth: self
+                .part_depth_at(it.part, record.sent_at, incarnation)
+                .saturating_add(1),
         });
         let parts: Vec<PartLoss> = parts.collect();
         let suspect = self.suspects.get_mut(&fingerprint);
--- a/crates/forwarding/tests/poison.rs
+++ b/crates/forwarding/tests/poison.rs
@@ -11,6 +11,7 @@
 use forwarding::poison::Evidence;
 use forwarding::poison::Loss;
 use forwarding::poison::ObsoleteRows;
+use forwarding::poison::PartLoss;
 use forwarding::poison::Quarantine;
 use forwarding::poison::Registry;
 use forwarding::poison::Source;
@@ -448,3 +449,41 @@
 fn simultaneous_lost_calls_refuse_nothing() {
     assert!(!after_calls(["a", "b", "c"], ms(10)).is_refused());
 }
+
+/// Guards against a counter that overflows after a row of another writer.
+#[test]
+fn a_loss_of_the_greatest_depth_is_counted_once() {
+    let mut instance = Instance::new("");
+    let part = id::Fingerprint(7);
+    let loss = Loss {
+        fingerprint: POISON,
+        incarnation: incarnation("a"),
+        depth: u32::MAX,
+        evidence: Evidence::Unreachable,
+        is_batched: false,
+        parts: vec![PartLoss {
+            part,
+            depth: u32::MAX,
+        }],
+        age: Duration::ZERO,
+    };
+    let (quarantine, now) = (&mut instance.quarantine, instance.now);
+    quarantine.merge_loss(&loss, Source::Store, now);
+    let subject = Subject {
+        fingerprint: POISON,
+        parts: &[part],
+    };
+    quarantine.track_send(1, subject, incarnation("b"), now);
+    quarantine.record_loss(1, now);
+    quarantine.record_call_loss(POISON, incarnation("c"), now + ms(1), now + ms(1));
+    quarantine.merge_loss(
+        &Loss {
+            incarnation: incarnation("d"),
+            ..loss
+        },
+        Source::Peer,
+        now + ms(2),
+    );
+    assert!(!quarantine.assess(POISON, now).is_refused());
+    assert!(!quarantine.assess_parts(&[part], now).is_refused);
+}
