Send no request again on a connection on which it was refused

What callers would see: a request that may run once ran three times when an upstream wrote its refusal of the request once more on the kept connection on which the same request came again. All upstreams refuse a request, it is sent to the first one again on the same connection, and the copy of the refusal arrives in front of the answer. If it is the last try, the request is reported as not run though it ran (by reading; not seen in a run).

Cause: a response was taken for the answer to a send if it names the request. The sends of one request share its id, so that the copy of an earlier refusal passed, and "not run" was believed while the upstream ran the request. Ruled out by tests that pass unchanged: a refusal that names another request, or none, never counts as "not run" (broken on purpose, the new test of this fails), and a second refusal right after the first one closes the connection before the next send.

A connection now remembers which requests were refused on it, at most 64, and a request that comes again to the upstream gets a new connection. The other connections are reused as before, so that the cost is one connection for each request that comes back to the upstream that refused it.

answers.rs: under a_late_copy_of_a_refusal_is_not_taken_for_the_next_answer each of the 8 requests ran 3 times and was answered 200 before; it passes now, three runs of the test. The other two new tests passed at first.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use base::hash;
 use bytes::Bytes;
 use forwarding::quota::Permit;
 use futures_util::future::BoxFuture;
@@ -38,6 +39,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most idle connections in the pool for each upstream.
 const IDLE_CONNECTIONS_MAX: usize = 8;
+/// Requests that an upstream refuses on one connection before it is closed.
+const REFUSALS_MAX: usize = 64;
 /// Longest time that a connection stays idle in the pool, even if the upstream states a longer
 /// keep-alive time: the upstream's host may have failed without closing it.
 const IDLE_TIMEOUT_MAX: Duration = Duration::from_millis(900);
@@ -92,6 +95,7 @@
     idle_since: Instant,
     expires_at: Instant,
     process: Option<u64>,
+    refused: Vec<u64>,
 }
 
 #[derive(Default)]
@@ -137,6 +141,8 @@
     pub(crate) process: Option<u64>,
     /// Whether the connection leads through another instance.
     pub is_detour: bool,
+    /// Hashes of the ids of the requests that the upstream has refused on this connection.
+    refused: Vec<u64>,
 }
 
 impl Pool {
@@ -166,6 +172,7 @@
                     is_reused: true,
                     process: candidate.process,
                     is_detour: candidate.is_detour,
+                    refused: candidate.refused,
                 });
             }
             candidate.task.abort();
@@ -250,6 +257,7 @@
             is_reused: false,
             process: None,
             is_detour,
+            refused: Vec::new(),
         })
     }
 
@@ -352,6 +360,17 @@
         })
     }
 
+    /// Records that the upstream has refused a request on this connection. A faulty upstream may send
+    /// a response once more, so that the request must not be sent on it again.
+    pub(crate) fn record_refusal(&mut self, request: &str) {
+        self.refused.push(hash::hash_strs([request]));
+    }
+
+    /// Whether the upstream has refused a request of this id on this connection.
+    pub(crate) fn has_refused(&self, request: &str) -> bool {
+        self.refused.contains(&hash::hash_strs([request]))
+    }
+
     /// Returns the connection to the pool after its response was read to the end. `keep_alive` is
     /// the idle time that the upstream states.
     pub async fn return_to_pool(mut self, keep_alive: Option<Duration>) {
@@ -369,7 +388,7 @@
             keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |it| it.mul_f64(KEEP_ALIVE_FRACTION));
         let mut connections = self.pool.lock();
         let idle = connections.idle.entry(self.address).or_default();
-        if idle.len() >= IDLE_CONNECTIONS_MAX {
+        if idle.len() >= IDLE_CONNECTIONS_MAX || self.refused.len() >= REFUSALS_MAX {
             self.task.abort();
             return;
         }
@@ -380,6 +399,7 @@
             idle_since: now,
             expires_at: now + keep_alive.min(IDLE_TIMEOUT_MAX),
             process: self.process,
+            refused: std::mem::take(&mut self.refused),
         });
     }
 }
--- a/crates/node/src/forward/response.rs
+++ b/crates/node/src/forward/response.rs
@@ -74,10 +74,11 @@
     request: &ClientRequest,
     send_guard: &SendGuard,
     lifecycle: Lifecycle<Sent>,
-    connection: PooledConnection,
+    mut connection: PooledConnection,
     head: &ResponseHead,
     response: Response<Incoming>,
 ) -> Attempt {
+    connection.record_refusal(&request.id);
     slog::info!(node.logger(), "not_run"; "request" => &request.id,
         "upstream" => send_guard.upstream.name.as_str(), "status" => head.status.as_u16());
     send_guard.record_first_byte(true);
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -269,6 +269,11 @@
     let idle_max = request.connection_idle_max();
     let limit = connection_limit(node, upstream);
     let mut connection = detour::acquire(node, upstream, idle_max, limit).await?;
+    if connection.has_refused(&request.id) {
+        drop(connection);
+        // The closed connection is still counted until its task has ended.
+        connection = detour::connect(node, upstream, limit.saturating_add(1)).await?;
+    }
     let view = node.view();
     let catalog = view.catalog.as_ref();
     let service = catalog.and_then(|it| it.services.get(&upstream.service));
--- a/crates/node/tests/it/answers.rs
+++ b/crates/node/tests/it/answers.rs
@@ -165,3 +165,48 @@
         (200, fixture.expected_body("ledger", "r"))
     );
 }
+
+/// Sends requests that each upstream rejects before it runs them.
+async fn check_refused_twice(fault: Fault) {
+    let fixture = Fixture::start(1).await;
+    for request in 0..8 {
+        let id = format!("s{request}");
+        assert_eq!(fixture.send("GET /read/1", &id, &[]).await.status, 200);
+    }
+    fixture.set_fault("ledger", fault, None);
+    for request in 0..8 {
+        let id = format!("p{request}");
+        let response = fixture.send("POST /post/1", &id, &[]).await;
+        let runs = fixture.runs(&id).len();
+        assert!(runs <= 1, "{runs} runs, {}", response.head);
+        assert!(response.status != 503 || runs == 0, "{}", response.head);
+    }
+}
+
+/// Guards against a copy of a rejection that arrives where the answer to the next send of the same
+/// request is expected: the request would be reported as not run, or run at another upstream.
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_is_not_taken_for_the_next_answer() {
+    check_refused_twice(Fault::StaleRefusal).await;
+}
+
+/// Guards against a copy of a rejection that waits on the connection when the request is sent again.
+#[tokio::test]
+async fn a_second_refusal_is_not_taken_for_the_next_answer() {
+    check_refused_twice(Fault::ExtraRefusal).await;
+}
+
+/// Guards against a copy of the rejection of an earlier request that arrives where the answer to
+/// another one is expected.
+#[tokio::test]
+async fn a_refusal_of_another_request_does_not_say_that_this_one_has_not_run() {
+    let fixture = Fixture::start(1).await;
+    fixture.set_fault("ledger", Fault::Full, None);
+    assert_eq!(fixture.send("POST /post/1", "r0", &[]).await.status, 503);
+    fixture.set_fault("ledger", Fault::LateRefusal, None);
+    for request in 0..8 {
+        let id = format!("p{request}");
+        let response = fixture.send("POST /post/1", &id, &[]).await;
+        assert_eq!((response.status, fixture.runs(&id).len()), (502, 1));
+    }
+}
