Log what each retry found in the budget

retry_budget names the service, the members counted, and the requests and retries of the window. No decision changes.

--- a/crates/forwarding/src/retry.rs
+++ b/crates/forwarding/src/retry.rs
@@ -23,6 +23,15 @@
     pub window: Duration,
 }
 
+/// What one instance has used of a retry budget within a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    /// Client requests.
+    pub requests: usize,
+    /// Retries taken.
+    pub retries: usize,
+}
+
 /// Retry budget of one service at this instance.
 #[derive(Debug)]
 pub struct Budget {
@@ -61,6 +70,15 @@
         true
     }
 
+    /// Requests and retries of this instance within the window that ends now.
+    pub fn usage(&mut self, now: Instant) -> Usage {
+        self.expire(now);
+        Usage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+        }
+    }
+
     fn expire(&mut self, now: Instant) {
         let window = self.limit.window;
         let is_expired = |it: &Instant| now.saturating_duration_since(*it) >= window;
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -200,7 +200,14 @@
 
 fn take_retry(node: &Node, service: &id::Service) -> bool {
     let members = node.member_count();
-    let is_taken = node.limits().take_retry(service, members, Instant::now());
+    let now = Instant::now();
+    let (is_taken, usage) = {
+        let mut limits = node.limits();
+        let is_taken = limits.take_retry(service, members, now);
+        (is_taken, limits.retry_usage(service, now))
+    };
+    slog::info!(node.logger(), "retry_budget"; "service" => service.as_str(), "taken" => is_taken,
+        "members" => members, "requests" => usage.requests, "retries" => usage.retries);
     if !is_taken {
         node.telemetry
             .count_tagged("retry_budget.empty", service.as_str(), 1);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -99,6 +99,11 @@
         self.retry_budget(service).try_take(members, now)
     }
 
+    /// What this instance has used of a service's retry budget.
+    pub fn retry_usage(&mut self, service: &id::Service, now: Instant) -> retry::Usage {
+        self.retry_budget(service).usage(now)
+    }
+
     /// Returns whether a connection probe of an upstream is due after a loss, and if so records it.
     pub fn take_probe(&mut self, incarnation: &id::Incarnation, now: Instant) -> bool {
         let last = self.last_probes.get(incarnation);
