Keep the retry budget over restarts and changes of the members

Callers saw nothing; a service in trouble got more repeats than it is meant to bear.

Cause: an instance divided the constant part of the budget by the rows of the moment. Each process also began with a whole share, whatever the one before it had used, and new bounds cleared what was used.

Now requests earn the ratio's part as whole retries that lapse after a twentieth of the window: the sum follows the requests whichever process they reach, and a restart gains nothing. The constant is divided among all members seen in the last one and a half windows, by rank, so that the shares of any views that contain each other sum to no more than the constant. A process has a share once it has been listed and has followed the members for one and a half windows without a gap of a quarter; one that stops has none. Requests that waited in a suspended process earn nothing. set_bounds keeps what was used.

Price: no share for the first 15 s of a process, only what its requests earn.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -199,15 +199,14 @@
 }
 
 fn take_retry(node: &Node, service: &id::Service) -> bool {
-    let members = node.member_count();
-    let now = Instant::now();
-    let (is_taken, usage) = {
-        let mut limits = node.limits();
-        let is_taken = limits.take_retry(service, members, now);
-        (is_taken, limits.retry_usage(service, now))
-    };
+    let is_stopping = node.is_shutting_down();
+    let decision = node
+        .limits()
+        .take_retry(service, is_stopping, Instant::now());
+    let is_taken = decision.source.is_some();
     slog::info!(node.logger(), "retry_budget"; "service" => service.as_str(), "taken" => is_taken,
-        "members" => members, "requests" => usage.requests, "retries" => usage.retries);
+        "from" => decision.source.map(|it| it.to_string()), "members" => decision.members,
+        "share" => decision.share, "share_used" => decision.share_used);
     if !is_taken {
         node.telemetry
             .count_tagged("retry_budget.empty", service.as_str(), 1);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -17,6 +17,8 @@
 use forwarding::poison::Quarantine;
 use forwarding::retry;
 use forwarding::retry::Budget;
+use forwarding::retry::Pulse;
+use forwarding::retry::Roster;
 use platform::settings::Bounds;
 use tokio::time::Instant;
 
@@ -43,12 +45,31 @@
     pub now: Instant,
 }
 
+/// Whether a retry was allowed, and what the budget held.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryDecision {
+    /// Part of the budget that the retry was taken from; `None` if none was left.
+    pub source: Option<retry::Source>,
+    /// Members that divide the constant part.
+    pub members: usize,
+    /// This instance's share of the constant part in each window.
+    pub share: usize,
+    /// Retries that it has taken of the share.
+    pub share_used: usize,
+}
+
 /// Limits and statistics that all requests of this instance share.
 #[derive(Debug)]
 pub struct Limits {
     instance: id::Instance,
+    /// Distinguishes this process from earlier ones of the instance.
+    incarnation: u64,
     bounds: Bounds,
     retry_budgets: BTreeMap<id::Service, Budget>,
+    /// Members that divide the constant part of the retry budgets.
+    roster: Roster,
+    /// Beats of this process.
+    pulse: Pulse,
     cold_windows: BTreeMap<id::Upstream, SendWindow>,
     /// Upstreams whose cold limit an owner keeps, but which this instance may also send to without
     /// that owner.
@@ -63,11 +84,14 @@
 }
 
 impl Limits {
-    /// Limits of an instance under `bounds`, with empty statistics.
+    /// Limits of the process `incarnation` of an instance under `bounds`, with empty statistics.
     #[must_use]
-    pub fn new(instance: id::Instance, bounds: Bounds) -> Limits {
+    pub fn new(instance: id::Instance, incarnation: u64, bounds: Bounds) -> Limits {
         Limits {
+            roster: Roster::new(&instance),
+            pulse: Pulse::new(Instant::now()),
             instance,
+            incarnation,
             bounds,
             retry_budgets: BTreeMap::new(),
             cold_windows: BTreeMap::new(),
@@ -80,28 +104,54 @@
         }
     }
 
-    /// Replaces the bounds. If they changed, the retry budgets are dropped and recreated on their
-    /// next use.
+    /// Replaces the bounds. What was used of the retry budgets is kept.
     pub fn set_bounds(&mut self, bounds: Bounds) {
-        if bounds != self.bounds {
-            self.bounds = bounds;
-            self.retry_budgets.clear();
+        self.bounds = bounds;
+        let limit = retry_limit(&bounds);
+        for budget in self.retry_budgets.values_mut() {
+            budget.set_limit(limit);
         }
     }
 
-    /// Adds a client's request to the retry budget of a service.
-    pub fn record_request(&mut self, service: &id::Service, now: Instant) {
-        self.retry_budget(service).record_request(now);
+    /// Records that the members of the view were known to be complete at `at`.
+    pub fn confirm_members(&mut self, at: Instant) {
+        self.roster.confirm(at, self.bounds.retry_window);
     }
 
-    /// Takes one retry from the budget of a service; returns false if it is used up.
-    pub fn take_retry(&mut self, service: &id::Service, members: usize, now: Instant) -> bool {
-        self.retry_budget(service).try_take(members, now)
+    /// Records that this process runs.
+    pub fn beat(&mut self, now: Instant) {
+        self.pulse.beat(now);
+    }
+
+    /// Adds a client's request to the retry budget of a service. Requests that waited while this
+    /// process was suspended add nothing, as the window of the clients has moved on.
+    pub fn record_request(&mut self, service: &id::Service, now: Instant) {
+        if !self.pulse.is_catching_up(now) {
+            self.retry_budget(service).record_request(now);
+        }
     }
 
-    /// What this instance has used of a service's retry budget.
-    pub fn retry_usage(&mut self, service: &id::Service, now: Instant) -> retry::Usage {
-        self.retry_budget(service).usage(now)
+    /// Takes one retry from the budget of a service. An instance that `is_stopping` has no share of
+    /// the constant part, as the others no longer count it.
+    pub fn take_retry(
+        &mut self,
+        service: &id::Service,
+        is_stopping: bool,
+        now: Instant,
+    ) -> RetryDecision {
+        let share = match is_stopping {
+            true => 0,
+            false => self.roster.share(&retry_limit(&self.bounds), now),
+        };
+        let members = self.roster.count();
+        let budget = self.retry_budget(service);
+        let source = budget.try_take(share, now);
+        RetryDecision {
+            source,
+            members,
+            share,
+            share_used: budget.share_used(now),
+        }
     }
 
     /// Returns whether a connection probe of an upstream is due after a loss, and if so records it.
@@ -228,6 +278,10 @@
     /// Drops the state of upstreams that are no longer registered, and recomputes the fallback
     /// upstreams.
     pub fn retain(&mut self, view: &View) {
+        let own = view.members.get(&self.instance);
+        let is_listed = own.is_some_and(|it| it.incarnation == self.incarnation);
+        self.roster
+            .set_members(view.members.keys(), is_listed, Instant::now());
         self.fallback_upstreams = self.find_fallback_upstreams(view);
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.cold_windows.retain(|name, _| is_known(name));
@@ -256,17 +310,21 @@
     }
 
     fn retry_budget(&mut self, service: &id::Service) -> &mut Budget {
-        let limit = retry::BudgetLimit {
-            ratio: self.bounds.retry_ratio,
-            extra: self.bounds.retry_extra,
-            window: self.bounds.retry_window,
-        };
+        let limit = retry_limit(&self.bounds);
         self.retry_budgets
             .entry(service.clone())
             .or_insert_with(|| Budget::new(limit))
     }
 }
 
+fn retry_limit(bounds: &Bounds) -> retry::BudgetLimit {
+    retry::BudgetLimit {
+        ratio: bounds.retry_ratio,
+        extra: bounds.retry_extra,
+        window: bounds.retry_window,
+    }
+}
+
 /// Connections that each of `members` may open to an upstream that accepts `total` of them.
 #[must_use]
 pub fn connections_share(total: u32, members: usize) -> usize {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use forwarding::retry::Pulse;
 use mirror::Table;
 use platform::settings;
 use platform::settings::Settings;
@@ -130,6 +131,10 @@
     supervisor.spawn("keep", RestartPolicy::Always, move || {
         suspicion::persist_losses(persist_node.clone(), persist_store.clone())
     });
+    let beat_node = node.clone();
+    supervisor.spawn("beat", RestartPolicy::Always, move || {
+        beat(beat_node.clone())
+    });
     let lend_node = node.clone();
     supervisor.spawn("lend", RestartPolicy::Always, move || {
         quota::lend::run(lend_node.clone())
@@ -152,6 +157,14 @@
     });
 }
 
+/// Records that the process runs; never returns.
+async fn beat(node: Arc<Node>) {
+    loop {
+        node.limits().beat(tokio::time::Instant::now());
+        tokio::time::sleep(Pulse::INTERVAL).await;
+    }
+}
+
 /// Handles the upstream events that step calls report.
 async fn handle_upstream_events(
     node: Arc<Node>,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -98,14 +98,16 @@
     /// A node with an empty view.
     #[must_use]
     pub fn new(settings: Settings, telemetry: Telemetry, owner: Owner, peers: Peers) -> Node {
+        let incarnation = rand::random();
+        let limits = Limits::new(settings.instance.clone(), incarnation, settings.bounds);
         Node {
-            limits: Mutex::new(Limits::new(settings.instance.clone(), settings.bounds)),
+            limits: Mutex::new(limits),
             pool: connection::Pool::default(),
             memory: MemoryBudget::for_instance(settings.memory_bytes),
             quotas: Mutex::new(Quotas::new(settings.instance.clone())),
             quota_wakers: quota::Wakers::new(),
             started_at: clock::now_with_suspension(),
-            incarnation: rand::random(),
+            incarnation,
             view: watch::Sender::new(Arc::default()),
             store_recoveries: watch::Sender::new(0),
             store_copy: Mutex::default(),
@@ -180,12 +182,18 @@
 
     /// Records that the rows were complete `age` ago.
     pub fn record_complete(&self, age: Duration) {
-        let mut copy = self.store_copy();
-        let now = Instant::now();
-        for complete_at in [copy.complete_at, now.checked_sub(age)] {
-            copy.complete_at = copy.complete_at.max(complete_at);
-            let age = copy.age(now);
-            copy.tracker.set_age(age, now);
+        let complete_at = {
+            let mut copy = self.store_copy();
+            let now = Instant::now();
+            for complete_at in [copy.complete_at, now.checked_sub(age)] {
+                copy.complete_at = copy.complete_at.max(complete_at);
+                let age = copy.age(now);
+                copy.tracker.set_age(age, now);
+            }
+            copy.complete_at
+        };
+        if let Some(complete_at) = complete_at {
+            self.limits().confirm_members(complete_at);
         }
     }
 
