Test retries without news and after a calm time

Two schedules by name for mechanisms that no test missed when they were broken on purpose (scratch copy): gaps in the news (an_instance_without_news_has_no_share fails) and earned retries that last a window (requests_of_a_calm_time_save_no_retries and the property fail). A share at a process that stops changed nothing: its own row is gone from its view, which ends the share, so the processes of the tests no longer treat a stop specially.

--- a/crates/forwarding/tests/retries/main.rs
+++ b/crates/forwarding/tests/retries/main.rs
@@ -44,6 +44,7 @@
         2 => (0.1..1.0, durations(500..20_000)).prop_map(|it| Fault::Cut(it.0, it.1)),
         1 => (0.1..1.0, durations(500..8_000)).prop_map(|it| Fault::Freeze(it.0, it.1)),
         1 => (1.2..3.0, durations(2_000..8_000)).prop_map(|it| Fault::Burst(it.0, it.1)),
+        1 => (0.0..1.0).prop_map(Fault::Reject),
     ];
     proptest::collection::vec((durations(2_000..50_000), fault), 0..7)
 }
@@ -103,6 +104,27 @@
     check_windows(&world);
 }
 
+/// Guards against a share at an instance that has no news of members that have joined.
+#[test]
+fn an_instance_without_news_has_no_share() {
+    let mut world = World::new(LIMIT, 1, 6.0, 0.9, 4);
+    let cut = Fault::Cut(1.0, Duration::from_secs(30));
+    let faults = [
+        (Duration::from_secs(17), cut),
+        (Duration::from_secs(18), Fault::Join(1.0)),
+    ];
+    world.run(&faults, RUN_TIME);
+    check_windows(&world);
+}
+
+/// Guards against retries that are saved up while nothing is rejected.
+#[test]
+fn requests_of_a_calm_time_save_no_retries() {
+    let mut world = World::new(LIMIT, 8, 90.0, 0.0, 5);
+    world.run(&[(Duration::from_secs(30), Fault::Reject(0.9))], RUN_TIME);
+    check_windows(&world);
+}
+
 fn check_steady(count: usize, rate: f64) {
     let mut world = World::new(LIMIT, count, rate, 0.9, 3);
     world.run(&[], RUN_TIME);
--- a/crates/forwarding/tests/retries/world.rs
+++ b/crates/forwarding/tests/retries/world.rs
@@ -44,6 +44,8 @@
     Freeze(f64, Duration),
     /// The clients send so many times the requests for the given time.
     Burst(f64, Duration),
+    /// Upstreams reject the given part of the requests from now on.
+    Reject(f64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -93,11 +95,8 @@
         }
     }
 
-    fn try_take(&mut self, is_stopping: bool, now: Instant) -> bool {
-        let share = match is_stopping {
-            true => 0,
-            false => self.roster.share(&self.limit, now),
-        };
+    fn try_take(&mut self, now: Instant) -> bool {
+        let share = self.roster.share(&self.limit, now);
         self.budget.try_take(share, now).is_some()
     }
 }
@@ -290,6 +289,7 @@
                 }
             }
             Fault::Burst(factor, time) => self.burst = (factor, self.now + time),
+            Fault::Reject(part) => self.rejected = part,
         }
     }
 
@@ -428,11 +428,10 @@
         let now = self.base + self.now;
         for _ in 0..REPEATS_MAX {
             let instance = &mut self.instances[idx];
-            let is_stopping = matches!(instance.phase, Phase::Stopping { .. });
             let Some(process) = &mut instance.process else {
                 return;
             };
-            if !process.try_take(is_stopping, now) {
+            if !process.try_take(now) {
                 return;
             }
             self.repeats.push(self.now);
