Drop the special case of stopping processes from the retry budget

A process whose row is gone from its view has no share, and one whose removal of the row failed is still counted by the others. No test needs more.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -199,10 +199,7 @@
 }
 
 fn take_retry(node: &Node, service: &id::Service) -> bool {
-    let is_stopping = node.is_shutting_down();
-    let decision = node
-        .limits()
-        .take_retry(service, is_stopping, Instant::now());
+    let decision = node.limits().take_retry(service, Instant::now());
     let is_taken = decision.source.is_some();
     slog::info!(node.logger(), "retry_budget"; "service" => service.as_str(), "taken" => is_taken,
         "from" => decision.source.map(|it| it.to_string()), "members" => decision.members,
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -131,18 +131,9 @@
         }
     }
 
-    /// Takes one retry from the budget of a service. An instance that `is_stopping` has no share of
-    /// the constant part, as the others no longer count it.
-    pub fn take_retry(
-        &mut self,
-        service: &id::Service,
-        is_stopping: bool,
-        now: Instant,
-    ) -> RetryDecision {
-        let share = match is_stopping {
-            true => 0,
-            false => self.roster.share(&retry_limit(&self.bounds), now),
-        };
+    /// Takes one retry from the budget of a service.
+    pub fn take_retry(&mut self, service: &id::Service, now: Instant) -> RetryDecision {
+        let share = self.roster.share(&retry_limit(&self.bounds), now);
         let members = self.roster.count();
         let budget = self.retry_budget(service);
         let source = budget.try_take(share, now);
