--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -215,8 +215,11 @@
 }
 
 fn take_retry(node: &Node, service: &id::Service) -> bool {
-    let members = node.member_count();
-    let is_taken = node.limits().take_retry(service, members, Instant::now());
+    let decision = node.limits().take_retry(service, Instant::now());
+    let is_taken = decision.source.is_some();
+    slog::info!(node.logger(), "retry_budget"; "service" => service.as_str(), "taken" => is_taken,
+        "from" => decision.source.map(|it| it.to_string()), "members" => decision.members,
+        "share" => decision.share, "share_used" => decision.share_used);
     if !is_taken {
         node.telemetry
             .count_tagged("retry_budget.empty", service.as_str(), 1);
