Do not ask instances for detours that did not answer a moment ago

Behind a partition between zones, each upstream of another zone takes no connection, and neither do the instances there answer. An instance that did not answer is now left out for 1 s, so that only the first one costs that. By reading, not measured.

--- a/crates/forwarding/src/path.rs
+++ b/crates/forwarding/src/path.rs
@@ -27,7 +27,10 @@
 /// Time after a failed connection for which another one is taken to fail as well.
 const FAILURE_TIME: Duration = Duration::from_millis(300);
 /// Time for which it is remembered whether another instance reached an upstream.
-const HELPER_MEMORY: Duration = Duration::from_secs(3);
+const ANSWER_MEMORY: Duration = Duration::from_secs(3);
+/// Time for which an instance that did not answer is not asked again. Behind a partition between
+/// zones, each upstream of another zone would otherwise take a request that long.
+const SILENCE_MEMORY: Duration = Duration::from_secs(1);
 
 /// How to connect to an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,9 +64,20 @@
     down_until: Option<Instant>,
 }
 
+/// How an instance answered that was asked for a detour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HelperAnswer {
+    /// It reached the upstream.
+    Reached,
+    /// It did not reach the upstream, or has lost its own path.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Helper {
-    has_reached: bool,
+    answer: HelperAnswer,
     at: Instant,
 }
 
@@ -182,26 +196,31 @@
         Some(name.clone())
     }
 
-    /// Records whether another instance reached an upstream for this one.
-    pub fn record_helper(&mut self, instance: &id::Instance, has_reached: bool, now: Instant) {
-        let helper = Helper {
-            has_reached,
-            at: now,
-        };
+    /// Records the answer of another instance that was asked for a detour.
+    pub fn record_helper(&mut self, instance: &id::Instance, answer: HelperAnswer, now: Instant) {
+        let helper = Helper { answer, at: now };
         self.helpers.insert(instance.clone(), helper);
     }
 
     /// Orders the instances that an upstream may be reached through, the best first: those that
-    /// reached one a moment ago, then unknown ones. `seed` spreads the detours of different
-    /// instances.
-    pub fn order_helpers(&self, instances: &mut [id::Instance], seed: &str, now: Instant) {
+    /// reached one a moment ago, then unknown ones. Drops those that were silent a moment ago.
+    /// `seed` spreads the detours of different instances.
+    pub fn order_helpers(&self, instances: &mut Vec<id::Instance>, seed: &str, now: Instant) {
+        let recent_answer = |it: &id::Instance| {
+            let helper = self.helpers.get(it)?;
+            let memory = match helper.answer {
+                HelperAnswer::Silent => SILENCE_MEMORY,
+                HelperAnswer::Reached | HelperAnswer::Refused => ANSWER_MEMORY,
+            };
+            let is_recent = now.saturating_duration_since(helper.at) < memory;
+            is_recent.then_some(helper.answer)
+        };
+        instances.retain(|it| recent_answer(it) != Some(HelperAnswer::Silent));
         instances.sort_by_cached_key(|it| {
-            let helper = self.helpers.get(it);
-            let helper = helper.filter(|it| now.saturating_duration_since(it.at) < HELPER_MEMORY);
-            let rank = match helper {
-                Some(helper) if helper.has_reached => 0,
+            let rank = match recent_answer(it) {
+                Some(HelperAnswer::Reached) => 0,
                 None => 1,
-                Some(_) => 2,
+                Some(HelperAnswer::Refused | HelperAnswer::Silent) => 2,
             };
             (rank, hash::hash_strs([seed, it.as_str()]))
         });
--- a/crates/node/src/detour.rs
+++ b/crates/node/src/detour.rs
@@ -9,6 +9,7 @@
 use base::id;
 use catalog::Member;
 use catalog::Upstream;
+use forwarding::path::HelperAnswer;
 use forwarding::path::Way;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -223,9 +224,13 @@
         let answered = async {
             while let Some((helper, answer)) = calls.next().await {
                 let now = Instant::now();
-                let has_reached = answer.is_ok();
+                let helper_answer = match &answer {
+                    Ok(_) => HelperAnswer::Reached,
+                    Err(Some(_)) => HelperAnswer::Refused,
+                    Err(None) => HelperAnswer::Silent,
+                };
                 node.paths()
-                    .record_helper(&helper.instance, has_reached, now);
+                    .record_helper(&helper.instance, helper_answer, now);
                 match answer {
                     Ok(tunnel) => return Some(tunnel),
                     Err(Some(Answer::Unreachable)) => is_unreachable = true,
