Report an unreadable row once, and not at full length

What operators would see: an entry of another writer that is rewritten at intervals made a line of the log at each instance each time, as long as the entry (the reason quotes it, 100 KB in the test), and an entry whose key is no name made none.

The view tracker now remembers which rows cannot be read and reports each once until it can be; the reason is cut after 400 characters.

--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -6,6 +6,8 @@
 //! fails to reach the store, because other instances confirm that the rows are complete.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,13 +28,16 @@
 /// Registrations lapse after three missed heartbeats (3.6 s), so none lapses in a shorter outage.
 const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
 
+/// Most characters of the reason why a row cannot be decoded.
+const REASON_CHARS_MAX: usize = 400;
+
 /// Effect of one row on the view or on the recorded losses.
 #[derive(Clone, Debug, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Change {
     /// A configuration with this version took effect.
     Configured(u64),
-    /// A row could not be decoded. Any earlier configuration or member is kept; an upstream is
+    /// A row cannot be decoded; reported once until it can be again. Any earlier configuration or member is kept; an upstream is
     /// removed from the view.
     Unreadable(String),
     /// An upstream registered or its registration changed.
@@ -83,6 +88,8 @@
     /// Since when the rows have been complete without a gap.
     complete_since: Option<Instant>,
     is_outage: bool,
+    /// Rows that cannot be decoded at present.
+    unreadable: BTreeSet<(Table, String)>,
 }
 
 impl ViewTracker {
@@ -158,11 +165,19 @@
 
     fn apply_row(&mut self, row: &Row, now: Instant) -> Option<Change> {
         self.view.version = self.view.version.max(row.version);
-        match row.table {
+        let change = match row.table {
             Table::Operators => self.apply_operator(row),
             Table::Upstreams => self.apply_upstream(row, now),
             Table::Members => self.apply_member(row),
+        };
+        let row_key = (row.table, row.key.clone());
+        if !matches!(change, Some(Change::Unreadable(_))) {
+            self.unreadable.remove(&row_key);
+            return change;
         }
+        // Its writer may write it again and again.
+        let is_new = self.unreadable.insert(row_key);
+        change.filter(|_| is_new)
     }
 
     fn apply_operator(&mut self, row: &Row) -> Option<Change> {
@@ -184,7 +199,7 @@
         let value = row.value.as_deref()?;
         let catalog = match rows::decode_config(value) {
             Ok(catalog) => catalog,
-            Err(err) => return Some(Change::Unreadable(format!("{}: {err}", row.key))),
+            Err(err) => return Some(unreadable(row, err)),
         };
         let version = catalog.version;
         let known = self.view.catalog.as_ref().map(|it| it.version);
@@ -196,16 +211,19 @@
     }
 
     fn apply_upstream(&mut self, row: &Row, now: Instant) -> Option<Change> {
-        let name: id::Upstream = row.key.parse().ok()?;
-        let Some(value) = row.value.as_deref() else {
-            return self.apply_deregistration(name, now);
+        let name: Result<id::Upstream, _> = row.key.parse();
+        let (name, value) = match (name, row.value.as_deref()) {
+            (Ok(name), Some(value)) => (name, value),
+            (Ok(name), None) => return self.apply_deregistration(name, now),
+            (Err(err), Some(_)) => return Some(unreadable(row, err)),
+            (Err(_), None) => return None,
         };
         let mut upstream = match rows::decode_upstream(&row.key, row.version, value) {
             Ok(upstream) => upstream,
             Err(err) => {
                 // Without a readable address and service the upstream cannot be used.
                 self.view.upstreams.remove(&name);
-                return Some(Change::Unreadable(format!("{}: {err}", row.key)));
+                return Some(unreadable(row, err));
             }
         };
         self.lapsed.remove(&name);
@@ -253,7 +271,7 @@
                 self.view.members.insert(name.clone(), Arc::new(member));
                 Some(Change::Member(name))
             }
-            Err(err) => Some(Change::Unreadable(format!("{}: {err}", row.key))),
+            Err(err) => Some(unreadable(row, err)),
         }
     }
 }
@@ -284,6 +302,12 @@
     };
     match rows::decode_loss(fingerprint, incarnation, value) {
         Ok(loss) => Change::Loss(loss),
-        Err(err) => Change::Unreadable(format!("{}: {err}", row.key)),
+        Err(err) => unreadable(row, err),
     }
 }
+
+/// The reason quotes the row, which may be of any size.
+fn unreadable(row: &Row, err: impl Display) -> Change {
+    let reason = format!("{}: {err}", row.key);
+    Change::Unreadable(reason.chars().take(REASON_CHARS_MAX).collect())
+}
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -18,4 +18,5 @@
 mod stop;
 mod streams;
 mod versions;
+mod view_rows;
 mod words;
