Tell copies of earlier step results from the answer to a call

What callers would see: a request was given the step results of another one, when an upstream that runs steps wrote an earlier answer once more on a kept connection in front of the answer to the next call.

Cause: answers to step calls name no request, and any whole answer with as many entries as the call has pieces was taken for its answer. A copy of a refusal is taken for a refusal of the call as well; that costs a second run of its pieces, which the steps allow, and stays as it is.

A connection now remembers its latest 256 results and their pieces. An answer with a result that arrived before for another piece is a copy: the call counts as lost, the connection is closed, and the pieces run again. A piece that is made again may have the same handle.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -5,6 +5,7 @@
 //! requests run on bare `hyper` connections.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -41,6 +42,8 @@
 const IDLE_CONNECTIONS_MAX: usize = 8;
 /// Requests that an upstream refuses on one connection before it is closed.
 const REFUSALS_MAX: usize = 64;
+/// Latest step results that are remembered of a connection.
+const RESULTS_MAX: usize = 256;
 /// Longest time that a connection stays idle in the pool, even if the upstream states a longer
 /// keep-alive time: the upstream's host may have failed without closing it.
 const IDLE_TIMEOUT_MAX: Duration = Duration::from_millis(900);
@@ -96,6 +99,7 @@
     expires_at: Instant,
     process: Option<u64>,
     refused: Vec<u64>,
+    results: VecDeque<(u64, u64)>,
 }
 
 #[derive(Default)]
@@ -143,6 +147,8 @@
     pub is_detour: bool,
     /// Hashes of the ids of the requests that the upstream has refused on this connection.
     refused: Vec<u64>,
+    /// Hashes of the latest step results that arrived on this connection, and of their pieces.
+    results: VecDeque<(u64, u64)>,
 }
 
 impl Pool {
@@ -173,6 +179,7 @@
                     process: candidate.process,
                     is_detour: candidate.is_detour,
                     refused: candidate.refused,
+                    results: candidate.results,
                 });
             }
             candidate.task.abort();
@@ -258,6 +265,7 @@
             process: None,
             is_detour,
             refused: Vec::new(),
+            results: VecDeque::new(),
         })
     }
 
@@ -371,6 +379,21 @@
         self.refused.contains(&hash::hash_strs([request]))
     }
 
+    /// Records the step results of a call, each with a hash of its piece. Returns whether none has
+    /// arrived before as the result of another piece, which shows that the response is a copy of
+    /// an earlier one.
+    pub(crate) fn record_results(&mut self, results: &[(u64, u64)]) -> bool {
+        let is_known = |(result, piece): &(u64, u64)| {
+            let mut known = self.results.iter();
+            known.any(|it| it.0 == *result && it.1 != *piece)
+        };
+        let are_new = !results.iter().any(is_known);
+        self.results.extend(results);
+        let excess = self.results.len().saturating_sub(RESULTS_MAX);
+        self.results.drain(..excess);
+        are_new
+    }
+
     /// Returns the connection to the pool after its response was read to the end. `keep_alive` is
     /// the idle time that the upstream states.
     pub async fn return_to_pool(mut self, keep_alive: Option<Duration>) {
@@ -400,6 +423,7 @@
             expires_at: now + keep_alive.min(IDLE_TIMEOUT_MAX),
             process: self.process,
             refused: std::mem::take(&mut self.refused),
+            results: std::mem::take(&mut self.results),
         });
     }
 }
--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::hash;
 use bytes::Bytes;
 use catalog::Upstream;
 use forwarding::quota::Permit;
@@ -14,11 +15,13 @@
 use platform::upstream::ResponseHead;
 use stages::Call;
 use stages::Handle;
+use stages::Item;
 use stages::Outcome;
 
 use crate::buffer;
 use crate::clock;
 use crate::connection;
+use crate::connection::PooledConnection;
 use crate::detour;
 use crate::quota;
 use crate::state::Node;
@@ -59,12 +62,25 @@
             return Outcome::Lost.into();
         }
     };
-    let exchange = exchange(node, upstream, request, Urgency::Priority(0), permit);
+    let exchange = async {
+        let urgency = Urgency::Priority(0);
+        let mut response = exchange(node, upstream, request, urgency, permit).await?;
+        let (status, body) = (response.head.status, response.body.as_ref());
+        let outcome = body.map_or(Outcome::Lost, |body| {
+            steps::read_outcome(status, body, &call.items)
+        });
+        if !response
+            .connection
+            .record_results(&results(&outcome, &call.items))
+        {
+            slog::warn!(node.logger(), "foreign_answer"; "call" => call.id, "upstream" => name);
+            return Ok((response.head, Outcome::Lost));
+        }
+        Ok((response.release().await, outcome))
+    };
     match tokio::time::timeout(call.timeout, exchange).await {
-        Ok(Ok((head, body))) => Reply {
-            outcome: body.map_or(Outcome::Lost, |body| {
-                steps::read_outcome(head.status, &body, &call.items)
-            }),
+        Ok(Ok((head, outcome))) => Reply {
+            outcome,
             head: Some(head),
         },
         Ok(Err(connection::Error::Connect | connection::Error::CutOff)) => {
@@ -98,18 +114,49 @@
         }
     };
     let exchange = exchange(node, upstream, request, Urgency::Deferrable, permit);
+    let exchange = async { Ok::<_, connection::Error>(exchange.await?.release().await) };
     let result = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
-    result.ok()?.ok().map(|it| it.0)
+    result.ok()?.ok()
 }
 
-/// Sends a request and reads its response; the body is `None` if it broke or was too large.
+/// Hashes of the results that a call made, and of their pieces.
+fn results(outcome: &Outcome, items: &[Item]) -> Vec<(u64, u64)> {
+    let Outcome::Done(results) = outcome else {
+        return Vec::new();
+    };
+    let results = results.iter().zip(items).filter_map(|(result, item)| {
+        let numbers = [item.route_step, item.piece].map(|it| it.to_string());
+        let piece = hash::hash_strs([item.request.as_str(), &numbers[0], &numbers[1]]);
+        Some((hash::hash_strs([result.as_ref().ok()?.0.as_str()]), piece))
+    });
+    results.collect()
+}
+
+struct Response {
+    head: ResponseHead,
+    /// `None` if the body broke or was too large.
+    body: Option<Bytes>,
+    connection: PooledConnection,
+}
+
+impl Response {
+    /// Returns the connection to the pool if it can be used again.
+    async fn release(self) -> ResponseHead {
+        if self.body.is_some() && !self.head.closes_connection {
+            self.connection.return_to_pool(self.head.keep_alive).await;
+        }
+        self.head
+    }
+}
+
+/// Sends a request and reads its response.
 async fn exchange(
     node: &Arc<Node>,
     upstream: &Arc<Upstream>,
     request: Request<Bytes>,
     urgency: Urgency,
     mut permit: Permit,
-) -> Result<(ResponseHead, Option<Bytes>), connection::Error> {
+) -> Result<Response, connection::Error> {
     let request = request.map(Full::new);
     // The planner limits the calls to an upstream, and their connections with them.
     let mut connection = detour::acquire(node, upstream, Duration::MAX, usize::MAX).await?;
@@ -130,9 +177,9 @@
         _ => buffer::REFUSAL_BODY_BYTES_MAX,
     };
     let body = buffer::collect(response.into_body(), &node.memory, max).await;
-    let is_whole = body.is_ok();
-    if is_whole && !head.closes_connection {
-        connection.return_to_pool(head.keep_alive).await;
-    }
-    Ok((head, body.ok()))
+    Ok(Response {
+        head,
+        body: body.ok(),
+        connection,
+    })
 }
--- a/crates/node/tests/it/answers.rs
+++ b/crates/node/tests/it/answers.rs
@@ -1,6 +1,8 @@
 //! Plain requests at upstreams with various faults: the client gets the complete response or an
 //! error, and the request runs no more often than its route allows.
 
+use std::collections::BTreeSet;
+
 use platform_standin::upstream::Fault;
 
 use crate::fixture::Fixture;
@@ -210,3 +212,25 @@
         assert_eq!((response.status, fixture.runs(&id).len()), (502, 1));
     }
 }
+
+/// Guards against a late copy of the answer to an earlier step call, which names no request: a
+/// request would be given the step results of another one.
+#[tokio::test]
+async fn a_late_copy_of_step_results_is_not_passed_to_another_request() {
+    let fixture = Fixture::start(1).await;
+    let mut results = BTreeSet::new();
+    for request in 0..12 {
+        if request == 4 {
+            fixture.set_fault("steps", Fault::LateCopy, Some(4));
+        }
+        let id = format!("d{request}");
+        let headers = ["x-chunks: 2", "x-chunk-key: k"];
+        let response = fixture.send("POST /draft/1", &id, &headers).await;
+        assert_eq!(response.status, 200, "{}", response.head);
+        let run = &fixture.runs(&id)[0];
+        let inputs = run.headers.get("x-inputs").expect("step results");
+        for result in inputs.split(',') {
+            assert!(results.insert(result.to_owned()), "{id} was given {result}");
+        }
+    }
+}
