Do not hold calls against upstreams that were lost with the path

Cause: calls that hung at the cut ended as lost, and each made its upstream look slow and be avoided for a second, though only the path was at fault.

A call over a direct connection whose path is known to be lost when it ends is now interrupted: its pieces are queued again and nothing is held against the upstream. Where a lost call is what leads to the lost path, the probe that finds this out makes the planner forget the upstream's failures.

stages/tests/planner.rs: `upstreams_whose_calls_were_lost_with_their_paths_are_not_avoided` failed with an empty `forget_failures` (0 of 2 calls) and passes.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -194,6 +194,14 @@
         self.shared.changed.notify_one();
     }
 
+    /// Forgets the lost and slow calls of an upstream, because the path to it was at fault.
+    pub(crate) fn forget_failures(&self, upstream: &id::Upstream) {
+        for planner in self.lock().planners.values_mut() {
+            planner.forget_failures(upstream);
+        }
+        self.shared.changed.notify_one();
+    }
+
     /// Places a request at the best of `engines`; `typical_latency` is the usual time until its
     /// first event. `None` if `engines` is empty or the cold limits of all of them are used up.
     #[must_use]
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -68,7 +68,11 @@
                     fingerprints: call.items.iter().map(|it| it.fingerprint).collect(),
                     sent_at,
                 }),
-                Outcome::Done(_) | Outcome::Rejected | Outcome::Unreachable | Outcome::Unsent => {}
+                Outcome::Done(_)
+                | Outcome::Rejected
+                | Outcome::Unreachable
+                | Outcome::Interrupted
+                | Outcome::Unsent => {}
             }
             TaskResult::Call(shard, call.id, reply.outcome)
         });
@@ -165,6 +169,7 @@
         Outcome::Unsent => ("unsent", 0),
         Outcome::Unreachable => ("unreachable", 0),
         Outcome::Lost => ("lost", 0),
+        Outcome::Interrupted => ("interrupted", 0),
     };
     telemetry.count_tagged("steps.calls", outcome, 1);
     telemetry.count("steps.pieces", made as u64);
--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use catalog::Upstream;
+use forwarding::path::Way;
 use forwarding::quota::Permit;
 use forwarding::quota::Urgency;
 use http::Request;
@@ -59,8 +60,17 @@
             return Outcome::Lost.into();
         }
     };
-    let exchange = exchange(node, upstream, request, Urgency::Priority(0), permit);
-    match tokio::time::timeout(call.timeout, exchange).await {
+    let mut way = Way::Detour;
+    let exchange = exchange(
+        node,
+        upstream,
+        request,
+        Urgency::Priority(0),
+        permit,
+        &mut way,
+    );
+    let result = tokio::time::timeout(call.timeout, exchange).await;
+    match result {
         Ok(Ok((head, body))) => Reply {
             outcome: body.map_or(Outcome::Lost, |body| {
                 steps::read_outcome(head.status, &body, &call.items)
@@ -76,7 +86,11 @@
             | connection::Error::UnknownProcess,
         )) => Outcome::Unsent.into(),
         Ok(Err(connection::Error::Lost | connection::Error::Silent)) | Err(_) => {
-            Outcome::Lost.into()
+            let is_path_lost = node.paths().way(&upstream.name) == Way::Detour;
+            match way {
+                Way::Direct if is_path_lost => Outcome::Interrupted.into(),
+                _ => Outcome::Lost.into(),
+            }
         }
     }
 }
@@ -97,22 +111,36 @@
             return None;
         }
     };
-    let exchange = exchange(node, upstream, request, Urgency::Deferrable, permit);
+    let mut way = Way::Direct;
+    let exchange = exchange(
+        node,
+        upstream,
+        request,
+        Urgency::Deferrable,
+        permit,
+        &mut way,
+    );
     let result = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
     result.ok()?.ok().map(|it| it.0)
 }
 
-/// Sends a request and reads its response; the body is `None` if it broke or was too large.
+/// Sends a request and reads its response; the body is `None` if it broke or was too large. Sets
+/// `way` before it sends.
 async fn exchange(
     node: &Arc<Node>,
     upstream: &Arc<Upstream>,
     request: Request<Bytes>,
     urgency: Urgency,
     mut permit: Permit,
+    way: &mut Way,
 ) -> Result<(ResponseHead, Option<Bytes>), connection::Error> {
     let request = request.map(Full::new);
     // The planner limits the calls to an upstream, and their connections with them.
     let mut connection = detour::acquire(node, upstream, Duration::MAX, usize::MAX).await?;
+    *way = match connection.is_detour {
+        true => Way::Detour,
+        false => Way::Direct,
+    };
     // Connecting can outlast the permit.
     if !permit.is_valid(clock::now_with_suspension()) {
         permit = match quota::admit(node, upstream, urgency).await {
--- a/crates/node/src/suspicion.rs
+++ b/crates/node/src/suspicion.rs
@@ -330,7 +330,12 @@
     tokio::spawn(async move {
         let connection_limit = routing::connection_limit(&node, &upstream);
         match detour::connect(&node, &upstream, connection_limit).await {
-            Ok(connection) => connection.return_to_pool(None).await,
+            Ok(connection) => {
+                if connection.is_detour {
+                    node.owner.forget_failures(&upstream.name);
+                }
+                connection.return_to_pool(None).await;
+            }
             Err(connection::Error::TooMany) => {}
             Err(err) => {
                 slog::info!(node.logger(), "probe_failed"; "upstream" => upstream.name.as_str(),
--- a/crates/stages/src/call.rs
+++ b/crates/stages/src/call.rs
@@ -77,4 +77,6 @@
     Unreachable,
     /// No usable response arrived before the timeout.
     Lost,
+    /// The path to the upstream was lost during the call, which says nothing of the upstream.
+    Interrupted,
 }
--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -345,6 +345,13 @@
         self.back_off(upstream, now + UNREACHABLE_BACKOFF);
     }
 
+    pub(crate) fn forget_failures(&mut self, upstream: &id::Upstream) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.slowdown = 1.0;
+            state.backoff_until = None;
+        }
+    }
+
     /// Time at which the next back-off, hold-off or full period of an upstream ends.
     pub(crate) fn next_unblocked_at(&self, now: Instant) -> Option<Instant> {
         let upstreams = self.upstreams.values();
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Forgets the lost and slow calls of an upstream, because the path to it was at fault.
+    pub fn forget_failures(&mut self, upstream: &id::Upstream) {
+        for fleet in self.fleets.values_mut() {
+            fleet.forget_failures(upstream);
+        }
+    }
+
     /// Number of pieces that wait for a call, over all services.
     #[must_use]
     pub fn waiting_pieces(&self) -> usize {
--- a/crates/stages/src/planner/outcome.rs
+++ b/crates/stages/src/planner/outcome.rs
@@ -35,7 +35,7 @@
                     self.finish_item(&call, item, result, now);
                 }
             }
-            Outcome::Rejected | Outcome::Unsent | Outcome::Unreachable => {
+            Outcome::Rejected | Outcome::Unsent | Outcome::Unreachable | Outcome::Interrupted => {
                 for item in &call.items {
                     self.requeue(item, now);
                 }
@@ -58,7 +58,7 @@
         match outcome {
             Outcome::Done(_) => fleet.record_call_time(&call.upstream, pieces, elapsed, now),
             Outcome::Rejected => fleet.record_rejection(&call.upstream, now),
-            Outcome::Unsent => {}
+            Outcome::Unsent | Outcome::Interrupted => {}
             Outcome::Unreachable => fleet.record_unreachable(&call.upstream, now),
             Outcome::Lost => {
                 fleet.record_call_time(&call.upstream, pieces, elapsed, now);
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -181,6 +181,20 @@
     assert_ne!(again.upstream, call.upstream);
 }
 
+/// Guards against back-offs of upstreams because the owner has lost its own paths.
+#[test]
+fn a_call_that_was_interrupted_by_a_lost_path_is_made_again_at_once() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    submit_first(&mut planner, "a", 8, now);
+    let calls = planner.dispatch(now);
+    assert_eq!(calls.len(), 2);
+    for call in &calls {
+        planner.finish(call.id, Outcome::Interrupted, now + ms(500));
+    }
+    assert_eq!(planner.dispatch(now + ms(500)).len(), 2);
+}
+
 #[test]
 fn a_missing_input_is_recomputed() {
     let now = Instant::now();
@@ -510,3 +524,23 @@
     };
     assert!(drain >= ms(6_000), "{drain:?}");
 }
+
+/// Guards against upstreams that an owner avoids, and plans that it refuses, because calls hung when
+/// it lost its own paths.
+#[test]
+fn upstreams_whose_calls_were_lost_with_their_paths_are_not_avoided() {
+    let now = Instant::now();
+    let mut planner = planner(now);
+    submit_first(&mut planner, "a", 8, now);
+    let calls = planner.dispatch(now);
+    assert_eq!(calls.len(), 2);
+    let later = now + ms(1_000);
+    for call in &calls {
+        planner.finish(call.id, Outcome::Lost, later);
+    }
+    assert!(planner.dispatch(later).is_empty());
+    for call in &calls {
+        planner.forget_failures(&call.upstream);
+    }
+    assert_eq!(planner.dispatch(later).len(), 2);
+}
