--- a/crates/node/tests/it/connections.rs
+++ b/crates/node/tests/it/connections.rs
@@ -1,10 +1,20 @@
 //! Division of an upstream's connections among the instances.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use node::connection;
+use node::connection::Dialer;
+use node::connection::Pool;
 use node::limits;
+use socket2::SockRef;
+use tokio::net::TcpListener;
 
 use crate::fixture::Fixture;
 
+/// The users' bound on the time from a cut until clients are served again.
+const RECOVERY_TIME: Duration = Duration::from_secs(3);
+
 fn check(total: u32, members: usize, share: usize) {
     assert_eq!(limits::connections_share(total, members), share);
 }
@@ -48,3 +58,17 @@
     let upstreams = fixture.site.upstreams.iter();
     assert!(opened <= upstreams.filter(|it| it.1 == "ledger").count());
 }
+
+/// Guards against requests that wait for an upstream whose host no longer acknowledges them.
+#[tokio::test]
+async fn upstream_sockets_have_a_user_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let pool = Pool::new(Arc::new(Dialer));
+    let stream = pool.dial(address, Duration::from_secs(1)).await;
+    let stream = stream.expect("a connection");
+    let timeout = SockRef::from(&stream).tcp_user_timeout();
+    let timeout = timeout.expect("the option").expect("a time-out");
+    assert!(timeout <= RECOVERY_TIME, "{timeout:?}");
+    assert!(stream.nodelay().expect("the option"));
+}
