--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -6,6 +6,7 @@
 use base::hash;
 use bytes::Bytes;
 use catalog::Upstream;
+use forwarding::path::Way;
 use forwarding::quota::Permit;
 use forwarding::quota::Urgency;
 use http::Request;
@@ -62,9 +63,10 @@
             return Outcome::Lost.into();
         }
     };
+    let mut way = Way::Detour;
     let exchange = async {
         let urgency = Urgency::Priority(0);
-        let mut response = exchange(node, upstream, request, urgency, permit).await?;
+        let mut response = exchange(node, upstream, request, urgency, permit, &mut way).await?;
         let (status, body) = (response.head.status, response.body.as_ref());
         let outcome = body.map_or(Outcome::Lost, |body| {
             steps::read_outcome(status, body, &call.items)
@@ -78,7 +80,8 @@
         }
         Ok((response.release().await, outcome))
     };
-    match tokio::time::timeout(call.timeout, exchange).await {
+    let result = tokio::time::timeout(call.timeout, exchange).await;
+    match result {
         Ok(Ok((head, outcome))) => Reply {
             outcome,
             head: Some(head),
@@ -92,7 +95,11 @@
             | connection::Error::UnknownProcess,
         )) => Outcome::Unsent.into(),
         Ok(Err(connection::Error::Lost | connection::Error::Silent)) | Err(_) => {
-            Outcome::Lost.into()
+            let is_path_lost = node.paths().way(&upstream.name) == Way::Detour;
+            match way {
+                Way::Direct if is_path_lost => Outcome::Interrupted.into(),
+                _ => Outcome::Lost.into(),
+            }
         }
     }
 }
@@ -113,7 +120,15 @@
             return None;
         }
     };
-    let exchange = exchange(node, upstream, request, Urgency::Deferrable, permit);
+    let mut way = Way::Direct;
+    let exchange = exchange(
+        node,
+        upstream,
+        request,
+        Urgency::Deferrable,
+        permit,
+        &mut way,
+    );
     let exchange = async { Ok::<_, connection::Error>(exchange.await?.release().await) };
     let result = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
     result.ok()?.ok()
@@ -149,17 +164,22 @@
     }
 }
 
-/// Sends a request and reads its response.
+/// Sends a request and reads its response. Sets `way` before it sends.
 async fn exchange(
     node: &Arc<Node>,
     upstream: &Arc<Upstream>,
     request: Request<Bytes>,
     urgency: Urgency,
     mut permit: Permit,
+    way: &mut Way,
 ) -> Result<Response, connection::Error> {
     let request = request.map(Full::new);
     // The planner limits the calls to an upstream, and their connections with them.
     let mut connection = detour::acquire(node, upstream, Duration::MAX, usize::MAX).await?;
+    *way = match connection.is_detour {
+        true => Way::Detour,
+        false => Way::Direct,
+    };
     // Connecting can outlast the permit.
     if !permit.is_valid(clock::now_with_suspension()) {
         permit = match quota::admit(node, upstream, urgency).await {
