Give the soak and the tests of repeats one ample retry limit

The runs of the soak last 8 s, in which a process has no share of the constant yet; with the site's limit most requests would not be repeated at all, and fewer faults of repeats could show. The limit is a value of the stand-in.

--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -7,10 +7,10 @@
 
 use futures_util::future::BoxFuture;
 use node::connection::Dial;
-use platform::settings::Settings;
 use platform_standin::link::Link;
 use platform_standin::site;
 use platform_standin::site::API_KEY;
+use platform_standin::site::RetryLimit;
 use platform_standin::site::Site;
 use platform_standin::upstream::Fault;
 use platform_standin::upstream::RecordedRequest;
@@ -23,11 +23,6 @@
 use platform_standin::client;
 use platform_standin::client::Response;
 
-/// Retries that a node earns with each request where its budget is ample.
-const AMPLE_RETRY_RATIO: f64 = 5.0;
-/// Retry window where the budget is ample: a node may take what it earned until a test ends.
-const AMPLE_RETRY_WINDOW: Duration = Duration::from_secs(1_000);
-
 /// A running node.
 pub(crate) struct Node {
     pub(crate) client_address: SocketAddr,
@@ -57,18 +52,18 @@
     /// Starts a node with an ample retry budget, so that tests show what may be repeated rather
     /// than how often.
     pub(crate) fn start(name: &str, zone: &str, store: SocketAddr) -> Node {
-        let mut settings = site_settings(name, zone, store);
-        settings.bounds.retry_ratio = AMPLE_RETRY_RATIO;
-        settings.bounds.retry_window = AMPLE_RETRY_WINDOW;
-        Node::start_with(name, settings)
+        Node::start_with(name, zone, store, RetryLimit::AMPLE)
     }
 
     /// Starts a node with the site's retry budget.
     pub(crate) fn start_limited(name: &str, zone: &str, store: SocketAddr) -> Node {
-        Node::start_with(name, site_settings(name, zone, store))
+        Node::start_with(name, zone, store, RetryLimit::SITE)
     }
 
-    fn start_with(name: &str, settings: Settings) -> Node {
+    fn start_with(name: &str, zone: &str, store: SocketAddr, retries: RetryLimit) -> Node {
+        let ports = site::reserve_ports().expect("ports");
+        let text = site::settings(name, zone, store, ports, retries);
+        let settings = platform::settings::parse(&text).expect("valid settings");
         let (shutdown, shutdown_signal) = oneshot::channel();
         let (client_address, readiness_address) =
             (settings.client_address, settings.readiness_address);
@@ -143,11 +138,6 @@
     }
 }
 
-fn site_settings(name: &str, zone: &str, store: SocketAddr) -> Settings {
-    let text = site::settings(name, zone, store, site::reserve_ports().expect("ports"));
-    platform::settings::parse(&text).expect("valid settings")
-}
-
 impl Fixture {
     /// Starts a site and `count` nodes, and waits until the nodes are ready. Their retry budget is
     /// ample.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -14,6 +14,7 @@
 use platform_standin::client;
 use platform_standin::site;
 use platform_standin::site::API_KEY;
+use platform_standin::site::RetryLimit;
 use platform_standin::site::Site;
 use platform_standin::store::Mode;
 use platform_standin::upstream;
@@ -226,7 +227,13 @@
         let ports = site::reserve_ports()?;
         let zone = if idx.is_multiple_of(2) { "a" } else { "b" };
         let name = format!("n{idx}");
-        let text = site::settings(&name, zone, self.store_proxy.address, ports);
+        let text = site::settings(
+            &name,
+            zone,
+            self.store_proxy.address,
+            ports,
+            RetryLimit::AMPLE,
+        );
         let settings = self.options.dir.join(format!("{name}.yaml"));
         std::fs::write(&settings, text)?;
         let daemon = Daemon::start(&name, &self.options.program, &settings, &self.options.dir)?;
