Move the rows on where streams began to a module of their own

The log key `resumes` is one of the platform's words; it is `resumed_request` now. No decision changes.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -279,7 +279,7 @@
     slog::info!(node.logger(), "sent"; "request" => &request.id,
         "upstream" => upstream.name.as_str(), "upstream_version" => upstream.version,
         "software" => upstream.software.as_str(),
-        "resumes" => request.head.resumed_request.as_deref(),
+        "resumed_request" => request.head.resumed_request.as_deref(),
         "last_event" => request.head.last_event,
         "kept" => connection.is_reused, "detour" => connection.is_detour,
         "repeat" => is_repeat, "results" => handles.len(),
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -18,7 +18,7 @@
 use forwarding::origin::Origin;
 use forwarding::origin::Record;
 use mirror::Table;
-use platform::rows;
+use platform::origins;
 use platform::store;
 use tokio::time::Instant;
 use wire::Reply;
@@ -116,7 +116,7 @@
     let found = find_origin(node, request, stream).await;
     let (source, origin) = found.unzip();
     slog::info!(node.logger(), "stream_origin"; "request" => &request.id,
-        "resumes" => request.head.resumed_request.as_deref(),
+        "resumed_request" => request.head.resumed_request.as_deref(),
         "last_event" => request.head.last_event,
         "source" => source.map(|it| it.to_string()),
         "software" => origin.as_ref().map(|it| it.software.as_str()));
@@ -177,7 +177,7 @@
         match service {
             Some(service) => {
                 node.store
-                    .member_keys(&rows::software_prefix(service))
+                    .member_keys(&origins::software_prefix(service))
                     .await
             }
             None => Ok(Vec::new()),
@@ -185,13 +185,13 @@
     };
     let (saved, versions) = tokio::try_join!(saved, versions)?;
     if let Some(value) = saved {
-        let origin = rows::decode_origin(&value);
+        let origin = origins::decode_origin(&value);
         let origin = origin.map_err(|err| store::Error::Protocol(err.to_string()))?;
         return Ok(Some((Source::Store, origin)));
     }
     let versions = versions
         .iter()
-        .filter_map(|it| rows::parse_software_key(it));
+        .filter_map(|it| origins::parse_software_key(it));
     let versions: BTreeSet<id::Software> = versions.map(|it| it.1).collect();
     let origin = service.and_then(|it| origin::only_origin(it, &versions));
     Ok(origin.map(|it| (Source::OnlyVersion, it)))
@@ -349,7 +349,7 @@
     }
     let mut puts = Vec::with_capacity(origins.len());
     for record in &origins {
-        match rows::encode_origin(&record.origin) {
+        match origins::encode_origin(&record.origin) {
             Ok(value) => puts.push((record.stream.to_string(), value)),
             Err(err) => slog::error!(node.logger(), "origin_unwritable"; "reason" => %err),
         }
@@ -429,8 +429,8 @@
 /// Records software versions in the store; returns whether this instance has seen them recorded.
 async fn put_versions(node: &Node, versions: &[(id::Service, id::Software)]) -> bool {
     let versions = versions.iter().take(store::TRANSACTION_ROWS_MAX);
-    let puts =
-        versions.map(|(service, software)| (rows::software_key(service, software), b"{}".to_vec()));
+    let puts = versions
+        .map(|(service, software)| (origins::software_key(service, software), b"{}".to_vec()));
     let puts: Vec<(String, Vec<u8>)> = puts.collect();
     if let Err(err) = node.store.write(&puts, &[]).await {
         slog::warn!(node.logger(), "software_not_recorded"; "reason" => %err);
@@ -486,7 +486,7 @@
 
 async fn delete_versions(node: &Node, versions: &[(id::Service, id::Software)]) {
     let versions = versions.iter().take(store::TRANSACTION_ROWS_MAX);
-    let keys = versions.map(|(service, software)| rows::software_key(service, software));
+    let keys = versions.map(|(service, software)| origins::software_key(service, software));
     let keys: Vec<String> = keys.collect();
     match node.store.write(&[], &keys).await {
         Ok(()) => slog::info!(node.logger(), "software_forgotten"; "versions" => keys.len()),
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -17,6 +17,7 @@
 use forwarding::poison::Loss;
 use mirror::Row;
 use mirror::Table;
+use platform::origins;
 use platform::rows;
 use platform::rows::OperatorKey;
 use tokio::time::Instant;
@@ -258,7 +259,7 @@
         if let Some((fingerprint, incarnation)) = rows::parse_loss_key(&row.key) {
             return Some(loss_change(fingerprint, incarnation, row));
         }
-        if let Some((service, software)) = rows::parse_software_key(&row.key) {
+        if let Some((service, software)) = origins::parse_software_key(&row.key) {
             return Some(self.apply_software(service, software, row.value.is_some()));
         }
         let name = rows::parse_member_key(&row.key)?;
