Read how many rejections a fragile upstream bears

Upstreams may announce, in all answers, how many requests they can reject in a second for want of room (`server-brittle`) before they fall over. The value is decoded beside the rate limit, kept in the same belief, spread with the same news and logged as `rejections` of `rate_limit`. Nothing heeds it yet.

A late answer used to replace the whole belief when it lowered the limit. With two limits it would bring back an older value of the other; now each limit is lowered by itself.

The field `rate` of an observation becomes `limits`: the message between instances changes.

--- a/crates/forwarding/src/quota/belief.rs
+++ b/crates/forwarding/src/quota/belief.rs
@@ -1,5 +1,5 @@
-//! What an instance believes about the rate limits of upstreams, from its own answers and from
-//! other instances.
+//! What an instance believes about the limits of upstreams, from its own answers and from other
+//! instances.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,16 +15,43 @@
 /// and for which changes are passed on.
 const NEWS_TIME: Duration = Duration::from_secs(10);
 
-/// Rate limit of one run of an upstream, as passed between instances.
+/// Limits of one run of an upstream over all instances; `None` for one that is not in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Requests per second that it accepts.
+    pub requests: Option<Rate>,
+    /// Requests per second that it can reject for want of room without falling over.
+    pub rejections: Option<Rate>,
+}
+
+impl Limits {
+    fn is_any(self) -> bool {
+        self.requests.is_some() || self.rejections.is_some()
+    }
+
+    /// The limits, each lowered to the one in `other` if both have it.
+    fn lowered_to(self, other: Limits) -> Limits {
+        let lowered = |a: Option<Rate>, b: Option<Rate>| match (a, b) {
+            (Some(a), Some(b)) if b < a => Some(b),
+            _ => a,
+        };
+        Limits {
+            requests: lowered(self.requests, other.requests),
+            rejections: lowered(self.rejections, other.rejections),
+        }
+    }
+}
+
+/// Limits of one run of an upstream, as passed between instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Observation {
     /// The upstream.
     pub upstream: id::Incarnation,
     /// Its availability zone.
     pub zone: id::Zone,
-    /// The limit; `None` if it has ended.
-    pub rate: Option<Rate>,
-    /// Time since the answer that showed it.
+    /// The limits, which may have ended.
+    pub limits: Limits,
+    /// Time since the answer that showed them.
     pub age: Duration,
     /// Random number that identifies that answer.
     pub answer: u64,
@@ -33,8 +60,8 @@
 /// An answer of an upstream that an instance has received.
 #[derive(Clone, Copy, Debug)]
 pub struct Answer {
-    /// The limit that it announces; `None` for none.
-    pub rate: Option<Rate>,
+    /// The limits that it announces.
+    pub limits: Limits,
     /// When its request was sent.
     pub sent_at: Instant,
     /// Random number that identifies the answer.
@@ -44,7 +71,7 @@
 #[derive(Clone, Debug)]
 struct Belief {
     zone: id::Zone,
-    rate: Option<Rate>,
+    limits: Limits,
     /// When the answer that showed it arrived at the instance that received it.
     observed_at: Instant,
     /// When this instance came to know it.
@@ -52,33 +79,40 @@
     answer: u64,
 }
 
-/// The rate limits that an instance knows of.
+/// The limits that an instance knows of.
 #[derive(Clone, Debug, Default)]
 pub struct Beliefs {
     beliefs: BTreeMap<id::Incarnation, Belief>,
 }
 
 impl Beliefs {
-    /// Limit of an upstream, if one is in force.
+    /// Limits of an upstream that are in force.
+    #[must_use]
+    pub fn limits(&self, upstream: &id::Incarnation) -> Limits {
+        let belief = self.beliefs.get(upstream);
+        belief.map_or(Limits::default(), |it| it.limits)
+    }
+
+    /// Rate limit of an upstream, if one is in force.
     #[must_use]
     pub fn rate(&self, upstream: &id::Incarnation) -> Option<Rate> {
-        self.beliefs.get(upstream).and_then(|it| it.rate)
+        self.limits(upstream).requests
     }
 
     /// Zones with upstreams that have a limit.
     #[must_use]
     pub fn limited_zones(&self) -> BTreeSet<id::Zone> {
-        let limited = self.beliefs.values().filter(|it| it.rate.is_some());
+        let limited = self.beliefs.values().filter(|it| it.limits.is_any());
         limited.map(|it| it.zone.clone()).collect()
     }
 
-    /// Upstreams of a zone that have a limit, and their limits.
+    /// Upstreams of a zone that have a rate limit, and their limits.
     pub fn limited_in(&self, zone: &id::Zone) -> impl Iterator<Item = (&id::Incarnation, Rate)> {
         let beliefs = self.beliefs.iter().filter(move |it| it.1.zone == *zone);
-        beliefs.filter_map(|(upstream, it)| Some((upstream, it.rate?)))
+        beliefs.filter_map(|(upstream, it)| Some((upstream, it.limits.requests?)))
     }
 
-    /// Records an answer of an upstream; returns whether its limit has changed.
+    /// Records an answer of an upstream; returns whether its limits have changed.
     ///
     /// Answers may overtake each other, so one changes what is known only if its request was sent
     /// after that was learnt. A lower limit applies at once.
@@ -90,17 +124,18 @@
         now: Instant,
     ) -> bool {
         let known = self.beliefs.get(upstream);
-        let known_rate = known.and_then(|it| it.rate);
-        if known_rate == answer.rate {
-            return false;
-        }
-        let is_lower = known_rate.zip(answer.rate).is_some_and(|(a, b)| b < a);
-        if known.is_some_and(|it| answer.sent_at < it.learnt_at) && !is_lower {
+        let known_limits = known.map_or(Limits::default(), |it| it.limits);
+        let is_late = known.is_some_and(|it| answer.sent_at < it.learnt_at);
+        let limits = match is_late {
+            true => known_limits.lowered_to(answer.limits),
+            false => answer.limits,
+        };
+        if known_limits == limits {
             return false;
         }
         let belief = Belief {
             zone: zone.clone(),
-            rate: answer.rate,
+            limits,
             observed_at: now,
             learnt_at: now,
             answer: answer.id,
@@ -109,7 +144,7 @@
         true
     }
 
-    /// Merges what another instance knows; returns whether the upstream's limit has changed.
+    /// Merges what another instance knows; returns whether the upstream's limits have changed.
     pub fn merge(&mut self, observation: &Observation, now: Instant) -> bool {
         let observed_at = now.checked_sub(observation.age).unwrap_or(now);
         let known = self.beliefs.get(&observation.upstream);
@@ -118,11 +153,11 @@
         if !is_newer {
             return false;
         }
-        let is_change = known.and_then(|it| it.rate) != observation.rate;
+        let is_change = self.limits(&observation.upstream) != observation.limits;
         let learnt_at = known.filter(|_| !is_change).map_or(now, |it| it.learnt_at);
         let belief = Belief {
             zone: observation.zone.clone(),
-            rate: observation.rate,
+            limits: observation.limits,
             observed_at,
             learnt_at,
             answer: observation.answer,
@@ -155,7 +190,7 @@
         Some(Observation {
             upstream: upstream.clone(),
             zone: belief.zone.clone(),
-            rate: belief.rate,
+            limits: belief.limits,
             age: now.saturating_duration_since(belief.observed_at),
             answer: belief.answer,
         })
@@ -165,7 +200,7 @@
     pub fn retain(&mut self, is_registered: impl Fn(&id::Incarnation) -> bool, now: Instant) {
         self.beliefs.retain(|upstream, it| {
             let age = now.saturating_duration_since(it.learnt_at);
-            age < NEWS_TIME || (it.rate.is_some() && is_registered(upstream))
+            age < NEWS_TIME || (it.limits.is_any() && is_registered(upstream))
         });
     }
 }
--- a/crates/forwarding/tests/quota/world.rs
+++ b/crates/forwarding/tests/quota/world.rs
@@ -11,6 +11,7 @@
 use forwarding::quota::Urgency;
 use forwarding::quota::belief::Answer;
 use forwarding::quota::belief::Beliefs;
+use forwarding::quota::belief::Limits;
 use forwarding::quota::belief::Observation;
 use forwarding::quota::loan::Action;
 use forwarding::quota::loan::JOIN_TIME;
@@ -630,7 +631,10 @@
             self.ended_at.get_or_insert(self.now);
         }
         let answer = Answer {
-            rate: rate.map(|it| it.to_string().parse::<Rate>().expect("a rate")),
+            limits: Limits {
+                requests: rate.map(|it| it.to_string().parse::<Rate>().expect("a rate")),
+                rejections: None,
+            },
             sent_at: self.instant(sent_at),
             id: self.rng.random(),
         };
--- a/crates/forwarding/tests/quota_units.rs
+++ b/crates/forwarding/tests/quota_units.rs
@@ -6,6 +6,7 @@
 use base::rate::Rate;
 use forwarding::quota::belief::Answer;
 use forwarding::quota::belief::Beliefs;
+use forwarding::quota::belief::Limits;
 use forwarding::quota::belief::Observation;
 use forwarding::quota::gate::Gate;
 use rand::Rng;
@@ -46,9 +47,17 @@
     }
 
     fn answer(&mut self, rate: Option<Rate>, sent_ms: u64, now_ms: u64) -> bool {
+        let limits = Limits {
+            requests: rate,
+            rejections: None,
+        };
+        self.answer_with(limits, sent_ms, now_ms)
+    }
+
+    fn answer_with(&mut self, limits: Limits, sent_ms: u64, now_ms: u64) -> bool {
         self.answers += 1;
         let answer = Answer {
-            rate,
+            limits,
             sent_at: self.start + ms(sent_ms),
             id: self.answers,
         };
@@ -101,6 +110,22 @@
     assert_eq!(instance.rate(), rate("1"));
 }
 
+/// Guards against a late answer that lowers one limit and brings back an older value of the other.
+#[test]
+fn a_late_answer_lowers_a_limit_and_changes_no_other() {
+    let mut instance = Instance::new(Instant::now());
+    let limits = |requests, rejections| Limits {
+        requests,
+        rejections,
+    };
+    instance.answer_with(limits(rate("100"), rate("2")), 0, 10);
+    assert!(instance.answer_with(limits(rate("1"), None), 5, 20));
+    let known = instance.beliefs.limits(&upstream());
+    assert_eq!(known, limits(rate("1"), rate("2")));
+    assert!(instance.answer_with(limits(None, None), 30, 40));
+    assert_eq!(instance.beliefs.limits(&upstream()), Limits::default());
+}
+
 /// Guards against news that bring back a limit at the instance that saw its end.
 #[test]
 fn older_news_do_not_bring_a_limit_back() {
--- a/crates/node/src/forward/response.rs
+++ b/crates/node/src/forward/response.rs
@@ -45,7 +45,7 @@
         send_guard.record_hold_off(hold_off);
     }
     if is_for_request {
-        quota::news::record_answer(node, upstream, head.rate_limit, send_guard.sent_at);
+        quota::news::record_answer(node, upstream, head.limits, send_guard.sent_at);
     }
 }
 
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -53,7 +53,7 @@
                 if let Some(time) = head.retry_after {
                     shared.hold_off(&upstream.name, time);
                 }
-                quota::news::record_answer(&node, &upstream, head.rate_limit, sent_at);
+                quota::news::record_answer(&node, &upstream, head.limits, sent_at);
                 if head.is_leaving {
                     shared.report(UpstreamEvent::Leaving(upstream.incarnation()));
                 }
@@ -150,7 +150,7 @@
     let sent_at = Instant::now();
     let head = exchange::free(node, upstream, handles, permit).await;
     if let Some(head) = &head {
-        quota::news::record_answer(node, upstream, head.rate_limit, sent_at);
+        quota::news::record_answer(node, upstream, head.limits, sent_at);
     }
     let is_freed = head.is_some_and(|it| it.status.is_success());
     if !is_freed {
--- a/crates/node/src/quota/news.rs
+++ b/crates/node/src/quota/news.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::rate::Rate;
 use catalog::Member;
 use catalog::Upstream;
+use forwarding::quota::belief;
 use forwarding::quota::belief::Answer;
 use forwarding::quota::belief::Observation;
 use futures_util::future::join_all;
+use platform::upstream::Limits;
 use platform::upstream::RateLimit;
 use tokio::time::Instant;
 use wire::Reply;
@@ -23,23 +26,20 @@
 /// Delay before changes are told, so that those of one moment go out together.
 const BATCH_DELAY: Duration = Duration::from_millis(30);
 
-/// Records what an answer of an upstream says about its rate limit. The request was sent at
-/// `sent_at`.
-pub(crate) fn record_answer(node: &Node, upstream: &Upstream, limit: RateLimit, sent_at: Instant) {
-    let rate = match limit {
-        RateLimit::Unlimited => None,
-        RateLimit::Limited(rate) => Some(rate),
-        RateLimit::Unreadable(err) => {
-            slog::warn!(node.logger(), "rate_limit_unreadable";
-                "upstream" => upstream.name.as_str(), "reason" => %err);
-            return;
-        }
-        RateLimit::Unknown => return,
-    };
+/// Records what an answer of an upstream says about its limits. The request was sent at `sent_at`.
+pub(crate) fn record_answer(node: &Node, upstream: &Upstream, limits: Limits, sent_at: Instant) {
+    if limits == Limits::UNKNOWN {
+        return;
+    }
     let incarnation = upstream.incarnation();
+    let known = node.quotas().beliefs.limits(&incarnation);
+    let limits = belief::Limits {
+        requests: readable(node, upstream, limits.requests, known.requests),
+        rejections: readable(node, upstream, limits.rejections, known.rejections),
+    };
     let now = clock::now_with_suspension();
     let answer = Answer {
-        rate,
+        limits,
         sent_at: now.checked_sub(sent_at.elapsed()).unwrap_or(now),
         id: rand::random(),
     };
@@ -55,13 +55,33 @@
     };
     if is_change {
         slog::info!(node.logger(), "rate_limit"; "upstream" => %incarnation,
-            "rate" => rate.map(|it| it.to_string()), "source" => "answer");
+            "rate" => limits.requests.map(|it| it.to_string()),
+            "rejections" => limits.rejections.map(|it| it.to_string()), "source" => "answer");
         node.telemetry.count("rate_limits.changes", 1);
         node.quota_wakers.wake();
         node.quota_wakers.announce.notify_one();
     }
 }
 
+/// The limit that an answer states, or the one known before if it cannot be read.
+fn readable(
+    node: &Node,
+    upstream: &Upstream,
+    limit: RateLimit,
+    known: Option<Rate>,
+) -> Option<Rate> {
+    match limit {
+        RateLimit::Unlimited => None,
+        RateLimit::Limited(rate) => Some(rate),
+        RateLimit::Unreadable(err) => {
+            slog::warn!(node.logger(), "rate_limit_unreadable";
+                "upstream" => upstream.name.as_str(), "reason" => %err);
+            known
+        }
+        RateLimit::Unknown => known,
+    }
+}
+
 /// Merges what another instance knows.
 pub(crate) fn merge(node: &Node, observations: &[Observation]) {
     let now = clock::now_with_suspension();
@@ -76,7 +96,8 @@
     };
     for it in &changed {
         slog::info!(node.logger(), "rate_limit"; "upstream" => %it.upstream,
-            "rate" => it.rate.map(|it| it.to_string()), "source" => "peer",
+            "rate" => it.limits.requests.map(|it| it.to_string()),
+            "rejections" => it.limits.rejections.map(|it| it.to_string()), "source" => "peer",
             "age_ms" => it.age.as_millis() as u64);
         node.telemetry.count("rate_limits.changes", 1);
     }
