Count what is in flight at fragile upstreams over all instances

Cause: every instance counts its own requests, so that nobody knows when the slots of an upstream are taken.

The coordinator of the rate limits now counts what is in flight (`quota::room`). Every way out holds a lease from its permit until it has ended: requests, resumed streams, calls of steps, calls that free results. A grant of another instance is the stream of its answer, so it ends with the requester's process too. What was sent without a grant of this coordinator comes with the loans. Rejections are reported before their grant ends. New upstreams of a service count as fragile as its others.

Why it works: a request that finds a free slot is not rejected, whatever the queue does, and what goes beyond the slots is bounded by the announced number. Where the coordinator can't know all (a rejection within the slots, a gained share, no loans yet) it starts from what is in flight and probes.

--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -326,6 +326,7 @@
                 | Request::Rows(_)
                 | Request::Losses(_)
                 | Request::Admit(_)
+                | Request::Rejected(_)
                 | Request::Lend(_)
                 | Request::Recall(_)
                 | Request::RateLimits(_)
--- a/crates/forwarding/src/quota.rs
+++ b/crates/forwarding/src/quota.rs
@@ -3,14 +3,16 @@
 //! An overloaded upstream states in its answers how many requests per second it accepts from all
 //! instances together. Each instance owns an equal share of every such limit and lends it, for a
 //! short time, to one coordinator ([`loan`]). The coordinator grants single requests within the
-//! shares that it holds ([`pool`]). If two instances act as coordinator for a while, each holds
-//! other shares, so that the sum stays within the limit without an election or a call to the
-//! store. [`belief`] holds what each instance knows of the limits.
+//! shares that it holds ([`pool`]). A fragile upstream states how many rejections per second it
+//! bears, and the coordinator counts what is in flight there ([`room`]). If two instances act as
+//! coordinator for a while, each holds other shares, so that the sum stays within the limit without
+//! an election or a call to the store. [`belief`] holds what each instance knows of the limits.
 
 pub mod belief;
 pub mod gate;
 pub mod loan;
 pub mod pool;
+pub mod room;
 
 use std::time::Duration;
 
--- a/crates/forwarding/src/quota/belief.rs
+++ b/crates/forwarding/src/quota/belief.rs
@@ -25,7 +25,9 @@
 }
 
 impl Limits {
-    fn is_any(self) -> bool {
+    /// Whether any limit is in force.
+    #[must_use]
+    pub fn is_any(self) -> bool {
         self.requests.is_some() || self.rejections.is_some()
     }
 
@@ -83,14 +85,50 @@
 #[derive(Clone, Debug, Default)]
 pub struct Beliefs {
     beliefs: BTreeMap<id::Incarnation, Belief>,
+    /// Zone and assumed rejections of upstreams that have not told their limits.
+    assumed: BTreeMap<id::Incarnation, (id::Zone, Rate)>,
+}
+
+/// A registered upstream.
+#[derive(Clone, Debug)]
+pub struct Registration {
+    /// The upstream.
+    pub upstream: id::Incarnation,
+    /// Its service.
+    pub service: id::Service,
+    /// Its availability zone.
+    pub zone: id::Zone,
 }
 
 impl Beliefs {
     /// Limits of an upstream that are in force.
     #[must_use]
     pub fn limits(&self, upstream: &id::Incarnation) -> Limits {
-        let belief = self.beliefs.get(upstream);
-        belief.map_or(Limits::default(), |it| it.limits)
+        let known = self.beliefs.get(upstream).map(|it| it.limits);
+        known.unwrap_or_else(|| Limits {
+            requests: None,
+            rejections: self.assumed.get(upstream).map(|it| it.1),
+        })
+    }
+
+    /// Assumes that an upstream which has not told its limits, as it has just started, is as fragile as
+    /// the most fragile one of its service.
+    pub fn assume(&mut self, registered: &[Registration]) {
+        let mut services: BTreeMap<&id::Service, Rate> = BTreeMap::new();
+        for it in registered {
+            let belief = self.beliefs.get(&it.upstream);
+            if let Some(rate) = belief.and_then(|it| it.limits.rejections) {
+                let least = services.entry(&it.service).or_insert(rate);
+                *least = if rate < *least { rate } else { *least };
+            }
+        }
+        let unknown = registered.iter();
+        let unknown = unknown.filter(|it| !self.beliefs.contains_key(&it.upstream));
+        let assumed = unknown.filter_map(|it| {
+            let rate = services.get(&it.service)?;
+            Some((it.upstream.clone(), (it.zone.clone(), *rate)))
+        });
+        self.assumed = assumed.collect();
     }
 
     /// Rate limit of an upstream, if one is in force.
@@ -103,7 +141,9 @@
     #[must_use]
     pub fn limited_zones(&self) -> BTreeSet<id::Zone> {
         let limited = self.beliefs.values().filter(|it| it.limits.is_any());
-        limited.map(|it| it.zone.clone()).collect()
+        let zones = limited.map(|it| &it.zone);
+        let assumed = self.assumed.values().map(|it| &it.0);
+        zones.chain(assumed).cloned().collect()
     }
 
     /// Upstreams of a zone that have a rate limit, and their limits.
@@ -112,6 +152,14 @@
         beliefs.filter_map(|(upstream, it)| Some((upstream, it.limits.requests?)))
     }
 
+    /// Fragile upstreams of a zone, and the rejections per second that each bears.
+    pub fn fragile_in(&self, zone: &id::Zone) -> impl Iterator<Item = (&id::Incarnation, Rate)> {
+        let beliefs = self.beliefs.iter().filter(move |it| it.1.zone == *zone);
+        let known = beliefs.filter_map(|(upstream, it)| Some((upstream, it.limits.rejections?)));
+        let assumed = self.assumed.iter().filter(move |it| it.1.0 == *zone);
+        known.chain(assumed.map(|(upstream, it)| (upstream, it.1)))
+    }
+
     /// Records an answer of an upstream; returns whether its limits have changed.
     ///
     /// Answers may overtake each other, so one changes what is known only if its request was sent
@@ -124,7 +172,7 @@
         now: Instant,
     ) -> bool {
         let known = self.beliefs.get(upstream);
-        let known_limits = known.map_or(Limits::default(), |it| it.limits);
+        let known_limits = self.limits(upstream);
         let is_late = known.is_some_and(|it| answer.sent_at < it.learnt_at);
         let limits = match is_late {
             true => known_limits.lowered_to(answer.limits),
@@ -141,6 +189,7 @@
             answer: answer.id,
         };
         self.beliefs.insert(upstream.clone(), belief);
+        self.assumed.remove(upstream);
         true
     }
 
@@ -163,6 +212,7 @@
             answer: observation.answer,
         };
         self.beliefs.insert(observation.upstream.clone(), belief);
+        self.assumed.remove(&observation.upstream);
         is_change
     }
 
--- a/crates/forwarding/src/quota/pool.rs
+++ b/crates/forwarding/src/quota/pool.rs
@@ -22,7 +22,7 @@
 const RATE_MIN: f64 = 0.1;
 /// A coordinator with a smaller part of the shares is one of several. What it does not use within
 /// [`UNUSED_TIME_MAX`] it gives up: otherwise all of them could send at once.
-const MAJORITY: f64 = 0.5;
+pub(super) const MAJORITY: f64 = 0.5;
 const UNUSED_TIME_MAX: Duration = Duration::from_secs(1);
 /// Longest time after which a denied request may ask again: shares that are lent meanwhile shorten
 /// the wait.
--- a/crates/forwarding/tests/quota/world.rs
+++ b/crates/forwarding/tests/quota/world.rs
@@ -21,11 +21,18 @@
 use forwarding::quota::pool::Decision;
 use forwarding::quota::pool::Pool;
 use forwarding::quota::pool::Share;
+use forwarding::quota::room::Ask;
+use forwarding::quota::room::GrantId;
+use forwarding::quota::room::Holding;
+use forwarding::quota::room::Rooms;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::slots::Arrived;
+use crate::slots::Slots;
+
 /// Time after which an unanswered message counts as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an instance that did not answer is skipped.
@@ -36,6 +43,11 @@
 const NEWS_DELAY: Duration = Duration::from_millis(400);
 /// Longest time until a request that was granted is sent.
 const CONNECT_TIME: Duration = Duration::from_millis(140);
+/// The same for most requests to an upstream with slots, which a longer time would leave unused.
+const USUAL_CONNECT_TIME: Duration = Duration::from_millis(8);
+const USUAL_CONNECTS: f64 = 0.95;
+/// Time after which the end of a process or a cut is noticed, as its connections end.
+const CONNECTION_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Time that a process needs to start again.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
 
@@ -72,24 +84,50 @@
         from: usize,
         process: u64,
         asked_at: Duration,
+        grant: Option<Grant>,
     },
+    /// A request has run.
+    End(u64),
+    /// A process has ended, and with it the connection of a request.
+    Close(u64),
+    /// The connection that a grant belonged to has ended.
+    Lapse(Grant),
     Fault(Fault),
     Back(usize, u64),
     Members(usize, usize),
     Message(Message),
     Arrival {
-        from: usize,
-        sent_at: Duration,
+        send: u64,
         is_told: bool,
     },
     Answer {
         to: usize,
         process: u64,
         sent_at: Duration,
-        rate: Option<f64>,
+        limits: (Option<f64>, Option<f64>),
+        send: u64,
+        is_rejected: bool,
     },
 }
 
+/// A grant at a fragile upstream: the coordinator, its process, and the grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Grant {
+    coordinator: usize,
+    process: u64,
+    id: GrantId,
+}
+
+/// A request that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    from: usize,
+    process: u64,
+    sent_at: Duration,
+    is_told: bool,
+    grant: Option<Grant>,
+}
+
 #[derive(Clone, Debug)]
 struct Message {
     from: usize,
@@ -101,13 +139,17 @@
 
 #[derive(Clone, Debug)]
 enum Body {
-    Lend(Option<Stamp>, Share),
+    /// Also tells how many requests the sender has in flight without a grant of the receiver.
+    Lend(Option<Stamp>, Share, u32),
     Lent(Stamp),
     Recall,
     Recalled,
     /// Asks for a permit at this time, and tells what the sender knows of the limit.
     Ask(Duration, Option<Observation>),
-    Decided(Duration, Decision),
+    Decided(Duration, Decision, Option<GrantId>),
+    Release(GrantId),
+    /// Tells of a rejection, and releases its grant after that.
+    Rejected(Option<GrantId>),
     News(Observation),
 }
 
@@ -120,6 +162,7 @@
     cut_until: Duration,
     members: usize,
     pool: Pool,
+    rooms: Rooms,
     lender: Lender,
     beliefs: Beliefs,
     /// Unanswered message to each instance, by when it counts as lost.
@@ -128,6 +171,38 @@
     denied_until: Duration,
 }
 
+impl Instance {
+    fn holding(&self) -> Holding {
+        Holding {
+            held: self.pool.held(),
+            lenders: self.pool.lender_count(),
+        }
+    }
+
+    /// Decides, as the coordinator, on a request.
+    fn decide(
+        &mut self,
+        upstream: &id::Incarnation,
+        slots: u32,
+        now: Instant,
+    ) -> (Decision, Option<GrantId>) {
+        let urgency = Urgency::Priority(0);
+        let ask = Ask {
+            upstream,
+            slots,
+            urgency,
+        };
+        if !self.pool.wait(upstream, urgency, now).is_zero() {
+            return (self.pool.decide(upstream, urgency, now), None);
+        }
+        let holding = self.holding();
+        match self.rooms.decide(ask, holding, now) {
+            Ok(grant) => (self.pool.decide(upstream, urgency, now), grant),
+            Err(wait) => (Decision::Denied(wait), None),
+        }
+    }
+}
+
 /// The simulation.
 pub(crate) struct World {
     start: Instant,
@@ -137,6 +212,10 @@
     upstream: id::Incarnation,
     zone: id::Zone,
     rate: Option<f64>,
+    /// Rejections a second that the upstream bears.
+    bearable: Option<f64>,
+    slots: Option<Slots>,
+    sent: BTreeMap<u64, Sent>,
     instances: Vec<Instance>,
     /// Number of instances that have joined; changes of it reach the instances late.
     store_away_until: Duration,
@@ -160,6 +239,9 @@
             upstream: "up@1".parse().expect("an incarnation"),
             zone: "z".parse().expect("a zone"),
             rate: None,
+            bearable: None,
+            slots: None,
+            sent: BTreeMap::new(),
             instances: Vec::new(),
             store_away_until: Duration::ZERO,
             events: BinaryHeap::new(),
@@ -185,6 +267,26 @@
         self.ended_at = None;
     }
 
+    /// Gives the upstream slots and a queue.
+    pub(crate) fn set_slots(&mut self, slots: Slots) {
+        self.slots = Some(slots);
+    }
+
+    /// Changes the rejections that the upstream announces to bear.
+    pub(crate) fn announce_fragile(&mut self, bearable: Option<f64>) {
+        self.bearable = bearable;
+        self.ended_at = None;
+    }
+
+    /// The upstream's slots.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it has none.
+    pub(crate) fn slots(&mut self) -> &mut Slots {
+        self.slots.as_mut().expect("slots")
+    }
+
     pub(crate) fn schedule(&mut self, at: Duration, fault: Fault) {
         self.push(at, Event::Fault(fault));
     }
@@ -243,6 +345,7 @@
         let name: id::Instance = format!("n{idx}").parse().expect("a name");
         self.instances.push(Instance {
             pool: Pool::new(name.clone()),
+            rooms: Rooms::default(),
             name,
             process: self.rng.random(),
             started: self.now,
@@ -260,6 +363,16 @@
         self.push(at, Event::Tick(idx));
     }
 
+    fn connect_time(&mut self) -> Duration {
+        let is_usual = self.slots.is_some() && self.rng.random_bool(USUAL_CONNECTS);
+        let longest = if is_usual {
+            USUAL_CONNECT_TIME
+        } else {
+            CONNECT_TIME
+        };
+        self.millis(longest.as_millis() as u64)
+    }
+
     fn millis(&mut self, below: u64) -> Duration {
         Duration::from_millis(self.rng.random_range(0..below))
     }
@@ -285,12 +398,21 @@
                 from,
                 process,
                 asked_at,
+                grant,
             } => {
                 let instance = &self.instances[from];
                 if instance.is_up && instance.process == process {
-                    self.send_request(from, asked_at);
+                    self.send_request(from, asked_at, grant);
+                } else if let Some(grant) = grant {
+                    self.push(self.now + CONNECTION_IDLE_TIME, Event::Lapse(grant));
                 }
             }
+            Event::End(send) => self.end_request(send),
+            Event::Close(send) => {
+                let next = self.slots.as_mut().and_then(|it| it.end(send));
+                self.run_request(next);
+            }
+            Event::Lapse(grant) => self.release(grant),
             Event::Fault(fault) => self.apply(fault),
             Event::Back(idx, process) => self.start(idx, process),
             Event::Members(idx, members) => {
@@ -302,32 +424,26 @@
                 instance.members = instance.members.max(members);
             }
             Event::Message(message) => self.receive(message),
-            Event::Arrival {
-                from,
-                sent_at,
-                is_told,
-            } => {
+            Event::Arrival { send, is_told } => {
                 self.arrivals.push((self.now, is_told));
-                let process = self.instances[from].process;
-                let at = self.now + Duration::from_millis(20) + self.millis(30);
-                let rate = self.rate;
-                self.push(
-                    at,
-                    Event::Answer {
-                        to: from,
-                        process,
-                        sent_at,
-                        rate,
-                    },
-                );
+                match self.slots.is_some() {
+                    true => self.arrive(send),
+                    false => self.answer_after(Duration::from_millis(20), send, false),
+                }
             }
             Event::Answer {
                 to,
                 process,
                 sent_at,
-                rate,
+                limits,
+                send,
+                is_rejected,
             } => {
-                self.answer(to, process, sent_at, rate);
+                let instance = &self.instances[to];
+                if instance.is_up && instance.process == process {
+                    self.finish(send, is_rejected);
+                    self.answer(to, sent_at, limits);
+                }
             }
         }
     }
@@ -338,6 +454,7 @@
             Fault::Restart(idx) => {
                 let idx = idx % count;
                 self.instances[idx].is_up = false;
+                self.close_requests(idx);
                 let process = self.rng.random();
                 self.push(self.now + RESTART_TIME, Event::Back(idx, process));
                 self.now + RESTART_TIME
@@ -354,6 +471,9 @@
             }
             Fault::Join => {
                 self.add_instance(count + 1);
+                // It reads what the others know soon after its start.
+                let source = self.rng.random_range(0..count);
+                self.pass_news(source, count);
                 for idx in 0..count {
                     let at = self.now + self.millis(MEMBERS_DELAY.as_millis() as u64);
                     self.push(at, Event::Members(idx, count + 1));
@@ -369,11 +489,13 @@
     }
 
     fn start(&mut self, idx: usize, process: u64) {
+        self.close_requests(idx);
         let (now, instance) = (self.now, &mut self.instances[idx]);
         instance.is_up = true;
         instance.process = process;
         instance.started = now;
         instance.pool = Pool::new(instance.name.clone());
+        instance.rooms = Rooms::default();
         instance.lender = Lender::default();
         instance.beliefs = Beliefs::default();
         instance.waiting.clear();
@@ -445,7 +567,7 @@
             return;
         }
         self.check_timeouts(idx);
-        if self.instances[idx].beliefs.rate(&self.upstream).is_some() {
+        if self.instances[idx].beliefs.limits(&self.upstream).is_any() {
             self.lend(idx);
         }
         let at = self.now + RENEWAL_INTERVAL;
@@ -467,7 +589,8 @@
         match action {
             Action::Lend(stamp) => {
                 self.expect_answer(idx, coordinator);
-                self.send(idx, coordinator, Body::Lend(stamp, share));
+                let foreign = self.not_granted_by(idx, coordinator);
+                self.send(idx, coordinator, Body::Lend(stamp, share, foreign));
             }
             Action::Recall(holder) => {
                 let holder = self.index(&holder);
@@ -498,9 +621,12 @@
         let upstream = self.upstream.clone();
         self.update_pool(to);
         let elapsed = self.now.saturating_sub(self.instances[to].started);
+        let slots = self.slots.as_ref().map_or(0, |it| it.count);
         let instance = &mut self.instances[to];
         match body {
-            Body::Lend(stamp, share) => {
+            Body::Lend(stamp, share, foreign) => {
+                let foreign = [(upstream, foreign)];
+                instance.rooms.record_in_flight(&sender, &foreign, now);
                 let end = stamp.and_then(|it| it.loan_end(instance.process, epoch));
                 if let Some(end) = end {
                     instance.pool.accept(&sender, share, end, now);
@@ -534,18 +660,37 @@
                     self.update_pool(to);
                 }
                 let instance = &mut self.instances[to];
-                let decision = instance.pool.decide(&upstream, Urgency::Priority(0), now);
-                self.send(to, from, Body::Decided(asked_at, decision));
+                let (decision, grant) = instance.decide(&upstream, slots, now);
+                let body = Body::Decided(asked_at, decision, grant);
+                match grant.filter(|_| !self.is_connected(to, from)) {
+                    Some(grant) => {
+                        let grant = self.grant(to, grant);
+                        self.push(self.now + ANSWER_TIMEOUT, Event::Lapse(grant));
+                    }
+                    None => self.send(to, from, body),
+                }
             }
-            Body::Decided(asked_at, decision) => {
+            Body::Release(grant) => instance.rooms.release(&upstream, grant, now),
+            Body::Rejected(grant) => {
+                let holding = instance.holding();
+                let rooms = &mut instance.rooms;
+                rooms.record_rejection(&upstream, slots, holding, now);
+                if let Some(grant) = grant {
+                    rooms.release(&upstream, grant, now);
+                }
+            }
+            Body::Decided(asked_at, decision, grant) => {
+                let grant = grant.map(|it| self.grant(from, it));
+                let instance = &mut self.instances[to];
                 instance.waiting.remove(&from);
                 match decision {
                     Decision::Granted => {
-                        let connect_time = self.millis(CONNECT_TIME.as_millis() as u64);
+                        let connect_time = self.connect_time();
                         let send = Event::Send {
                             from: to,
                             process,
                             asked_at,
+                            grant,
                         };
                         self.push(self.now + connect_time, send);
                     }
@@ -578,6 +723,8 @@
         instance
             .pool
             .set_limits(instance.beliefs.limited_in(&self.zone), now);
+        let fragile = instance.beliefs.fragile_in(&self.zone);
+        instance.rooms.set_limits(fragile);
     }
 
     fn demand(&mut self) {
@@ -595,8 +742,8 @@
             return;
         }
         self.check_timeouts(idx);
-        if self.instances[idx].beliefs.rate(&self.upstream).is_none() {
-            return self.send_request(idx, self.now);
+        if !self.instances[idx].beliefs.limits(&self.upstream).is_any() {
+            return self.send_request(idx, self.now, None);
         }
         if self.instances[idx].denied_until > self.now {
             return;
@@ -608,32 +755,158 @@
         self.send(idx, coordinator, Body::Ask(self.now, known));
     }
 
-    fn send_request(&mut self, idx: usize, asked_at: Duration) {
+    fn send_request(&mut self, idx: usize, asked_at: Duration, grant: Option<Grant>) {
         if !Permit::granted(self.instant(asked_at)).is_valid(self.instant(self.now)) {
+            if let Some(grant) = grant {
+                self.tell_release(idx, grant, false);
+            }
             return;
         }
-        let is_told = self.instances[idx].beliefs.rate(&self.upstream).is_some();
+        let is_told = self.instances[idx].beliefs.limits(&self.upstream).is_any();
         let delay = Duration::from_micros(self.rng.random_range(700..6_000));
-        let arrival = Event::Arrival {
+        self.last_event += 1;
+        let send = self.last_event;
+        let sent = Sent {
             from: idx,
+            process: self.instances[idx].process,
             sent_at: self.now,
             is_told,
+            grant,
         };
-        self.push(self.now + delay, arrival);
+        self.sent.insert(send, sent);
+        self.push(self.now + delay, Event::Arrival { send, is_told });
     }
 
-    fn answer(&mut self, idx: usize, process: u64, sent_at: Duration, rate: Option<f64>) {
-        let instance = &self.instances[idx];
-        if !instance.is_up || instance.process != process {
+    fn grant(&self, coordinator: usize, id: GrantId) -> Grant {
+        Grant {
+            coordinator,
+            process: self.instances[coordinator].process,
+            id,
+        }
+    }
+
+    /// Requests that an instance has in flight without a grant of this coordinator.
+    fn not_granted_by(&self, idx: usize, coordinator: usize) -> u32 {
+        let process = self.instances[coordinator].process;
+        let own = self.sent.values().filter(|it| it.from == idx);
+        let others = own.filter(|it| it.grant.is_none_or(|it| it.process != process));
+        others.count() as u32
+    }
+
+    /// A request reaches the upstream's slots.
+    fn arrive(&mut self, send: u64) {
+        // The process that sent it has ended meanwhile.
+        let Some(sent) = self.sent.get(&send).copied() else {
             return;
+        };
+        let now = self.now;
+        match self.slots().arrive(send) {
+            Arrived::Runs => self.run_request(Some(send)),
+            Arrived::Waits => {}
+            Arrived::Rejected => {
+                self.slots().rejections.push((now, sent.is_told));
+                self.answer_after(Duration::ZERO, send, true);
+            }
+        }
+    }
+
+    fn run_request(&mut self, send: Option<u64>) {
+        if let Some(send) = send {
+            let at = self.now + self.slots().service_time;
+            self.push(at, Event::End(send));
         }
-        if rate.is_none() {
+    }
+
+    fn end_request(&mut self, send: u64) {
+        if !self.slots().is_running(send) {
+            return;
+        }
+        let now = self.now;
+        self.slots().served.push(now);
+        let next = self.slots().end(send);
+        self.run_request(next);
+        self.answer_after(Duration::ZERO, send, false);
+    }
+
+    fn answer_after(&mut self, time: Duration, send: u64, is_rejected: bool) {
+        let Some(sent) = self.sent.get(&send).copied() else {
+            return;
+        };
+        let delay = match self.slots {
+            Some(_) => self.millis(6),
+            None => self.millis(30),
+        };
+        let answer = Event::Answer {
+            to: sent.from,
+            process: sent.process,
+            sent_at: sent.sent_at,
+            limits: (self.rate, self.bearable),
+            send,
+            is_rejected,
+        };
+        self.push(self.now + time + delay, answer);
+    }
+
+    /// Ends a request at its sender.
+    fn finish(&mut self, send: u64, is_rejected: bool) {
+        let Some(sent) = self.sent.remove(&send) else {
+            return;
+        };
+        match sent.grant {
+            Some(grant) => self.tell_release(sent.from, grant, is_rejected),
+            None if is_rejected && sent.is_told => {
+                let coordinator = self.coordinator(sent.from);
+                self.send(sent.from, coordinator, Body::Rejected(None));
+            }
+            None => {}
+        }
+    }
+
+    fn tell_release(&mut self, from: usize, grant: Grant, is_rejected: bool) {
+        if self.instances[grant.coordinator].process != grant.process {
+            return;
+        }
+        if !self.is_connected(from, grant.coordinator) {
+            return self.push(self.now + CONNECTION_IDLE_TIME, Event::Lapse(grant));
+        }
+        let body = match is_rejected {
+            true => Body::Rejected(Some(grant.id)),
+            false => Body::Release(grant.id),
+        };
+        self.send(from, grant.coordinator, body);
+    }
+
+    fn release(&mut self, grant: Grant) {
+        let now = self.instant(self.now);
+        let instance = &mut self.instances[grant.coordinator];
+        if instance.process == grant.process {
+            instance.rooms.release(&self.upstream, grant.id, now);
+        }
+    }
+
+    /// Closes the connections of a process that has ended.
+    fn close_requests(&mut self, idx: usize) {
+        let own = self.sent.iter().filter(|it| it.1.from == idx);
+        let own: Vec<(u64, Option<Grant>)> = own.map(|it| (*it.0, it.1.grant)).collect();
+        for (send, grant) in own {
+            self.sent.remove(&send);
+            let at = self.now + self.millis(6);
+            self.push(at, Event::Close(send));
+            if let Some(grant) = grant {
+                self.push(self.now + CONNECTION_IDLE_TIME, Event::Lapse(grant));
+            }
+        }
+    }
+
+    fn answer(&mut self, idx: usize, sent_at: Duration, limits: (Option<f64>, Option<f64>)) {
+        if limits == (None, None) {
             self.ended_at.get_or_insert(self.now);
         }
+        let parse = |it: Option<f64>| it.map(|it| it.to_string().parse::<Rate>().expect("a rate"));
         let answer = Answer {
             limits: Limits {
-                requests: rate.map(|it| it.to_string().parse::<Rate>().expect("a rate")),
-                rejections: None,
+                requests: parse(limits.0),
+                rejections: parse(limits.1),
             },
             sent_at: self.instant(sent_at),
             id: self.rng.random(),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -247,6 +247,7 @@
         upstream,
         mut connection,
         permit,
+        lease,
     } = match connect_result {
         Ok(connected) => connected,
         Err(cause) => {
@@ -273,7 +274,7 @@
     }
     let may_repeat = request.is_repeatable() && pending.sends() + 1 < request.route.attempts_max;
     let head_timeout = response_head_timeout(node, request, time_left, may_repeat);
-    let (outgoing, send_guard) = build_outgoing(node, request, &upstream, &handles, None);
+    let (outgoing, send_guard) = build_outgoing(node, request, &upstream, &handles, None, lease);
     let lifecycle = pending.send();
     quota::record_accepted(node, service, true);
     slog::info!(node.logger(), "sent"; "request" => &request.id,
@@ -337,13 +338,7 @@
     }
     if head.is_not_run && is_for_request {
         return Ok(handle_not_run(
-            node,
-            request,
-            &send_guard,
-            lifecycle,
-            connection,
-            &head,
-            response,
+            node, request, send_guard, lifecycle, connection, &head, response,
         )
         .await);
     }
--- a/crates/node/src/forward/response.rs
+++ b/crates/node/src/forward/response.rs
@@ -72,7 +72,7 @@
 pub(super) async fn handle_not_run(
     node: &Node,
     request: &ClientRequest,
-    send_guard: &SendGuard,
+    mut send_guard: SendGuard,
     lifecycle: Lifecycle<Sent>,
     mut connection: PooledConnection,
     head: &ResponseHead,
@@ -85,6 +85,10 @@
     // Status 421 comes from another upstream, which now has the address of the intended one.
     match head.status {
         StatusCode::MISDIRECTED_REQUEST => send_guard.record_unsent(),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            send_guard.record_completed();
+            send_guard.record_rejected();
+        }
         _ => send_guard.record_completed(),
     }
     let body = buffer::collect(response.into_body(), &node.memory, REFUSAL_BODY_BYTES_MAX);
--- a/crates/node/src/forward/resume.rs
+++ b/crates/node/src/forward/resume.rs
@@ -6,6 +6,7 @@
 use catalog::Upstream;
 use forwarding::origin::Continuation;
 use forwarding::origin::Origin;
+use http::StatusCode;
 use platform::upstream::ResponseHead;
 
 use super::connect_placed;
@@ -59,10 +60,12 @@
         upstream,
         mut connection,
         permit,
+        lease,
     } = connect_result.ok()?;
     let prepared = preparation.as_ref().map(|it| &it.prepared);
     let handles = prepared.map_or(&[][..], |it| &it.handles);
-    let (outgoing, send_guard) = build_outgoing(node, request, &upstream, handles, last_event);
+    let (outgoing, mut send_guard) =
+        build_outgoing(node, request, &upstream, handles, last_event, lease);
     slog::info!(node.logger(), "stream_resumed"; "request" => &request.id,
         "from" => %lost.name, "to" => %upstream.name, "last_event" => last_event,
         "from_software" => lost.software.as_str(), "to_software" => upstream.software.as_str());
@@ -73,6 +76,9 @@
     record_announcements(node, &send_guard, &head, is_for_request);
     let is_usable = head.status.is_success() && head.is_signed && is_for_request;
     send_guard.record_first_byte(!is_usable);
+    if head.is_not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
+        send_guard.record_rejected();
+    }
     is_usable.then(|| relay::Source {
         connection,
         body: response.into_body(),
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -22,6 +22,7 @@
 use super::UpstreamEvent;
 use super::exchange;
 use crate::quota;
+use crate::quota::Admission;
 use crate::state::Node;
 
 impl Owner {
@@ -39,8 +40,9 @@
                 return TaskResult::Call(shard, call.id, Outcome::Unreachable);
             };
             // The planner forms calls of the most urgent pieces first.
-            let permit = match quota::admit(&node, &upstream, Urgency::Priority(0)).await {
-                Ok(permit) => permit,
+            let admission = quota::admit(&node, &upstream, Urgency::Priority(0)).await;
+            let Admission { permit, lease } = match admission {
+                Ok(admission) => admission,
                 Err(wait) => {
                     shared.defer_calls(&call, wait);
                     return TaskResult::Call(shard, call.id, Outcome::Unsent);
@@ -58,6 +60,10 @@
                     shared.report(UpstreamEvent::Leaving(upstream.incarnation()));
                 }
             }
+            match reply.outcome {
+                Outcome::Rejected => lease.reject(),
+                _ => drop(lease),
+            }
             match reply.outcome {
                 // The connection has recorded that it failed; this is another upstream's answer.
                 Outcome::Unreachable if reply.head.is_some() => {
@@ -139,16 +145,17 @@
 async fn free(shared: &Shared, node: &Arc<Node>, upstream: &Arc<Upstream>, handles: &[Handle]) {
     let logger = shared.telemetry.logger();
     let name = upstream.name.as_str();
-    let permit = match shared.is_held_off(&upstream.name) {
+    let admission = match shared.is_held_off(&upstream.name) {
         true => None,
         false => quota::admit(node, upstream, Urgency::Deferrable).await.ok(),
     };
-    let Some(permit) = permit else {
+    let Some(Admission { permit, lease }) = admission else {
         slog::info!(logger, "free_skipped"; "upstream" => name, "results" => handles.len());
         return;
     };
     let sent_at = Instant::now();
     let head = exchange::free(node, upstream, handles, permit).await;
+    drop(lease);
     if let Some(head) = &head {
         quota::news::record_answer(node, upstream, head.limits, sent_at);
     }
--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -161,11 +161,12 @@
     // The planner limits the calls to an upstream, and their connections with them.
     let mut connection = detour::acquire(node, upstream, Duration::MAX, usize::MAX).await?;
     // Connecting can outlast the permit.
+    let mut renewed_lease = None;
     if !permit.is_valid(clock::now_with_suspension()) {
-        permit = match quota::admit(node, upstream, urgency).await {
-            Ok(permit) => permit,
-            Err(_) => return Err(connection::Error::Unsent),
-        };
+        let admission = quota::admit(node, upstream, urgency).await;
+        let admission = admission.map_err(|_| connection::Error::Unsent)?;
+        permit = admission.permit;
+        renewed_lease = Some(admission.lease);
     }
     let response = connection.send(request, permit).await?;
     if !connection.is_detour {
@@ -177,6 +178,7 @@
         _ => buffer::REFUSAL_BODY_BYTES_MAX,
     };
     let body = buffer::collect(response.into_body(), &node.memory, max).await;
+    drop(renewed_lease);
     Ok(Response {
         head,
         body: body.ok(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -208,8 +208,9 @@
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
                 Request::Losses(losses) => suspicion::merge_losses(&node, &losses, Source::Peer),
                 Request::Ping => send_reply(&replies, Reply::Done).await,
-                Request::Admit(admit) => {
-                    send_reply(&replies, quota::serve_admit(&node, &admit)).await;
+                Request::Admit(admit) => quota::lease::serve_admit(&node, *admit, replies).await,
+                Request::Rejected(rejected) => {
+                    send_reply(&replies, quota::lease::serve_rejected(&node, &rejected)).await;
                 }
                 Request::Lend(lend) => {
                     send_reply(&replies, quota::lend::serve_lend(&node, &lend)).await;
--- a/crates/node/src/quota/lend.rs
+++ b/crates/node/src/quota/lend.rs
@@ -1,6 +1,7 @@
-//! Lends this instance's share of the rate limits to the coordinators, and accepts loans as one.
+//! Lends this instance's share of the limits to the coordinators, and accepts loans as one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::id;
 use catalog::Member;
@@ -19,6 +20,8 @@
 use crate::quota;
 use crate::state::Node;
 
+/// Delay before a renewal that tells of ended sends, so that those of one moment go together.
+const RENEWAL_DELAY: Duration = Duration::from_millis(50);
 /// Messages of one renewal: the end of an earlier loan, the first stamp, and the loan.
 const RENEWAL_MESSAGES_MAX: usize = 3;
 
@@ -43,6 +46,7 @@
                     return;
                 }
             }
+            () = node.quota_wakers.renew.notified() => tokio::time::sleep(RENEWAL_DELAY).await,
         }
     }
 }
@@ -69,10 +73,12 @@
             .next(&coordinator.instance, now);
         let (member, request) = match &action {
             Action::Lend(stamp) => {
+                let granter = (coordinator.instance.clone(), coordinator.incarnation);
                 let lend = Lend {
                     lender: own.clone(),
                     zone: zone.clone(),
                     share,
+                    in_flight: node.quotas().in_flight_at(zone, &granter),
                     stamp: *stamp,
                 };
                 (coordinator, Request::Lend(Box::new(lend)))
@@ -122,7 +128,10 @@
     let end = lend.stamp;
     let end = end.and_then(|it| it.loan_end(node.incarnation, node.started_at));
     let mut quotas = node.quotas();
-    let pool = &mut quotas.zone(&lend.zone).pool;
+    let zone = quotas.zone(&lend.zone);
+    zone.rooms
+        .record_in_flight(&lend.lender, &lend.in_flight, now);
+    let pool = &mut zone.pool;
     let lenders = pool.lender_count();
     // A stopping instance is no longer a coordinator; what it holds is recalled.
     if let Some(end) = end.filter(|_| !node.is_shutting_down()) {
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -30,6 +30,8 @@
 use crate::prepare::PrepareRequest;
 use crate::process;
 use crate::quota;
+use crate::quota::Admission;
+use crate::quota::lease::Lease;
 use crate::state::Node;
 use crate::suspicion;
 
@@ -166,6 +168,8 @@
     pub(crate) connection: PooledConnection,
     /// Permission to send one request.
     pub(crate) permit: Permit,
+    /// To be kept until the send has ended.
+    pub(crate) lease: Lease,
 }
 
 /// Chooses an upstream and connects to it. Tries others if that fails or if its rate limit allows no
@@ -216,8 +220,8 @@
             }
             Err(cause) => return Err(cause),
         };
-        let permit = match quota::admit(node, &upstream, urgency).await {
-            Ok(permit) => permit,
+        let Admission { permit, lease } = match quota::admit(node, &upstream, urgency).await {
+            Ok(admission) => admission,
             Err(wait) => {
                 slog::info!(node.logger(), "rate_denied"; "request" => &request.id,
                     "upstream" => upstream.name.as_str(), "wait_ms" => wait.as_millis() as u64);
@@ -239,6 +243,7 @@
                         upstream,
                         connection,
                         permit,
+                        lease,
                     });
                 }
                 // The next try may use it.
--- a/crates/node/src/send_guard.rs
+++ b/crates/node/src/send_guard.rs
@@ -14,6 +14,7 @@
 
 use crate::client_request::ClientRequest;
 use crate::limits::FirstByte;
+use crate::quota::lease::Lease;
 use crate::state::Node;
 use crate::suspicion;
 use crate::suspicion::LossKind;
@@ -30,6 +31,8 @@
     /// When the send began.
     pub(crate) sent_at: Instant,
     request: Arc<ClientRequest>,
+    /// Counts the send as under way; `None` once it was rejected.
+    lease: Option<Lease>,
 }
 
 impl SendGuard {
@@ -37,6 +40,7 @@
         node: &Arc<Node>,
         request: &Arc<ClientRequest>,
         upstream: &Arc<Upstream>,
+        lease: Lease,
     ) -> SendGuard {
         let sent_at = Instant::now();
         let mut limits = node.limits();
@@ -50,6 +54,7 @@
             send_id,
             sent_at,
             request: request.clone(),
+            lease: Some(lease),
         }
     }
 
@@ -76,6 +81,13 @@
         health.hold_off(duration, Instant::now());
     }
 
+    /// Records that the upstream rejected the request for want of room.
+    pub(crate) fn record_rejected(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.reject();
+        }
+    }
+
     /// Records that no byte of the request reached the intended upstream.
     pub(crate) fn record_unsent(&self) {
         self.node.limits().quarantine.cancel_send(self.send_id);
@@ -117,6 +129,7 @@
     upstream: &Arc<Upstream>,
     handles: &[Handle],
     last_event: Option<u64>,
+    lease: Lease,
 ) -> (Request<Full<Bytes>>, SendGuard) {
     let view = node.view();
     let catalog = view.catalog.as_ref();
@@ -138,5 +151,5 @@
     if let Ok(target) = request.path_and_query.parse() {
         *outgoing.uri_mut() = target;
     }
-    (outgoing, SendGuard::begin(node, request, upstream))
+    (outgoing, SendGuard::begin(node, request, upstream, lease))
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -50,8 +50,10 @@
     Losses(Vec<Loss>),
     /// Checks that the process answers.
     Ping,
-    /// Asks the coordinator of an upstream's rate limit for permission to send one request.
+    /// Asks the coordinator of an upstream's limits for permission to send one request.
     Admit(Box<quota::Admit>),
+    /// Tells the coordinator that a fragile upstream has rejected a request.
+    Rejected(Box<quota::Rejected>),
     /// Lends the sender's share of the rate limits of a zone to the receiver.
     Lend(Box<quota::Lend>),
     /// Ends the sender's loan.
