--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -192,7 +192,11 @@
     let versions = versions
         .iter()
         .filter_map(|it| origins::parse_software_key(it));
-    let versions: BTreeSet<id::Software> = versions.map(|it| it.1).collect();
+    let mut versions: BTreeSet<id::Software> = versions.map(|it| it.1).collect();
+    // A version may be in service that is not recorded any more, or not yet.
+    if let Some(service) = service {
+        versions.append(&mut node.view().known_software(service));
+    }
     let origin = service.and_then(|it| origin::only_origin(it, &versions));
     Ok(origin.map(|it| (Source::OnlyVersion, it)))
 }
