--- a/crates/node/tests/cuts/main.rs
+++ b/crates/node/tests/cuts/main.rs
@@ -203,7 +203,7 @@
 
 async fn check(case: Case) {
     let _turn = TURN.lock().await;
-    let fixture = Fixture::start(NODES).await;
+    let fixture = Fixture::start_cuttable(NODES).await;
     load(&fixture, "before", case.kinds, Duration::from_secs(1)).await;
     let cut: Vec<usize> = match case.who {
         Who::First(count) => (0..count).collect(),
@@ -280,7 +280,7 @@
 #[tokio::test]
 async fn requests_of_a_cut_instance_are_not_quarantined() {
     let _turn = TURN.lock().await;
-    let mut fixture = Fixture::start(NODES).await;
+    let mut fixture = Fixture::start_cuttable(NODES).await;
     for idx in 0..fixture.site.upstreams.len() {
         if fixture.site.upstreams[idx].1 == "ledger" {
             fixture.site.deregister(idx);
--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -52,15 +52,26 @@
     /// Starts a node with an ample retry budget, so that tests show what may be repeated rather
     /// than how often.
     pub(crate) fn start(name: &str, zone: &str, store: SocketAddr) -> Node {
-        Node::start_with(name, zone, store, RetryLimit::AMPLE)
+        Node::start_with(name, zone, store, RetryLimit::AMPLE, Link::default())
+    }
+
+    /// Starts a node whose paths to upstreams can be cut under its open connections.
+    pub(crate) fn start_cuttable(name: &str, zone: &str, store: SocketAddr) -> Node {
+        Node::start_with(name, zone, store, RetryLimit::AMPLE, Link::relayed())
     }
 
     /// Starts a node with the site's retry budget.
     pub(crate) fn start_limited(name: &str, zone: &str, store: SocketAddr) -> Node {
-        Node::start_with(name, zone, store, RetryLimit::SITE)
+        Node::start_with(name, zone, store, RetryLimit::SITE, Link::default())
     }
 
-    fn start_with(name: &str, zone: &str, store: SocketAddr, retries: RetryLimit) -> Node {
+    fn start_with(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        retries: RetryLimit,
+        link: Link,
+    ) -> Node {
         let ports = site::reserve_ports().expect("ports");
         let text = site::settings(name, zone, store, ports, retries);
         let settings = platform::settings::parse(&text).expect("valid settings");
@@ -69,7 +80,7 @@
             (settings.client_address, settings.readiness_address);
         let path = PathBuf::from("/nonexistent");
         let telemetry = Telemetry::events_only(name);
-        let link = Arc::new(Link::default());
+        let link = Arc::new(link);
         let dialer = Arc::new(LinkDialer(link.clone()));
         let stop = async {
             // A dropped sender shuts the node down as well.
@@ -145,6 +156,11 @@
         Fixture::start_with(count, Node::start).await
     }
 
+    /// Like [`Fixture::start`], with paths that can be cut under open connections.
+    pub(crate) async fn start_cuttable(count: usize) -> Fixture {
+        Fixture::start_with(count, Node::start_cuttable).await
+    }
+
     /// Like [`Fixture::start`], with the site's retry budget.
     pub(crate) async fn start_limited(count: usize) -> Fixture {
         Fixture::start_with(count, Node::start_limited).await
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod crashes;
 mod endless;
+#[expect(dead_code, reason = "shared with the other test programs")]
 mod fixture;
 mod lapse;
 mod odd_rows;
