--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -40,4 +40,5 @@
 seeds! {
     store_busy_and_cut_with_a_freeze: 1;
     kill_and_stop_while_the_store_is_silent: 2;
+    a_plain_upstream_that_never_ends_its_body: 547;
 }
