--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -41,4 +41,5 @@
     store_busy_and_cut_with_a_freeze: 1;
     kill_and_stop_while_the_store_is_silent: 2;
     a_plain_upstream_that_never_ends_its_body: 547;
+    an_engine_that_answers_a_resumed_stream_twice: 555;
 }
