review: a node stops by the grace period that it was started with

Tried: grace_s goes from 8 to 16 in the settings file, SIGHUP is sent, and a machine that streams gets SIGTERM later.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod cold_restart;
 mod config_drill;
+mod grace_raised;
 mod stage_copy;
 
 use std::io;
@@ -40,6 +41,7 @@
     match name {
         "cold-restart" => cold_restart::run(deployment, has_trouble),
         "config-drill" => config_drill::run(deployment, has_trouble),
+        "grace-raised" => grace_raised::run(deployment, has_trouble),
         "stage-copy" => stage_copy::run(deployment, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
--- a/review/standin/src/cases/stage_copy.rs
+++ b/review/standin/src/cases/stage_copy.rs
@@ -29,7 +29,11 @@
         stages.push(deployment.replica((name, "docket", zone), stage, Duration::ZERO)?);
     }
     for (name, zone) in [("i-model-1", "north-a"), ("i-model-2", "north-b")] {
-        deployment.replica((name, "clerk", zone), Kind::Engine(6), Duration::ZERO)?;
+        deployment.replica(
+            (name, "clerk", zone),
+            Kind::Engine(6, Duration::from_millis(20)),
+            Duration::ZERO,
+        )?;
     }
     deployment.configure(&config(), "desired state 7")?;
     deployment.start_nodes(3, 8)?;
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -32,8 +32,8 @@
 pub enum Kind {
     /// Works for this time and answers.
     Plain(Duration),
-    /// Streams this number of events, one in 20 ms.
-    Engine(u32),
+    /// Streams this number of events, each after this pause.
+    Engine(u32, Duration),
     /// Runs pieces: time of a call, and of each piece.
     Stage(Duration, Duration),
 }
@@ -222,7 +222,7 @@
             ("Keep-Alive", "timeout=5"),
         ];
         match self.kind {
-            Kind::Engine(events) => write_events(stream, &headers, events, id),
+            Kind::Engine(events, pause) => write_events(stream, &headers, (events, pause), id),
             Kind::Plain(time) => {
                 let body = format!("answer to {id}");
                 http::work(stream, time)
@@ -343,7 +343,12 @@
     }
 }
 
-fn write_events(stream: &mut TcpStream, headers: &[(&str, &str)], events: u32, id: &str) -> bool {
+fn write_events(
+    stream: &mut TcpStream,
+    headers: &[(&str, &str)],
+    (events, pause): (u32, Duration),
+    id: &str,
+) -> bool {
     let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
                     Transfer-Encoding: chunked\r\n"
         .to_owned();
@@ -355,7 +360,7 @@
         return false;
     }
     for number in 1..=events {
-        if !http::work(stream, Duration::from_millis(20)) {
+        if !http::work(stream, pause) {
             return false;
         }
         let event = format!("id: {number}\ndata: {id}\n\n");
