review: a rolling restart overloads a cold replica

Tried: SIGTERM for each of 6 machines in turn, 1 s apart, while replicas that have just started are cold.

--- a/review/standin/src/cases/cold_restart.rs
+++ b/review/standin/src/cases/cold_restart.rs
@@ -16,7 +16,7 @@
 
 const NODES: u8 = 6;
 /// `cold_start_s` and `cold_per_s` of the service.
-const COLD_START: Duration = Duration::from_secs(3);
+pub(super) const COLD_START: Duration = Duration::from_secs(3);
 const COLD_PER_S: f64 = 11.0;
 /// `cold_overshoot` and `cold_extra` of the settings.
 const COLD_MAX: f64 = COLD_PER_S * 1.5 + 5.0;
@@ -75,7 +75,7 @@
 }
 
 /// Counts, for each cold replica, the most requests that were sent and arrived within one second.
-fn check(runs: &[Run], exchanges: &[Exchange], cold: &[(String, f64, f64)]) -> Verdict {
+pub(super) fn check(runs: &[Run], exchanges: &[Exchange], cold: &[(String, f64, f64)]) -> Verdict {
     let sent: BTreeMap<&str, f64> = exchanges
         .iter()
         .map(|it| (it.id.as_str(), it.sent_at))
@@ -104,7 +104,7 @@
     }
 }
 
-fn config() -> String {
+pub(super) fn config() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-balances\",\"host\":\"{HOST}\",\
          \"prefix\":\"/balances/\",\"type\":\"idempotent\",\"timeout_ms\":1200,\"goal_ms\":100,\
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, and what they share.
 
 mod cold_restart;
+mod cold_roll;
 mod config_drill;
 mod grace_raised;
 mod stage_copy;
@@ -40,6 +41,7 @@
     let deployment = Deployment::new(record)?;
     match name {
         "cold-restart" => cold_restart::run(deployment, has_trouble),
+        "cold-roll" => cold_roll::run(deployment, has_trouble),
         "config-drill" => config_drill::run(deployment, has_trouble),
         "grace-raised" => grace_raised::run(deployment, has_trouble),
         "stage-copy" => stage_copy::run(deployment, has_trouble),
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -160,9 +160,14 @@
         SocketAddr::new(IpAddr::V4(self.settings.ip), FRONT_PORT)
     }
 
+    /// Address of the readiness poll.
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.settings.ip), READY_PORT)
+    }
+
     /// Waits until the readiness poll gets 200.
     pub fn wait_until_ready(&self, time: Duration) -> bool {
-        let address = SocketAddr::new(IpAddr::V4(self.settings.ip), READY_PORT);
+        let address = self.ready();
         let end = Instant::now() + time;
         let wait = Duration::from_millis(500);
         let headers = ["Host: ready".to_owned()];
