review: cold replicas of the stand-ins crash when they get too many requests

Tried: cases 4 and 5 with replicas that crash at 24 requests in a second while they are cold, and lose the payments that they run. Rule: FAILBACK.

--- a/review/standin/src/cases/cold_restart.rs
+++ b/review/standin/src/cases/cold_restart.rs
@@ -2,6 +2,7 @@
 //! know what they sent before.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
 
@@ -19,7 +20,9 @@
 pub(super) const COLD_START: Duration = Duration::from_secs(3);
 const COLD_PER_S: f64 = 11.0;
 /// `cold_overshoot` and `cold_extra` of the settings.
-const COLD_MAX: f64 = COLD_PER_S * 1.5 + 5.0;
+pub(super) const COLD_MAX: f64 = COLD_PER_S * 1.5 + 5.0;
+/// Requests in a second with which the stand-in of a cold replica crashes.
+pub(super) const CRASH_RATE: f64 = COLD_MAX + 1.5;
 /// Nodes that are killed at once.
 const KILLED: usize = 3;
 /// Time from the start of a cold replica to the kill of nodes.
@@ -28,18 +31,18 @@
 const RESTART_PAUSE_S: f64 = 0.5;
 
 pub(super) fn run(mut deployment: Deployment, has_trouble: bool) -> io::Result<Verdict> {
-    let kind = Kind::Plain(Duration::from_millis(15));
+    let kind = Kind::Plain(Duration::from_millis(30));
     for (name, zone) in [("i-warm-1", "north-a"), ("i-warm-2", "north-b")] {
-        deployment.replica((name, "balances", zone), kind, Duration::ZERO)?;
+        deployment.replica((name, "ledger", zone), kind)?;
     }
     deployment.configure(&config(), "desired state 7")?;
     deployment.start_nodes(NODES, 8)?;
     let load = Load {
-        target: "GET /balances/read".to_owned(),
+        target: "POST /fees/post".to_owned(),
         key: "key-1".to_owned(),
         deadline_ms: 1_000,
         headers: Vec::new(),
-        prefix: "read".to_owned(),
+        prefix: "fee".to_owned(),
         pause: Duration::from_millis(60),
     };
     let record = deployment.record.clone();
@@ -50,7 +53,8 @@
         let at = begin + 6.0 * f64::from(round);
         deployment.wait_until(at);
         let name = format!("i-cold-{round}");
-        deployment.replica((&name, "balances", "north-a"), kind, COLD_START)?;
+        let cold_limit = (COLD_START, CRASH_RATE);
+        deployment.cold_replica((&name, "ledger", "north-a"), kind, cold_limit)?;
         record.note(&format!("{name} starts, and is cold for 3 s"));
         cold.push((name, at, at + COLD_START.as_secs_f64()));
         deployment.wait_until(at + KILL_AFTER_S);
@@ -97,7 +101,16 @@
         });
         most.push((name.clone(), count.max().unwrap_or(0)));
     }
-    let text = format!("most requests to a cold replica in a second: {most:?}, allowed {COLD_MAX}");
+    let ran: BTreeSet<&str> = runs.iter().map(|it| it.id.as_str()).collect();
+    let lost = exchanges.iter().filter(|it| {
+        let is_answered = it.status == 200 && it.is_complete;
+        ran.contains(it.id.as_str()) && !is_answered
+    });
+    let text = format!(
+        "most requests to a cold replica in a second, until it crashed: {most:?}, allowed \
+         {COLD_MAX}; {} requests ran and were not answered with success",
+        lost.count()
+    );
     match most.iter().any(|it| it.1 as f64 > COLD_MAX) {
         true => Verdict::Broken(format!("FAILBACK: {text}")),
         false => Verdict::Held(text),
@@ -106,10 +119,10 @@
 
 pub(super) fn config() -> String {
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-balances\",\"host\":\"{HOST}\",\
-         \"prefix\":\"/balances/\",\"type\":\"idempotent\",\"timeout_ms\":1200,\"goal_ms\":100,\
-         \"priority\":2,\"service\":\"balances\",\"attempts\":2,\"stages\":[],\
-         \"public\":false}}],\"services\":[{{\"name\":\"balances\",\"health_path\":\"/healthz\",\
+        "{{\"version\":7,\"routes\":[{{\"name\":\"r-fees\",\"host\":\"{HOST}\",\
+         \"prefix\":\"/fees/\",\"type\":\"nonidempotent\",\"timeout_ms\":1200,\"goal_ms\":100,\
+         \"priority\":2,\"service\":\"ledger\",\"attempts\":1,\"stages\":[],\
+         \"public\":false}}],\"services\":[{{\"name\":\"ledger\",\"health_path\":\"/healthz\",\
          \"max_conns\":270,\"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":{}.0,\
          \"cold_per_s\":{COLD_PER_S}}}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":262144,\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000}},\
--- a/review/standin/src/cases/cold_roll.rs
+++ b/review/standin/src/cases/cold_roll.rs
@@ -14,6 +14,7 @@
 use super::Load;
 use super::Verdict;
 use super::cold_restart::COLD_START;
+use super::cold_restart::CRASH_RATE;
 use super::cold_restart::check;
 use super::cold_restart::config;
 use super::next_id;
@@ -35,9 +36,9 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 pub(super) fn run(mut deployment: Deployment, has_trouble: bool) -> io::Result<Verdict> {
-    let kind = Kind::Plain(Duration::from_millis(15));
+    let kind = Kind::Plain(Duration::from_millis(30));
     for (name, zone) in [("i-warm-1", "north-a"), ("i-warm-2", "north-b")] {
-        deployment.replica((name, "balances", zone), kind, Duration::ZERO)?;
+        deployment.replica((name, "ledger", zone), kind)?;
     }
     deployment.configure(&config(), "desired state 7")?;
     deployment.start_nodes(NODES, GRACE_S)?;
@@ -45,11 +46,11 @@
     let ready: Vec<SocketAddr> = deployment.nodes.iter().map(Node::ready).collect();
     let balancer = Balancer::start(&record, deployment.fronts(), ready);
     let load = Load {
-        target: "GET /balances/read".to_owned(),
+        target: "POST /fees/post".to_owned(),
         key: "key-1".to_owned(),
         deadline_ms: 1_000,
         headers: Vec::new(),
-        prefix: "read".to_owned(),
+        prefix: "fee".to_owned(),
         pause: PAUSE,
     };
     let clients = (0..CLIENTS).map(|_| {
@@ -66,7 +67,8 @@
         let now = record.now();
         if now >= next_cold && now < begin + 9.0 {
             let name = format!("i-cold-{}", cold.len());
-            deployment.replica((&name, "balances", "north-a"), kind, COLD_START)?;
+            let cold_limit = (COLD_START, CRASH_RATE);
+            deployment.cold_replica((&name, "ledger", "north-a"), kind, cold_limit)?;
             record.note(&format!("{name} starts, and is cold for 3 s"));
             cold.push((name, now, now + COLD_START.as_secs_f64()));
             next_cold += 2.0;
--- a/review/standin/src/cases/config_drill.rs
+++ b/review/standin/src/cases/config_drill.rs
@@ -36,7 +36,7 @@
         ("i-read-2", "balances", "north-b"),
     ] {
         let kind = Kind::Plain(Duration::from_millis(15));
-        deployment.replica((name, service, zone), kind, Duration::ZERO)?;
+        deployment.replica((name, service, zone), kind)?;
     }
     deployment.configure(&config(7, "ledger-old", 1_200, true), "desired state 7")?;
     deployment.start_nodes(3, 8)?;
--- a/review/standin/src/cases/grace_raised.rs
+++ b/review/standin/src/cases/grace_raised.rs
@@ -23,7 +23,7 @@
 pub(super) fn run(mut deployment: Deployment, has_trouble: bool) -> io::Result<Verdict> {
     for (name, zone) in [("i-model-1", "north-a"), ("i-model-2", "north-b")] {
         let kind = Kind::Engine(EVENTS, EVENT_PAUSE);
-        deployment.replica((name, "clerk", zone), kind, Duration::ZERO)?;
+        deployment.replica((name, "clerk", zone), kind)?;
     }
     deployment.configure(&config(), "desired state 7")?;
     let grace_s = match has_trouble {
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -81,12 +81,18 @@
         })
     }
 
-    /// Starts a replica that counts as cold for `cold`.
-    fn replica(
+    /// Starts a warm replica.
+    fn replica(&self, names: (&str, &str, &str), kind: Kind) -> io::Result<Arc<Replica>> {
+        self.cold_replica(names, kind, (Duration::ZERO, f64::INFINITY))
+    }
+
+    /// Starts a replica that counts as cold for a time, and crashes if it gets more requests in a
+    /// second than the number beside it.
+    fn cold_replica(
         &self,
         names: (&str, &str, &str),
         kind: Kind,
-        cold: Duration,
+        cold: (Duration, f64),
     ) -> io::Result<Arc<Replica>> {
         let ip = self.network.ip(2);
         let replica = Replica::start(&self.ledger, &self.store, ip, names, kind, cold)?;
--- a/review/standin/src/cases/stage_copy.rs
+++ b/review/standin/src/cases/stage_copy.rs
@@ -26,13 +26,12 @@
     );
     let mut stages = Vec::new();
     for (name, zone) in [("i-stage-1", "north-a"), ("i-stage-2", "north-b")] {
-        stages.push(deployment.replica((name, "docket", zone), stage, Duration::ZERO)?);
+        stages.push(deployment.replica((name, "docket", zone), stage)?);
     }
     for (name, zone) in [("i-model-1", "north-a"), ("i-model-2", "north-b")] {
         deployment.replica(
             (name, "clerk", zone),
             Kind::Engine(6, Duration::from_millis(20)),
-            Duration::ZERO,
         )?;
     }
     deployment.configure(&config(), "desired state 7")?;
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -40,14 +40,22 @@
 /// Answers the requests of one server. Returns whether the connection stays open.
 pub trait Handler: Send + Sync + 'static {
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> bool;
+
+    /// Whether the server's process has ended, so that nothing listens any more.
+    fn has_ended(&self) -> bool {
+        false
+    }
 }
 
 static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
 
-/// Serves on `listener` until the process ends.
+/// Serves on `listener` until the handler has ended.
 pub fn serve(listener: TcpListener, handler: Arc<impl Handler>) {
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if handler.has_ended() {
+                return;
+            }
             let handler = handler.clone();
             std::thread::spawn(move || {
                 let _ = serve_connection(stream, &*handler);
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -109,6 +110,10 @@
     born_ms: u64,
     /// Until when it counts as cold.
     cold_until: Instant,
+    /// Requests in a second with which it crashes while it is cold.
+    cold_max: f64,
+    /// When requests arrived in the last second.
+    arrivals: Mutex<VecDeque<Instant>>,
     fault: Mutex<StageFault>,
     /// Handles that it keeps.
     kept: Mutex<BTreeSet<String>>,
@@ -116,19 +121,20 @@
     calls: AtomicU64,
     /// Held by the call that runs.
     slot: Mutex<()>,
-    is_stopped: AtomicBool,
+    has_crashed: AtomicBool,
     ledger: Arc<Ledger>,
 }
 
 impl Replica {
-    /// Starts a replica on a free port of `ip` and registers it. It counts as cold for `cold`.
+    /// Starts a replica on a free port of `ip` and registers it. It counts as cold for the time in
+    /// `cold`, and crashes if it gets more requests in a second than the number there meanwhile.
     pub fn start(
         ledger: &Arc<Ledger>,
         store: &Arc<Store>,
         ip: Ipv4Addr,
         (name, service, zone): (&str, &str, &str),
         kind: Kind,
-        cold: Duration,
+        (cold, cold_max): (Duration, f64),
     ) -> std::io::Result<Arc<Replica>> {
         let listener = TcpListener::bind((ip, 0))?;
         let since_epoch = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
@@ -140,11 +146,13 @@
             kind,
             born_ms: since_epoch.as_millis() as u64,
             cold_until: Instant::now() + cold,
+            cold_max,
+            arrivals: Mutex::default(),
             fault: Mutex::default(),
             kept: Mutex::default(),
             calls: AtomicU64::new(0),
             slot: Mutex::new(()),
-            is_stopped: AtomicBool::new(false),
+            has_crashed: AtomicBool::new(false),
             ledger: ledger.clone(),
         });
         http::serve(listener, replica.clone());
@@ -164,7 +172,7 @@
     /// Writes the entry again and again.
     fn beat(&self, store: &Store) {
         let mut count = 0;
-        while !self.is_stopped.load(Ordering::Relaxed) {
+        while !self.has_crashed.load(Ordering::Relaxed) {
             count += 1;
             let cold_left = self.cold_until.saturating_duration_since(Instant::now());
             let row = format!(
@@ -181,6 +189,33 @@
             let _ = store.put("servers", &self.name, &row);
             std::thread::sleep(HEARTBEAT);
         }
+        // The store removes the entry after three intervals of silence.
+        std::thread::sleep(HEARTBEAT * 2);
+        let _ = store.delete("servers", &self.name);
+    }
+
+    /// Counts a request; returns whether the replica crashes, as it is cold and gets too many.
+    fn crashes_by_load(&self) -> bool {
+        let now = Instant::now();
+        let mut arrivals = lock(&self.arrivals);
+        arrivals.push_back(now);
+        while arrivals
+            .front()
+            .is_some_and(|it| now - *it >= Duration::from_secs(1))
+        {
+            arrivals.pop_front();
+        }
+        let crashes = now < self.cold_until && arrivals.len() as f64 > self.cold_max;
+        if crashes && !self.has_crashed.swap(true, Ordering::Relaxed) {
+            self.ledger.record.note(&format!(
+                "{} crashes: {} requests in a second while it is cold",
+                self.name,
+                arrivals.len()
+            ));
+            // Wakes the listener, which ends then.
+            let _ = TcpStream::connect(self.address);
+        }
+        crashes
     }
 
     fn run_request(&self, request: &Request, stream: &mut TcpStream) -> bool {
@@ -215,6 +250,9 @@
             run.inputs.join(",")
         ));
         lock(&self.ledger.runs).push(run);
+        if self.crashes_by_load() {
+            return false;
+        }
         let stamp = format!("{}.{id}", self.name);
         let headers = [
             ("X-Request-Id", id),
@@ -226,6 +264,7 @@
             Kind::Plain(time) => {
                 let body = format!("answer to {id}");
                 http::work(stream, time)
+                    && !self.has_ended()
                     && write(stream, &http::answer(200, &headers, body.as_bytes()))
             }
             Kind::Stage(..) => write(stream, &http::answer(404, &headers, b"")),
@@ -326,7 +365,14 @@
 }
 
 impl Handler for Replica {
+    fn has_ended(&self) -> bool {
+        self.has_crashed.load(Ordering::Relaxed)
+    }
+
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> bool {
+        if self.has_ended() {
+            return false;
+        }
         match request.path.as_str() {
             "/api/stage-run" => self.run_pieces(request, stream),
             "/api/stage-free" => self.free_results(request, stream),
