review: payments run at servers that odd entries name

Tried: another writer leaves an entry without version, cold_left_ms, call_seq and born, and one with fields of another type. PROTOCOL.md: such an entry names no replica to use.

--- a/review/standin/src/cases/config_drill.rs
+++ b/review/standin/src/cases/config_drill.rs
@@ -83,6 +83,14 @@
         "desired state 12: another service has the route, and a key is gone",
     )?;
     let bound = acknowledged + CONFIG_BOUND_S;
+    for _ in 0..3 {
+        let (calls, from) = (deployment.store.calls(), record.now());
+        deployment.wait_until(from + 2.0);
+        record.note(&format!(
+            "the store answered {} calls in 2 s",
+            deployment.store.calls() - calls
+        ));
+    }
     deployment.wait_until(bound + CHECK_S);
     let kept = kept.stop();
     let dropped = dropped.stop();
--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod cold_roll;
 mod config_drill;
 mod grace_raised;
+mod odd_entry;
 mod stage_copy;
 
 use std::io;
@@ -44,6 +45,7 @@
         "cold-roll" => cold_roll::run(deployment, has_trouble),
         "config-drill" => config_drill::run(deployment, has_trouble),
         "grace-raised" => grace_raised::run(deployment, has_trouble),
+        "odd-entry" => odd_entry::run(deployment, has_trouble),
         "stage-copy" => stage_copy::run(deployment, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
@@ -86,6 +88,18 @@
         self.cold_replica(names, kind, (Duration::ZERO, f64::INFINITY))
     }
 
+    /// Starts a server that writes no entry of its own.
+    fn unregistered(&self, names: (&str, &str, &str), kind: Kind) -> io::Result<Arc<Replica>> {
+        let warm = (Duration::ZERO, f64::INFINITY);
+        let ip = self.network.ip(3);
+        let server = Replica::start(&self.ledger, None, ip, names, kind, warm)?;
+        self.record.line(&format!(
+            "server {} of {} at {}",
+            server.name, server.service, server.address
+        ));
+        Ok(server)
+    }
+
     /// Starts a replica that counts as cold for a time, and crashes if it gets more requests in a
     /// second than the number beside it.
     fn cold_replica(
@@ -95,7 +109,7 @@
         cold: (Duration, f64),
     ) -> io::Result<Arc<Replica>> {
         let ip = self.network.ip(2);
-        let replica = Replica::start(&self.ledger, &self.store, ip, names, kind, cold)?;
+        let replica = Replica::start(&self.ledger, Some(&self.store), ip, names, kind, cold)?;
         self.record.line(&format!(
             "replica {} of {} in {} at {}",
             replica.name, replica.service, replica.zone, replica.address
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -126,11 +126,11 @@
 }
 
 impl Replica {
-    /// Starts a replica on a free port of `ip` and registers it. It counts as cold for the time in
+    /// Starts a replica on a free port of `ip` and registers it in `store`. It counts as cold for the time in
     /// `cold`, and crashes if it gets more requests in a second than the number there meanwhile.
     pub fn start(
         ledger: &Arc<Ledger>,
-        store: &Arc<Store>,
+        store: Option<&Arc<Store>>,
         ip: Ipv4Addr,
         (name, service, zone): (&str, &str, &str),
         kind: Kind,
@@ -156,8 +156,10 @@
             ledger: ledger.clone(),
         });
         http::serve(listener, replica.clone());
-        let (beating, store) = (replica.clone(), store.clone());
-        std::thread::spawn(move || beating.beat(&store));
+        if let Some(store) = store.cloned() {
+            let beating = replica.clone();
+            std::thread::spawn(move || beating.beat(&store));
+        }
         Ok(replica)
     }
 
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -7,6 +7,8 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,6 +46,7 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    calls: AtomicU64,
 }
 
 impl Store {
@@ -55,9 +58,15 @@
                 is_away: false,
             }),
             changed: Condvar::new(),
+            calls: AtomicU64::new(0),
         }
     }
 
+    /// Number of calls that were answered.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     /// Writes a row; returns its version, or `None` while the store is away.
     pub fn put(&self, table: &str, key: &str, value: &str) -> Option<u64> {
         self.write(table, key, Some(json::base64(value.as_bytes())))
@@ -223,6 +232,7 @@
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> bool {
         std::thread::sleep(ANSWER_TIME);
         let (status, body) = self.respond(request);
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let era = self.lock().era.to_string();
         let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
         let answer = http::answer(status, &headers, body.as_bytes());
