Log the era of the store and reads that are older than the rows held

No logic changes. The store names an era in all responses; it rises when the store comes back from an older copy. Until now nothing read it, and logs could not tell rows of an earlier era from changes that fell between two reads. The line store_era names both eras and the versions held, rows_older_than_held a read below the newest row of its table.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -5,6 +5,7 @@
 //! version of each row, whichever source it comes from. The mirror stores values as opaque bytes
 //! and performs no I/O.
 
+pub mod era;
 pub mod tree;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,8 @@
 use serde::Serialize;
 use strum::IntoEnumIterator;
 
+pub use era::Era;
+
 /// A mirrored table.
 #[derive(
     Clone,
@@ -51,6 +54,17 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Rows of one table and the version up to which they are complete.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Era of the store that sent them.
+    pub era: Era,
+    /// Rows; those of a feed include deleted ones.
+    pub rows: Vec<Row>,
+    /// Version of the table up to which no change is missing. Single rows may be newer.
+    pub version: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     version: u64,
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -156,6 +156,12 @@
 
 async fn read_table(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
     let batch = client.read(table).await?;
+    let positions = node.store_copy().mirror.positions();
+    let held = positions.iter().find(|it| it.0 == table).map(|it| it.1);
+    if held.is_some_and(|it| it > batch.version) {
+        slog::warn!(node.logger(), "rows_older_than_held"; "table" => %table, "era" => %batch.era,
+            "version" => batch.version, "held" => held);
+    }
     node.apply_table_snapshot(table, batch.rows, batch.version);
     record_complete(node, table);
     Ok(())
@@ -168,6 +174,21 @@
     }
 }
 
+/// Logs each return of the store from an older copy of its rows; never returns.
+pub async fn watch_era(node: Arc<Node>, client: store::Client) {
+    let mut eras = client.watch_era();
+    let mut known = *eras.borrow_and_update();
+    while eras.changed().await.is_ok() {
+        let era = *eras.borrow_and_update();
+        let positions = node.store_copy().mirror.positions();
+        let positions = positions.iter().map(|it| format!("{}:{}", it.0, it.1));
+        slog::warn!(node.logger(), "store_era"; "before" => %known, "now" => %era,
+            "held" => positions.collect::<Vec<_>>().join(" "));
+        node.telemetry.count("store.eras", 1);
+        known = era;
+    }
+}
+
 fn record_store_answer(node: &Node) {
     if node.record_store_call(true) {
         slog::info!(node.logger(), "store_back");
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -128,6 +128,10 @@
             follow::follow_peer(node.clone(), idx)
         });
     }
+    let (era_node, era_store) = (node.clone(), store.clone());
+    supervisor.spawn("era", RestartPolicy::Always, move || {
+        follow::watch_era(era_node.clone(), era_store.clone())
+    });
     let expiry_node = node.clone();
     supervisor.spawn("expire", RestartPolicy::Always, move || {
         follow::run_expiry(expiry_node.clone())
