--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -171,6 +171,19 @@
         start_node: impl Fn(&str, &str, SocketAddr) -> Node,
     ) -> Fixture {
         let site = Site::start().await.expect("ports for the site");
+        Fixture::start_nodes(site, count, start_node).await
+    }
+
+    /// Starts `count` nodes of a site and waits until they are ready. Their retry budget is ample.
+    pub(crate) async fn start_at(site: Site, count: usize) -> Fixture {
+        Fixture::start_nodes(site, count, Node::start).await
+    }
+
+    async fn start_nodes(
+        site: Site,
+        count: usize,
+        start_node: impl Fn(&str, &str, SocketAddr) -> Node,
+    ) -> Fixture {
         let mut nodes = Vec::new();
         for idx in 0..count {
             let zone = if idx.is_multiple_of(2) { "a" } else { "b" };
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod poison;
 mod retries;
+mod returns;
 mod stop;
 mod streams;
 mod versions;
--- /dev/null
+++ b/crates/node/tests/it/returns.rs
@@ -0,0 +1,282 @@
+//! The store comes back from an older copy of its rows and gives out versions again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use platform_standin::client;
+use platform_standin::server;
+use platform_standin::server::Action;
+use platform_standin::server::Handler;
+use platform_standin::server::Request;
+use platform_standin::site::API_KEY;
+use platform_standin::store::Copy;
+use platform_standin::store::Mode;
+use platform_standin::store::Store;
+use serde_json::json;
+
+use crate::fixture::Fixture;
+use crate::fixture::Node;
+use crate::fixture::eventually;
+
+/// The users' bound on the time until a configuration is in force at all instances.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which the store is away at a return.
+const AWAY: Duration = Duration::from_millis(500);
+/// Calls to the store in two seconds after a return, of three nodes. Each table is read once by each
+/// node, and written to by it; all else is the usual long polls.
+const CALLS_MAX: u64 = 100;
+/// Writes that are lost in a return, so that it takes the store a while to pass their versions again.
+const LOST_WRITES: u64 = 200;
+
+/// A way to the store that can be closed for some nodes.
+struct Gate {
+    store: Arc<Store>,
+    is_open: AtomicBool,
+}
+
+impl Handler for Gate {
+    async fn handle(&self, request: Request) -> Action {
+        if !self.is_open.load(Ordering::Relaxed) {
+            return Action::Reset;
+        }
+        self.store.handle(request).await
+    }
+
+    fn record_endless_bytes(&self, bytes: u64) {
+        self.store.record_endless_bytes(bytes);
+    }
+}
+
+async fn open_gate(store: &Arc<Store>) -> (Arc<Gate>, SocketAddr) {
+    let gate = Arc::new(Gate {
+        store: store.clone(),
+        is_open: AtomicBool::new(true),
+    });
+    let (listener, address) = server::bind().await.expect("a port");
+    tokio::spawn(server::serve(listener, gate.clone()));
+    (gate, address)
+}
+
+/// Writes configuration `version` with a route for each of `prefixes`.
+fn configure(fixture: &Fixture, version: u64, prefixes: &[&str]) {
+    let routes = prefixes.iter().map(|prefix| {
+        json!({"name": prefix, "host": "site.example", "prefix": prefix, "type": "idempotent",
+            "timeout_ms": 2_000, "goal_ms": 100, "priority": 1, "service": "ledger", "attempts": 2})
+    });
+    fixture.site.configure(version, routes.collect());
+}
+
+async fn status(node: &Node, path: &str) -> u16 {
+    let key = format!("authorization: Bearer {API_KEY}");
+    let headers = [
+        key.as_str(),
+        "host: site.example",
+        "x-request-id: q",
+        "x-deadline-ms: 1500",
+    ];
+    let target = format!("GET {path}x");
+    client::send_request(node.client_address, &target, &headers, b"")
+        .await
+        .status
+}
+
+/// Waits until every node serves `path`, no longer than a change may take.
+async fn wait_until_served(nodes: &[Node], path: &str) {
+    for (idx, node) in nodes.iter().enumerate() {
+        let what = format!("{path} served at node {idx}");
+        eventually(&what, CONFIG_TIMEOUT, || async {
+            status(node, path).await == 200
+        })
+        .await;
+    }
+}
+
+/// Copies the store. The versions that follow are given out after a return to the copy, up to those
+/// of rows that are written until then.
+fn copy(store: &Store) -> Copy {
+    let copy = store.copy();
+    for idx in 0..LOST_WRITES {
+        store.put("other", &format!("{idx}"), b"");
+    }
+    copy
+}
+
+/// Lets the store be away for a moment and return from `older`.
+async fn return_from(store: &Store, older: Copy) {
+    store.set_mode(Mode::Busy);
+    tokio::time::sleep(AWAY).await;
+    store.restore(older);
+}
+
+/// Starts nodes, of which all have configuration 2, with route `/lost/`, which the store then loses.
+async fn start_and_return(count: usize) -> Fixture {
+    let fixture = Fixture::start(count).await;
+    let older = copy(&fixture.site.store);
+    configure(&fixture, 2, &["/lost/"]);
+    wait_until_served(&fixture.nodes, "/lost/").await;
+    return_from(&fixture.site.store, older).await;
+    fixture
+}
+
+/// Guards against a configuration that the store acknowledges at a version that it gave out before
+/// and that never comes into force (saffron-leaf, CONFIG).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_after_a_return_comes_into_force() {
+    let fixture = start_and_return(3).await;
+    configure(&fixture, 2, &["/lost/"]);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    configure(&fixture, 3, &["/lost/", "/added/"]);
+    wait_until_served(&fixture.nodes, "/added/").await;
+}
+
+/// Guards against a configuration that is undone while the operator has not written it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_node_goes_back_to_an_older_configuration() {
+    let fixture = start_and_return(2).await;
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(3);
+    while tokio::time::Instant::now() < deadline {
+        for node in &fixture.nodes {
+            assert_eq!(status(node, "/lost/").await, 200);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against nodes that read the store again and again after a return.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_return_costs_few_calls() {
+    let fixture = start_and_return(3).await;
+    let before = fixture.site.store.calls();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = fixture.site.store.calls() - before;
+    assert!(calls <= CALLS_MAX, "{calls} calls in 2 s");
+}
+
+/// Guards against two returns of which the second is taken for the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_after_two_returns_comes_into_force() {
+    let fixture = start_and_return(3).await;
+    let older = copy(&fixture.site.store);
+    configure(&fixture, 2, &["/lost/"]);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    return_from(&fixture.site.store, older).await;
+    configure(&fixture, 2, &["/lost/"]);
+    configure(&fixture, 3, &["/lost/", "/added/"]);
+    wait_until_served(&fixture.nodes, "/added/").await;
+}
+
+/// Guards against rows of an earlier era that a node which starts later gets from others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_after_a_return_takes_later_configurations() {
+    let mut fixture = start_and_return(3).await;
+    let node = Node::start("n9", "a", fixture.site.store_address);
+    eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    fixture.nodes.push(node);
+    configure(&fixture, 2, &["/lost/"]);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    configure(&fixture, 3, &["/lost/", "/added/"]);
+    wait_until_served(&fixture.nodes, "/added/").await;
+}
+
+/// Guards against a node that reaches no store, follows others, and takes their newer rows for
+/// older ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_the_store_hears_of_a_return_from_others() {
+    let mut fixture = Fixture::start(3).await;
+    let (gate, address) = open_gate(&fixture.site.store).await;
+    let node = Node::start("n9", "a", address);
+    eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    fixture.nodes.push(node);
+    let older = copy(&fixture.site.store);
+    configure(&fixture, 2, &["/lost/"]);
+    wait_until_served(&fixture.nodes, "/lost/").await;
+    gate.is_open.store(false, Ordering::Relaxed);
+    return_from(&fixture.site.store, older).await;
+    configure(&fixture, 2, &["/lost/"]);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    configure(&fixture, 3, &["/lost/", "/added/"]);
+    wait_until_served(&fixture.nodes, "/added/").await;
+}
+
+/// Guards against instances that vanish from the store and are no longer known, and against keys of
+/// the deployment and software versions that stay lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn rows_of_the_nodes_are_written_again() {
+    let fixture = {
+        let site = platform_standin::site::Site::start();
+        let site = site.await.expect("ports for the site");
+        let older = copy(&site.store);
+        let fixture = Fixture::start_at(site, 3).await;
+        let rows = fixture.site.store.keys("catkinvane");
+        assert!(rows.len() >= 5, "{rows:?}");
+        return_from(&fixture.site.store, older).await;
+        let is_restored = || async { fixture.site.store.keys("catkinvane") == rows };
+        eventually("rows of nodes", Duration::from_secs(3), is_restored).await;
+        fixture
+    };
+    for node in &fixture.nodes {
+        assert_eq!(status(node, "/read/").await, 200);
+    }
+}
+
+/// Guards against requests to an evacuated zone while the operator has not written the evacuation
+/// again, and against an evacuation that never ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_outlasts_a_return() {
+    let fixture = Fixture::start(2).await;
+    let older = copy(&fixture.site.store);
+    fixture.site.store.put("op", "evacuate/a", b"{}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    return_from(&fixture.site.store, older).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let runs = |fixture: &Fixture| {
+        let upstreams = fixture.site.upstreams.iter().enumerate();
+        let in_zone = upstreams.filter(|it| it.0.is_multiple_of(2));
+        in_zone.map(|it| it.1.0.runs().len()).sum::<usize>()
+    };
+    let before = runs(&fixture);
+    for _ in 0..20 {
+        for node in &fixture.nodes {
+            assert_eq!(status(node, "/read/").await, 200);
+        }
+    }
+    assert_eq!(runs(&fixture), before, "requests in the evacuated zone");
+    fixture.site.store.put("op", "evacuate/a", b"{}");
+    fixture.site.store.delete("op", "evacuate/a");
+    let is_used = || async {
+        status(&fixture.nodes[0], "/read/").await;
+        runs(&fixture) > before
+    };
+    eventually("the zone used again", CONFIG_TIMEOUT, is_used).await;
+}
+
+/// Guards against an upstream that is leaving and that the older copy calls ready, and against one
+/// that is gone and registered there.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_have_left_get_no_requests_after_a_return() {
+    let fixture = Fixture::start(2).await;
+    let older = copy(&fixture.site.store);
+    fixture.site.register(0, "draining");
+    fixture.site.deregister(1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let runs = |idx: usize| fixture.site.upstreams[idx].0.runs().len();
+    return_from(&fixture.site.store, older).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = (runs(0), runs(1));
+    for _ in 0..20 {
+        for node in &fixture.nodes {
+            status(node, "/read/").await;
+        }
+    }
+    assert_eq!((runs(0), runs(1)), before);
+    // It was not gone for good.
+    fixture.site.register(1, "ready");
+    let is_used = || async {
+        status(&fixture.nodes[0], "/read/").await;
+        runs(1) > before.1
+    };
+    eventually("the upstream used again", CONFIG_TIMEOUT, is_used).await;
+}
