--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -331,7 +331,8 @@
                 | Request::Recall(_)
                 | Request::RateLimits(_)
                 | Request::Origins(_)
-                | Request::Tunnel(_) => return,
+                | Request::Tunnel(_)
+                | Request::Updates(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/forwarding/src/origin.rs
+++ b/crates/forwarding/src/origin.rs
@@ -273,6 +273,17 @@
         }
     }
 
+    /// Saves all streams again that are not known to be in the store any more, because it came back
+    /// from an older copy.
+    pub fn resave(&mut self) {
+        let streams = self.streams.iter();
+        let saved = streams.filter(|(_, it)| it.custody == Custody::Saved);
+        let saved: Vec<id::Fingerprint> = saved.map(|(stream, _)| *stream).collect();
+        for stream in saved {
+            self.set_custody(stream, Custody::Unsaved);
+        }
+    }
+
     /// Leaves the saving of these streams to this instance.
     pub fn keep(&mut self, records: &[Record]) {
         for record in records {
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,14 +1,17 @@
 //! A replica of the store's rows that every instance keeps, and serves to instances that cannot
 //! reach the store.
 //!
-//! The store numbers all row versions from one counter, so replicas merge by keeping the newer
-//! version of each row, whichever source it comes from. The mirror stores values as opaque bytes
-//! and performs no I/O.
+//! Within an [`Era`] the store numbers all row versions from one counter, so replicas merge by
+//! keeping the newer version of each row, whichever source it comes from. Versions of different
+//! eras cannot be compared: each table belongs to one era, rows of an earlier one are ignored, and
+//! those of a later one replace the table as a whole. The mirror stores values as opaque bytes and
+//! performs no I/O.
 
 pub mod era;
 pub mod tree;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -65,79 +68,137 @@
     pub version: u64,
 }
 
-#[derive(Clone, Debug)]
+/// How far a replica's copy of a table reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// The table.
+    pub table: Table,
+    /// Era of its rows; the default before any was read.
+    pub era: Era,
+    /// Newest version held; 0 for an empty table.
+    pub version: u64,
+}
+
+/// What a replica sends to another one whose position in a table differs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The table.
+    pub table: Table,
+    /// Era of the rows.
+    pub era: Era,
+    /// Version up to which the receiver holds every change afterwards.
+    pub version: u64,
+    /// Whether the rows are the whole table, rather than those above the receiver's position.
+    pub is_full: bool,
+    /// Rows, oldest version first.
+    pub rows: Vec<Row>,
+}
+
+/// Effect of rows on a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// The rows that were new.
+    Merged(Vec<Row>),
+    /// The table was replaced because the store came back from an older copy, or because it held
+    /// rows of unknown era.
+    Replaced(Replacement),
+    /// The rows belong to another era than the table, and none was used.
+    OtherEra,
+}
+
+/// How a table differs from the one that it replaced.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replacement {
+    /// Rows with another version or value than before. A row that is merely back is left out: its
+    /// deletion was known, and its writer has not written it since.
+    pub changed: Vec<Row>,
+    /// Rows that are no longer there, as they were before.
+    pub lost: Vec<Row>,
+}
+
+#[derive(Clone, Debug, Default)]
 struct Entry {
     version: u64,
     value: Option<Vec<u8>>,
+    /// For a tombstone, the version of the value that it deleted.
+    deleted_version: Option<u64>,
+}
+
+/// The replica of one table.
+#[derive(Clone, Debug, Default)]
+struct Content {
+    /// `None` before any row was read.
+    era: Option<Era>,
+    rows: BTreeMap<String, Entry>,
+    synced_version: Option<u64>,
+    /// Highest version of a tombstone that was dropped.
+    pruned_version: u64,
+    /// Rows that the store lost when it came back from an older copy and that were not written
+    /// again yet, with their values.
+    lost: BTreeMap<String, Vec<u8>>,
+    /// Whether rows of unknown era were merged.
+    is_unverified: bool,
 }
 
 /// The local replica of all tables.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    rows: BTreeMap<(Table, String), Entry>,
-    synced_versions: BTreeMap<Table, u64>,
+    tables: BTreeMap<Table, Content>,
+    has_replaced: bool,
 }
 
-/// Maximum number of tombstones; they are kept so that deletions reach other instances.
+/// Maximum number of tombstones of a table; they are kept so that deletions reach other instances.
 const TOMBSTONES_MAX: usize = 2_000;
 
-impl Mirror {
-    /// Version up to which the store's changes of the table are merged; `None` before its first
-    /// full read and after [`Mirror::reset_sync`].
-    #[must_use]
-    pub fn synced_version(&self, table: Table) -> Option<u64> {
-        self.synced_versions.get(&table).copied()
+impl Content {
+    fn era(&self) -> Era {
+        self.era.unwrap_or_default()
     }
 
-    /// Version up to which the replica holds every change of the table: that of the last full read
-    /// or change feed, or of a newer row that another replica sent in order.
-    #[must_use]
-    pub fn complete_version(&self, table: Table) -> Option<u64> {
-        let synced = self.synced_version(table)?;
-        let rows = self.rows.iter().filter(|(row_key, _)| row_key.0 == table);
-        let newest = rows.map(|(_, it)| it.version).max();
-        Some(synced.max(newest.unwrap_or(0)))
+    fn newest_version(&self) -> u64 {
+        let versions = self.rows.values().map(|it| it.version);
+        versions.max().unwrap_or_default()
     }
 
-    /// Marks a table as not synced: the store no longer has the history since the last read, so the
-    /// table must be read in full.
-    pub fn reset_sync(&mut self, table: Table) {
-        self.synced_versions.remove(&table);
+    fn complete_version(&self) -> Option<u64> {
+        let synced = self.synced_version?;
+        Some(synced.max(self.newest_version()))
     }
 
-    /// Newest version held of each table, in table order; 0 for empty tables.
-    #[must_use]
-    pub fn positions(&self) -> Vec<(Table, u64)> {
-        let mut positions = BTreeMap::new();
-        for table in Table::iter() {
-            positions.insert(table, 0);
-        }
-        for ((table, _), entry) in &self.rows {
-            let position = positions.entry(*table).or_default();
-            *position = entry.version.max(*position);
+    /// Keeps the newer version of each row; returns those that were new.
+    fn merge(&mut self, rows: Vec<Row>) -> Vec<Row> {
+        let mut changed_rows = Vec::new();
+        for row in rows {
+            let known = self.rows.get(&row.key);
+            if known.is_some_and(|it| it.version >= row.version) {
+                continue;
+            }
+            let live_version = known.and_then(|it| match it.value {
+                Some(_) => Some(it.version),
+                None => it.deleted_version,
+            });
+            let entry = Entry {
+                version: row.version,
+                value: row.value.clone(),
+                deleted_version: live_version.filter(|_| row.value.is_none()),
+            };
+            self.lost.remove(&row.key);
+            self.rows.insert(row.key.clone(), entry);
+            changed_rows.push(row);
         }
-        positions.into_iter().collect()
-    }
-
-    /// Merges all changes of `table` up to version `synced`. Returns the rows that were new.
-    pub fn apply_changes(&mut self, table: Table, rows: Vec<Row>, synced: u64) -> Vec<Row> {
-        let changed_rows = self.merge(rows);
-        let current = self.synced_versions.entry(table).or_default();
-        *current = synced.max(*current);
+        self.prune_tombstones();
         changed_rows
     }
 
-    /// Merges a full read of a table at `version`: rows missing from it are deleted unless they are
-    /// newer. Returns the rows that changed.
-    pub fn apply_snapshot(&mut self, table: Table, rows: Vec<Row>, version: u64) -> Vec<Row> {
-        let listed: std::collections::BTreeSet<&str> =
-            rows.iter().map(|it| it.key.as_str()).collect();
-        let missing = self.rows.iter().filter(|((row_table, key), entry)| {
-            let is_listed = *row_table != table || listed.contains(key.as_str());
-            !is_listed && entry.value.is_some() && entry.version <= version
+    /// Merges the whole table as of `version`: rows that are missing are deleted unless they are
+    /// newer.
+    fn merge_all(&mut self, table: Table, rows: Vec<Row>, version: u64) -> Vec<Row> {
+        let listed: BTreeSet<&str> = rows.iter().map(|it| it.key.as_str()).collect();
+        let missing = self.rows.iter().filter(|(key, entry)| {
+            !listed.contains(key.as_str()) && entry.value.is_some() && entry.version <= version
         });
         let mut changed: Vec<Row> = missing
-            .map(|((_, key), _)| Row {
+            .map(|(key, _)| Row {
                 table,
                 key: key.clone(),
                 version,
@@ -145,68 +206,276 @@
             })
             .collect();
         changed.extend(rows);
-        self.apply_changes(table, changed, version)
+        self.merge(changed)
     }
 
-    /// Merges rows, such as those from another instance, by keeping the newer version of each;
-    /// returns those that were new.
-    pub fn merge(&mut self, rows: Vec<Row>) -> Vec<Row> {
-        let mut changed_rows = Vec::new();
-        for row in rows {
-            let row_key = (row.table, row.key.clone());
-            let is_known = self
-                .rows
-                .get(&row_key)
-                .is_some_and(|it| it.version >= row.version);
-            if is_known {
-                continue;
-            }
+    /// Replaces the table by that of another era as of `version`.
+    fn replace(&mut self, table: Table, era: Era, rows: Vec<Row>, version: u64) -> Replacement {
+        let before = std::mem::take(self);
+        self.era = Some(era);
+        self.synced_version = Some(version);
+        self.lost = before.lost;
+        let mut replacement = Replacement::default();
+        let listed: BTreeSet<String> = rows.iter().map(|it| it.key.clone()).collect();
+        for row in rows.into_iter().filter(|it| it.version <= version) {
+            let known = before.rows.get(&row.key);
+            let is_same =
+                known.is_some_and(|it| it.version == row.version && it.value == row.value);
+            let is_back = known.is_some_and(|it| it.deleted_version == Some(row.version));
             let entry = Entry {
                 version: row.version,
                 value: row.value.clone(),
+                deleted_version: None,
             };
-            self.rows.insert(row_key, entry);
-            changed_rows.push(row);
+            self.rows.insert(row.key.clone(), entry);
+            if !is_same && !is_back {
+                replacement.changed.push(row);
+            }
         }
-        self.prune_tombstones();
-        changed_rows
+        for (key, entry) in before.rows {
+            let Some(value) = entry.value.filter(|_| !listed.contains(&key)) else {
+                continue;
+            };
+            self.lost.insert(key.clone(), value.clone());
+            replacement.lost.push(Row {
+                table,
+                key,
+                version: entry.version,
+                value: Some(value),
+            });
+        }
+        self.lost.retain(|key, _| !listed.contains(key));
+        replacement
     }
 
-    /// Rows newer than another replica's [`Mirror::positions`], oldest version first.
-    #[must_use]
-    pub fn rows_since(&self, positions: &[(Table, u64)]) -> Vec<Row> {
-        let is_newer = |table: Table, version: u64| {
-            let position = positions.iter().find(|it| it.0 == table);
-            position.is_none_or(|it| version > it.1)
-        };
-        let newer = self
-            .rows
-            .iter()
-            .filter(|(row_key, it)| is_newer(row_key.0, it.version));
-        let mut rows: Vec<Row> = newer
-            .map(|((table, key), entry)| Row {
-                table: *table,
-                key: key.clone(),
-                version: entry.version,
-                value: entry.value.clone(),
-            })
-            .collect();
+    fn row(&self, table: Table, key: &str) -> Option<Row> {
+        let entry = self.rows.get(key)?;
+        Some(Row {
+            table,
+            key: key.to_owned(),
+            version: entry.version,
+            value: entry.value.clone(),
+        })
+    }
+
+    /// Rows above `version`, oldest version first.
+    fn rows_above(&self, table: Table, version: u64) -> Vec<Row> {
+        let newer = self.rows.iter().filter(|(_, it)| it.version > version);
+        let rows = newer.filter_map(|(key, _)| self.row(table, key));
+        let mut rows: Vec<Row> = rows.collect();
         rows.sort_by_key(|it| it.version);
         rows
     }
 
     fn prune_tombstones(&mut self) {
         let tombstones = self.rows.iter().filter(|(_, it)| it.value.is_none());
-        let mut tombstones: Vec<(u64, (Table, String))> = tombstones
-            .map(|(row_key, it)| (it.version, row_key.clone()))
+        let mut tombstones: Vec<(u64, String)> = tombstones
+            .map(|(key, it)| (it.version, key.clone()))
             .collect();
         if tombstones.len() <= TOMBSTONES_MAX {
             return;
         }
         tombstones.sort_by_key(|it| it.0);
         let excess = tombstones.len() - TOMBSTONES_MAX;
-        for (_, row_key) in tombstones.into_iter().take(excess) {
-            self.rows.remove(&row_key);
+        for (version, key) in tombstones.into_iter().take(excess) {
+            self.pruned_version = version.max(self.pruned_version);
+            self.rows.remove(&key);
         }
     }
 }
+
+impl Mirror {
+    /// Version up to which the store's changes of the table are merged; `None` before its first
+    /// full read and after [`Mirror::reset_sync`].
+    #[must_use]
+    pub fn synced_version(&self, table: Table) -> Option<u64> {
+        self.tables.get(&table)?.synced_version
+    }
+
+    /// Version up to which the replica holds every change of the table: that of the last full read
+    /// or change feed, or of a newer row that another replica sent in order.
+    #[must_use]
+    pub fn complete_version(&self, table: Table) -> Option<u64> {
+        self.tables.get(&table)?.complete_version()
+    }
+
+    /// Era of the table's rows; the default before any was read.
+    #[must_use]
+    pub fn era(&self, table: Table) -> Era {
+        let content = self.tables.get(&table);
+        content.map(Content::era).unwrap_or_default()
+    }
+
+    /// Whether any table was replaced since the replica was created.
+    #[must_use]
+    pub fn has_replaced(&self) -> bool {
+        self.has_replaced
+    }
+
+    /// Whether the table holds rows of unknown era.
+    #[must_use]
+    pub fn is_unverified(&self, table: Table) -> bool {
+        self.tables.get(&table).is_some_and(|it| it.is_unverified)
+    }
+
+    /// Value of a row that the store holds; `None` if it has no such row.
+    #[must_use]
+    pub fn value(&self, table: Table, key: &str) -> Option<&[u8]> {
+        let entry = self.tables.get(&table)?.rows.get(key)?;
+        entry.value.as_deref()
+    }
+
+    /// Rows of a table that the store lost when it came back from an older copy and that were not
+    /// written again yet, with their values.
+    pub fn lost(&self, table: Table) -> impl Iterator<Item = (&str, &[u8])> {
+        let lost = self.tables.get(&table).into_iter().flat_map(|it| &it.lost);
+        lost.map(|(key, value)| (key.as_str(), value.as_slice()))
+    }
+
+    /// Marks a table as not synced: the store no longer has the history since the last read, so the
+    /// table must be read in full.
+    pub fn reset_sync(&mut self, table: Table) {
+        if let Some(content) = self.tables.get_mut(&table) {
+            content.synced_version = None;
+        }
+    }
+
+    /// Position in each table, in table order.
+    #[must_use]
+    pub fn positions(&self) -> Vec<Position> {
+        let positions = Table::iter().map(|table| {
+            let content = self.tables.get(&table);
+            Position {
+                table,
+                era: self.era(table),
+                version: content.map_or(0, Content::newest_version),
+            }
+        });
+        positions.collect()
+    }
+
+    /// Merges changes of `table` from the store's feed. If they are of a later era, the table must
+    /// be read in full.
+    pub fn apply_changes(&mut self, table: Table, batch: Batch) -> Effect {
+        let content = self.tables.entry(table).or_default();
+        if content.era.is_some_and(|it| it != batch.era) {
+            if content.era() < batch.era {
+                content.synced_version = None;
+            }
+            return Effect::OtherEra;
+        }
+        content.era = Some(batch.era);
+        content.synced_version = content.synced_version.max(Some(batch.version));
+        Effect::Merged(content.merge(batch.rows))
+    }
+
+    /// Merges a full read of a table: rows missing from it are deleted unless they are newer.
+    pub fn apply_snapshot(&mut self, table: Table, batch: Batch) -> Effect {
+        let update = Update {
+            table,
+            era: batch.era,
+            version: batch.version,
+            is_full: true,
+            rows: batch.rows,
+        };
+        let effect = self.merge_full(update);
+        if effect != Effect::OtherEra {
+            let content = self.tables.entry(table).or_default();
+            content.synced_version = content.synced_version.max(Some(batch.version));
+        }
+        effect
+    }
+
+    /// Merges an update from another replica.
+    pub fn merge(&mut self, update: Update) -> Effect {
+        if update.is_full {
+            return self.merge_full(update);
+        }
+        let content = self.tables.entry(update.table).or_default();
+        if content.era.is_some_and(|it| it != update.era) {
+            return Effect::OtherEra;
+        }
+        content.era = Some(update.era);
+        Effect::Merged(content.merge(update.rows))
+    }
+
+    /// Merges rows from a replica that knows no eras. The next full read replaces the table.
+    pub fn merge_unverified(&mut self, rows: Vec<Row>) -> Vec<Row> {
+        let mut changed_rows = Vec::new();
+        for row in rows {
+            let content = self.tables.entry(row.table).or_default();
+            content.is_unverified = true;
+            content.synced_version = None;
+            changed_rows.extend(content.merge(vec![row]));
+        }
+        changed_rows
+    }
+
+    fn merge_full(&mut self, update: Update) -> Effect {
+        let Update {
+            table,
+            era,
+            version,
+            rows,
+            ..
+        } = update;
+        let content = self.tables.entry(table).or_default();
+        if content.era.is_some_and(|it| it > era) {
+            return Effect::OtherEra;
+        }
+        let is_later = content.era.is_some_and(|it| it < era);
+        if is_later || content.is_unverified {
+            self.has_replaced |= is_later;
+            return Effect::Replaced(content.replace(table, era, rows, version));
+        }
+        content.era = Some(era);
+        Effect::Merged(content.merge_all(table, rows, version))
+    }
+
+    /// What a replica at `positions` lacks.
+    #[must_use]
+    pub fn updates_since(&self, positions: &[Position]) -> Vec<Update> {
+        let known = self.tables.iter().filter(|it| !it.1.is_unverified);
+        let updates = known.filter_map(|(table, content)| {
+            let position = positions.iter().find(|it| it.table == *table);
+            let position = position.copied().unwrap_or(Position {
+                table: *table,
+                era: Era::default(),
+                version: 0,
+            });
+            let era = content.era?;
+            if position.era > era {
+                return None;
+            }
+            let is_full = position.era < era || position.version < content.pruned_version;
+            let update = Update {
+                table: *table,
+                era,
+                version: match is_full {
+                    true => content.complete_version()?,
+                    false => content.newest_version(),
+                },
+                is_full,
+                rows: match is_full {
+                    true => content.rows_above(*table, 0),
+                    false => content.rows_above(*table, position.version),
+                },
+            };
+            (is_full || !update.rows.is_empty()).then_some(update)
+        });
+        updates.collect()
+    }
+
+    /// Rows above the newest version that a replica which knows no eras holds of each table, oldest
+    /// version first.
+    #[must_use]
+    pub fn rows_since(&self, positions: &[(Table, u64)]) -> Vec<Row> {
+        let rows = self.tables.iter().flat_map(|(table, content)| {
+            let position = positions.iter().find(|it| it.0 == *table);
+            content.rows_above(*table, position.map_or(0, |it| it.1))
+        });
+        let mut rows: Vec<Row> = rows.collect();
+        rows.sort_by_key(|it| it.version);
+        rows
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -15,8 +15,10 @@
 use platform::store;
 use platform::store::Precondition;
 use tokio::time::Instant;
+use wire::Protocol;
 use wire::Reply;
 use wire::Request;
+use wire::message::News;
 use wire::tls::Identity;
 use wire::tls::Pem;
 
@@ -86,8 +88,10 @@
 pub async fn follow_table(node: Arc<Node>, client: store::Client, table: Table) {
     let mut backoff = Backoff::new();
     let mut recoveries = node.watch_store_recoveries();
+    let mut eras = client.watch_era();
     loop {
         recoveries.mark_unchanged();
+        eras.mark_unchanged();
         if node.store_copy().mirror.synced_version(table).is_some()
             && !is_reader(&node)
             && node.is_fresh()
@@ -100,6 +104,7 @@
             outcome = poll_table(&node, &client, table) => outcome,
             // The store may never answer a call that was sent before it recovered.
             _ = recoveries.changed() => continue,
+            _ = eras.changed() => continue,
         };
         match outcome {
             Ok(()) => {
@@ -127,8 +132,12 @@
 }
 
 async fn poll_table(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
-    let position = node.store_copy().mirror.complete_version(table);
-    let Some(position) = position else {
+    let (position, is_outdated) = {
+        let mirror = &node.store_copy().mirror;
+        let is_outdated = mirror.is_unverified(table) || mirror.era(table) < client.era();
+        (mirror.complete_version(table), is_outdated)
+    };
+    let Some(position) = position.filter(|_| !is_outdated) else {
         return read_table(node, client, table).await;
     };
     let wait = match table {
@@ -137,7 +146,9 @@
     };
     let batch = client.feed(table, position, wait).await?;
     let has_news = !batch.rows.is_empty();
-    node.apply_table_changes(table, batch.rows, batch.version);
+    if !node.apply_table_changes(table, batch) {
+        return check_era(node, client, table);
+    }
     record_complete(node, table);
     if has_news && table != Table::Operators {
         tokio::time::sleep(batch_delay(node)).await;
@@ -145,6 +156,16 @@
     Ok(())
 }
 
+/// Tells rows of a later era, after which the table is read in full, from a late response.
+fn check_era(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
+    let era = node.store_copy().mirror.era(table);
+    if era < client.era() {
+        return Ok(());
+    }
+    let reason = format!("an earlier era than {era}");
+    Err(store::Error::Protocol(reason))
+}
+
 /// Pause after changes of registrations, so that the store's next answer covers many of them.
 fn batch_delay(node: &Node) -> Duration {
     let ratio = node.member_count() as f64 * BATCH_DELAY_RATIO_PER_MEMBER;
@@ -156,13 +177,9 @@
 
 async fn read_table(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
     let batch = client.read(table).await?;
-    let positions = node.store_copy().mirror.positions();
-    let held = positions.iter().find(|it| it.0 == table).map(|it| it.1);
-    if held.is_some_and(|it| it > batch.version) {
-        slog::warn!(node.logger(), "rows_older_than_held"; "table" => %table, "era" => %batch.era,
-            "version" => batch.version, "held" => held);
+    if !node.apply_table_snapshot(table, batch) {
+        return check_era(node, client, table);
     }
-    node.apply_table_snapshot(table, batch.rows, batch.version);
     record_complete(node, table);
     Ok(())
 }
@@ -181,7 +198,8 @@
     while eras.changed().await.is_ok() {
         let era = *eras.borrow_and_update();
         let positions = node.store_copy().mirror.positions();
-        let positions = positions.iter().map(|it| format!("{}:{}", it.0, it.1));
+        let positions = positions.iter();
+        let positions = positions.map(|it| format!("{}:{}/{}", it.table, it.era, it.version));
         slog::warn!(node.logger(), "store_era"; "before" => %known, "now" => %era,
             "held" => positions.collect::<Vec<_>>().join(" "));
         node.telemetry.count("store.eras", 1);
@@ -248,29 +266,33 @@
 /// Fetches newer rows and losses from another instance; returns whether its rows are fresh enough
 /// to keep following it.
 async fn fetch_peer_rows(node: &Node, member: &Member) -> bool {
-    let positions = node.store_copy().mirror.positions();
-    let rows = async {
-        let request = Request::Rows(positions);
-        let mut replies = node.peers.open(member, request).await.ok()?;
+    let reply = async {
+        let request = |protocol| match protocol {
+            Protocol::V1 => Request::Rows(unversioned_positions(node)),
+            Protocol::V2 => Request::Updates(node.store_copy().mirror.positions()),
+        };
+        let mut replies = node.peers.open_with(member, request).await.ok()?;
         replies.next().await
     };
-    match tokio::time::timeout(PEER_TIMEOUT, rows).await {
-        Ok(Some(Reply::Rows(news))) => {
+    match tokio::time::timeout(PEER_TIMEOUT, reply).await {
+        Ok(Some(Reply::Updates(update))) => {
             node.peers.record_answer(&member.instance);
-            if !news.rows.is_empty() {
-                node.merge_rows(news.rows);
+            for table in update.tables {
+                node.merge_update(table);
             }
-            quota::news::merge(node, &news.rate_limits);
-            suspicion::merge_losses(node, &news.losses, Source::Peer);
-            // An answer outweighs losses regardless of which came first, so it is applied last.
-            for (fingerprint, age) in news.cleared {
-                suspicion::record_success(node, fingerprint, age, Source::Peer);
+            merge_news(node, update.news)
+        }
+        Ok(Some(Reply::Rows(update))) => {
+            node.peers.record_answer(&member.instance);
+            if !needs_unverified(node) {
+                let news = News {
+                    age: None,
+                    ..update.news
+                };
+                return merge_news(node, news);
             }
-            let Some(age) = news.age else {
-                return false;
-            };
-            node.record_complete(age);
-            age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX)
+            node.merge_unverified(update.rows);
+            merge_news(node, update.news)
         }
         Err(_) => {
             if node.peers.record_timeout(member).await {
@@ -283,6 +305,36 @@
     }
 }
 
+/// Whether rows of unknown era are better than none. Instances of earlier builds know no eras and
+/// may hold rows that the store has lost, so their rows are used only by an instance that the store
+/// does not answer, and not after a return of the store that it knows of.
+fn needs_unverified(node: &Node) -> bool {
+    let copy = node.store_copy();
+    copy.is_store_failing() && !copy.mirror.has_replaced()
+}
+
+fn unversioned_positions(node: &Node) -> Vec<(Table, u64)> {
+    let positions = node.store_copy().mirror.positions();
+    let positions = positions.into_iter().map(|it| (it.table, it.version));
+    positions.collect()
+}
+
+/// Merges what another instance tells beside its rows; returns whether these are fresh enough to keep
+/// following it.
+fn merge_news(node: &Node, news: News) -> bool {
+    quota::news::merge(node, &news.rate_limits);
+    suspicion::merge_losses(node, &news.losses, Source::Peer);
+    // An answer outweighs losses regardless of which came first, so it is applied last.
+    for (fingerprint, age) in news.cleared {
+        suspicion::record_success(node, fingerprint, age, Source::Peer);
+    }
+    let Some(age) = news.age else {
+        return false;
+    };
+    node.record_complete(age);
+    age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX)
+}
+
 /// Indices for [`follow_peer`], one per peer that is followed concurrently.
 pub fn peer_indices() -> impl Iterator<Item = usize> {
     0..PEERS_FOLLOWED
@@ -329,17 +381,22 @@
     node.view().members.get(sources.get(idx)?).cloned()
 }
 
-/// Waits until this instance's row appears in the view, for at most [`CONFIRM_TIMEOUT`].
-async fn wait_until_seen(node: &Node, own: &Member) {
+/// Waits until the store is known to hold a row of the members' table, for at most
+/// [`CONFIRM_TIMEOUT`].
+async fn wait_until_seen(node: &Node, key: &str, value: &[u8]) {
     let mut view = node.watch_view();
-    let is_seen = |view: &Arc<View>| {
-        let row = view.members.get(&own.instance);
-        row.is_some_and(|it| **it == *own)
-    };
+    let is_seen = |_: &Arc<View>| is_stored(node, key, value);
     // After a timeout the caller writes the row again.
     let _ = tokio::time::timeout(CONFIRM_TIMEOUT, view.wait_for(is_seen)).await;
 }
 
+/// Whether the store is known to hold a row of the members' table with this value. The view may also
+/// have instances whose rows the store has lost.
+fn is_stored(node: &Node, key: &str, value: &[u8]) -> bool {
+    let copy = node.store_copy();
+    copy.mirror.value(Table::Members, key) == Some(value)
+}
+
 /// Reads the keys and certificates of this deployment from the store, and creates them if there are
 /// none. Retries until it succeeds.
 pub async fn load_keys(node: &Node, client: &store::Client) -> Identity {
@@ -394,9 +451,7 @@
     let mut backoff = Backoff::new();
     loop {
         view.mark_unchanged();
-        let known = node.view().members.get(&own.instance).cloned();
-        let is_registered = known.is_some_and(|it| *it == own);
-        if is_registered || node.is_shutting_down() {
+        if is_stored(&node, &key, &value) || node.is_shutting_down() {
             backoff.reset();
             if view.changed().await.is_err() {
                 return;
@@ -407,7 +462,7 @@
             Ok(()) => {
                 slog::info!(node.logger(), "registered"; "key" => &key);
                 backoff.reset();
-                wait_until_seen(&node, &own).await;
+                wait_until_seen(&node, &key, &value).await;
             }
             Err(err) => {
                 slog::warn!(node.logger(), "register_failed"; "reason" => %err);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod process;
 mod quota;
 pub mod relay;
+mod restore;
 pub mod routing;
 pub mod send_guard;
 pub mod serve;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,16 +15,19 @@
 use forwarding::origin::Record;
 use forwarding::poison::Source;
 use futures_util::future::BoxFuture;
+use mirror::Mirror;
 use stages::Plan;
 use stages::Prepared;
 use stages::Refusal;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use wire::Protocol;
 use wire::Reply;
 use wire::Request;
+use wire::message::News;
 use wire::message::RowsUpdate;
+use wire::message::TablesUpdate;
 use wire::peer;
-use wire::peer::Peer;
 use wire::steps::Prepare;
 use wire::steps::Progress;
 use wire::tunnel;
@@ -97,13 +100,28 @@
         &self,
         member: &Member,
         request: Request,
+    ) -> Result<peer::Replies, peer::Error> {
+        self.open_with(member, |_| request).await
+    }
+
+    /// Sends the request that `request` makes for the protocol that the member speaks, and returns the
+    /// stream of its replies.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the member cannot be reached or the client is not set yet.
+    pub async fn open_with(
+        &self,
+        member: &Member,
+        request: impl FnOnce(Protocol) -> Request,
     ) -> Result<peer::Replies, peer::Error> {
         let client = self.client.get().ok_or(peer::Error::Unreachable)?;
         if self.update_incarnation(member) {
             // A request on the connection to the former process would be lost.
             client.disconnect(member.address).await;
         }
-        client.open(member.address, request).await
+        let (_, replies) = client.open_with(member.address, request).await?;
+        Ok(replies)
     }
 
     /// Opens a tunnel through a member.
@@ -206,6 +224,7 @@
             match request {
                 Request::Prepare(prepare) => serve_prepare(&node, *prepare, replies).await,
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
+                Request::Updates(positions) => serve_updates(&node, &positions, replies).await,
                 Request::Losses(losses) => suspicion::merge_losses(&node, &losses, Source::Peer),
                 Request::Ping => send_reply(&replies, Reply::Done).await,
                 Request::Admit(admit) => quota::lease::serve_admit(&node, *admit, replies).await,
@@ -295,21 +314,21 @@
     send_reply(&replies, Reply::Steps(progress)).await;
 }
 
-/// Answers a long poll with the rows above `positions`, or without any after [`ROWS_POLL_MAX`] or
-/// once the rows of this instance are no longer fresh.
-async fn serve_rows(
+/// Waits until the rows differ from those that `has_rows` was told of, for at most [`ROWS_POLL_MAX`]
+/// or until the rows of this instance are no longer fresh; then returns everything else to tell.
+/// `None` if the requester has gone.
+async fn wait_for_news(
     node: &Arc<Node>,
-    positions: &[(mirror::Table, u64)],
-    replies: mpsc::Sender<Reply>,
-) {
+    has_rows: impl Fn(&Mirror) -> bool,
+    replies: &mpsc::Sender<Reply>,
+) -> Option<News> {
     let poll_deadline = Instant::now() + ROWS_POLL_MAX;
     let mut view = node.watch_view();
     let mut limits = node.quota_wakers.subscribe();
     let first_change = *limits.borrow_and_update();
     loop {
         view.mark_unchanged();
-        let rows = node.store_copy().mirror.rows_since(positions);
-        let has_news = !rows.is_empty() || *limits.borrow() != first_change;
+        let has_news = has_rows(&node.store_copy().mirror) || *limits.borrow() != first_change;
         if has_news || Instant::now() >= poll_deadline || !node.is_fresh() {
             let now = Instant::now();
             let (losses, cleared) = {
@@ -319,27 +338,65 @@
                     quarantine.recently_cleared(now),
                 )
             };
-            let news = RowsUpdate {
-                rows,
+            return Some(News {
                 age: node.rows_age(),
                 losses,
                 cleared,
                 rate_limits: quota::news::recent_observations(node),
-            };
-            return send_reply(&replies, Reply::Rows(Box::new(news))).await;
+            });
         }
         tokio::select! {
             changed = tokio::time::timeout_at(poll_deadline, view.changed()) => {
                 if matches!(changed, Ok(Err(_))) {
-                    return;
+                    return None;
                 }
             }
             _ = limits.changed() => {}
-            () = replies.closed() => return,
+            () = replies.closed() => return None,
         }
     }
 }
 
+/// Answers a long poll for the rows above `positions` of an instance that knows no eras.
+async fn serve_rows(
+    node: &Arc<Node>,
+    positions: &[(mirror::Table, u64)],
+    replies: mpsc::Sender<Reply>,
+) {
+    let has_rows = |mirror: &Mirror| !mirror.rows_since(positions).is_empty();
+    let Some(news) = wait_for_news(node, has_rows, &replies).await else {
+        return;
+    };
+    let rows = node.store_copy().mirror.rows_since(positions);
+    let update = RowsUpdate { rows, news };
+    send_reply(&replies, Reply::Rows(Box::new(update))).await;
+}
+
+/// Answers a long poll for what an instance at `positions` lacks.
+async fn serve_updates(
+    node: &Arc<Node>,
+    positions: &[mirror::Position],
+    replies: mpsc::Sender<Reply>,
+) {
+    let has_rows = |mirror: &Mirror| !mirror.updates_since(positions).is_empty();
+    let Some(mut news) = wait_for_news(node, has_rows, &replies).await else {
+        return;
+    };
+    let tables = {
+        let mirror = &node.store_copy().mirror;
+        // The age tells how long ago the operators' rows were complete, in their era.
+        let table = mirror::Table::Operators;
+        let mut known = positions.iter().filter(|it| it.table == table);
+        let is_behind = known.any(|it| it.era > mirror.era(table));
+        if is_behind || mirror.is_unverified(table) {
+            news.age = None;
+        }
+        mirror.updates_since(positions)
+    };
+    let update = TablesUpdate { tables, news };
+    send_reply(&replies, Reply::Updates(Box::new(update))).await;
+}
+
 /// Takes the origins of streams that another instance began into custody.
 fn hold_origins(node: &Node, origins: Vec<wire::message::Origin>) {
     let now = Instant::now();
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -32,6 +32,7 @@
 use crate::peers::Handler;
 use crate::peers::Peers;
 use crate::quota;
+use crate::restore;
 use crate::state::Node;
 use crate::suspicion;
 
@@ -176,6 +177,10 @@
     supervisor.spawn("versions", RestartPolicy::Always, move || {
         origin::record_versions(version_node.clone())
     });
+    let (restore_node, restore_store) = (node.clone(), store.clone());
+    supervisor.spawn("restore", RestartPolicy::Always, move || {
+        restore::run(restore_node.clone(), restore_store.clone())
+    });
     let (join_node, store) = (node.clone(), store.clone());
     supervisor.spawn("join", RestartPolicy::Always, move || {
         join_cluster(join_node.clone(), store.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -15,9 +15,13 @@
 use catalog::View;
 use forwarding::path::Paths;
 use forwarding::stop::Shutdown;
+use mirror::Batch;
+use mirror::Effect;
+use mirror::Era;
 use mirror::Mirror;
 use mirror::Row;
 use mirror::Table;
+use mirror::Update;
 use platform::settings::Settings;
 use platform::store;
 use stages::Shard;
@@ -61,6 +65,12 @@
 }
 
 impl StoreCopy {
+    /// Whether this instance's latest call to the store failed.
+    #[must_use]
+    pub fn is_store_failing(&self) -> bool {
+        self.is_store_failing
+    }
+
     fn age(&self, now: Instant) -> Option<Duration> {
         self.complete_at.map(|it| now.saturating_duration_since(it))
     }
@@ -110,6 +120,8 @@
     pub(crate) store: store::Client,
     /// Wakes the tasks that keep the origins of streams.
     pub(crate) origin_wakers: OriginWakers,
+    /// Wakes the task that restores rows when the store has lost some.
+    pub(crate) rows_lost: Notify,
 }
 
 impl Node {
@@ -144,6 +156,7 @@
             path_lost: Notify::new(),
             loss_wakers: suspicion::Wakers::default(),
             origin_wakers: OriginWakers::default(),
+            rows_lost: Notify::new(),
             are_versions_recorded: AtomicBool::new(false),
             settings,
             telemetry,
@@ -308,28 +321,72 @@
         InFlightGuard(self.clone())
     }
 
-    /// Applies all changes of a table up to version `synced`, as read from the store.
-    pub fn apply_table_changes(&self, table: Table, rows: Vec<Row>, synced: u64) {
-        self.update(|copy, now| {
-            let news = copy.mirror.apply_changes(table, rows, synced);
-            copy.tracker.apply(&news, now)
-        });
+    /// Applies changes of a table from the store's feed; returns whether they are of the era of the
+    /// table.
+    pub fn apply_table_changes(&self, table: Table, batch: Batch) -> bool {
+        self.apply_rows(table, "store", |it| it.apply_changes(table, batch))
+    }
+
+    /// Applies a full read of a table; returns whether it is of the era of the table or a later one.
+    pub fn apply_table_snapshot(&self, table: Table, batch: Batch) -> bool {
+        self.apply_rows(table, "store", |it| it.apply_snapshot(table, batch))
     }
 
-    /// Replaces a table with its rows at `version`, as read from the store.
-    pub fn apply_table_snapshot(&self, table: Table, rows: Vec<Row>, version: u64) {
+    /// Merges an update of a table from another instance.
+    pub fn merge_update(&self, update: Update) {
+        self.apply_rows(update.table, "peer", |it| it.merge(update));
+    }
+
+    /// Merges rows from an instance that knows no eras.
+    pub fn merge_unverified(&self, rows: Vec<Row>) {
         self.update(|copy, now| {
-            let news = copy.mirror.apply_snapshot(table, rows, version);
+            let news = copy.mirror.merge_unverified(rows);
             copy.tracker.apply(&news, now)
         });
     }
 
-    /// Merges rows from another instance.
-    pub fn merge_rows(&self, rows: Vec<Row>) {
+    fn apply_rows(
+        &self,
+        table: Table,
+        source: &str,
+        merge: impl FnOnce(&mut Mirror) -> Effect,
+    ) -> bool {
+        let mut effect = Effect::OtherEra;
+        let mut eras = (Era::default(), Era::default());
         self.update(|copy, now| {
-            let news = copy.mirror.merge(rows);
-            copy.tracker.apply(&news, now)
+            let before = copy.mirror.era(table);
+            effect = merge(&mut copy.mirror);
+            eras = (before, copy.mirror.era(table));
+            match &effect {
+                Effect::Merged(news) => copy.tracker.apply(news, now),
+                Effect::Replaced(replacement) => {
+                    let mut changes = copy.tracker.begin_era(table, &replacement.lost, now);
+                    changes.extend(copy.tracker.apply(&replacement.changed, now));
+                    changes
+                }
+                Effect::OtherEra => Vec::new(),
+            }
         });
+        match effect {
+            Effect::Merged(_) => true,
+            Effect::Replaced(replacement) => {
+                slog::warn!(self.logger(), "table_replaced"; "table" => %table, "source" => source,
+                    "before" => %eras.0, "now" => %eras.1, "changed" => replacement.changed.len(),
+                    "lost" => replacement.lost.len());
+                self.telemetry.count("store.replaced_tables", 1);
+                if table == Table::Members {
+                    self.limits().origins.resave();
+                    self.origin_wakers.save.notify_one();
+                    self.rows_lost.notify_one();
+                }
+                true
+            }
+            Effect::OtherEra => {
+                slog::info!(self.logger(), "rows_of_other_era"; "table" => %table,
+                    "source" => source, "era" => %eras.1);
+                false
+            }
+        }
     }
 
     /// Marks an upstream as leaving because one of its answers said that it is about to stop.
@@ -388,7 +445,9 @@
             | Change::UpstreamGone(name)
             | Change::UpstreamLapsed(name) => name.to_string(),
             Change::Evacuated(zone) | Change::Returned(zone) => zone.to_string(),
-            Change::Member(name) | Change::MemberGone(name) => name.to_string(),
+            Change::Member(name) | Change::MemberGone(name) | Change::MemberLapsed(name) => {
+                name.to_string()
+            }
             Change::Software(service, software) | Change::SoftwareGone(service, software) => {
                 format!("{service} {software}")
             }
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -4,6 +4,10 @@
 //! upstream could not send heartbeats. A live upstream registers again within two seconds of the
 //! recovery, so a lapsed upstream stays in use until then. It is no outage if only this instance
 //! fails to reach the store, because other instances confirm that the rows are complete.
+//!
+//! When the store comes back from an older copy, whoever wrote rows that it lost writes them again.
+//! Until then the view keeps what it knew: it goes back to no older configuration, and upstreams that
+//! were leaving stay so.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -25,6 +29,10 @@
 /// Time after the store's recovery within which every live upstream has registered again.
 const LAPSE_HOLD: Duration = Duration::from_millis(2_100);
 
+/// Time after a return of the store from an older copy within which operators and instances of this
+/// system have written again what it lost.
+const REWRITE_HOLD: Duration = Duration::from_secs(10);
+
 /// The store counts as unavailable when no instance has received an answer for this long.
 /// Registrations lapse after three missed heartbeats (3.6 s), so none lapses in a shorter outage.
 const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
@@ -58,6 +66,8 @@
     Member(id::Instance),
     /// The row of an instance of this system was deleted.
     MemberGone(id::Instance),
+    /// The store has lost the row of an instance of this system, which stays in the view for now.
+    MemberLapsed(id::Instance),
     /// A software version of a service was recorded.
     Software(id::Service, id::Software),
     /// A software version of a service has not been in service for some time.
@@ -82,6 +92,9 @@
     view: View,
     /// Upstreams deleted during an outage or shortly after it, and until when they stay in use.
     lapsed: BTreeMap<id::Upstream, Instant>,
+    /// Evacuations and instances whose rows the store has lost, and until when they stay in force.
+    lost_evacuations: BTreeMap<id::Zone, Instant>,
+    lost_members: BTreeMap<id::Instance, Instant>,
     /// Start times, in ms, of upstreams that announced that they are about to stop.
     leaving: BTreeMap<id::Upstream, u64>,
     /// When the rows were first complete again after the latest outage.
@@ -130,6 +143,49 @@
         changes.collect()
     }
 
+    /// Records that the store came back from an older copy of `table`, without the rows `lost`. To be
+    /// called before the changed rows are applied.
+    pub fn begin_era(&mut self, table: Table, lost: &[Row], now: Instant) -> Vec<Change> {
+        self.view.version = 0;
+        if table == Table::Upstreams {
+            // Their rows may say again that they are ready.
+            let draining = self.view.upstreams.values();
+            let draining = draining.filter(|it| it.phase == Phase::Draining);
+            self.leaving
+                .extend(draining.map(|it| (it.name.clone(), it.started_ms)));
+        }
+        let changes = lost.iter().filter_map(|it| self.hold_lost(it, now));
+        changes.collect()
+    }
+
+    /// Keeps what a lost row says in force until its writer had time to write it again.
+    fn hold_lost(&mut self, row: &Row, now: Instant) -> Option<Change> {
+        match row.table {
+            Table::Operators => {
+                let OperatorKey::Evacuation(zone) = rows::parse_operator_key(&row.key) else {
+                    return None;
+                };
+                if self.view.evacuated_zones.contains(&zone) {
+                    self.lost_evacuations.insert(zone, now + REWRITE_HOLD);
+                }
+                None
+            }
+            Table::Upstreams => {
+                let name: id::Upstream = row.key.parse().ok()?;
+                if !self.view.upstreams.contains_key(&name) {
+                    return None;
+                }
+                self.lapsed.insert(name.clone(), now + LAPSE_HOLD);
+                Some(Change::UpstreamLapsed(name))
+            }
+            Table::Members => {
+                let name = rows::parse_member_key(&row.key)?;
+                self.lost_members.insert(name.clone(), now + REWRITE_HOLD);
+                Some(Change::MemberLapsed(name))
+            }
+        }
+    }
+
     /// Marks an upstream as draining because it announced that it is about to stop. Returns `None`
     /// if it is unknown, has restarted since, or is already draining.
     pub fn set_leaving(&mut self, incarnation: &id::Incarnation) -> Option<Change> {
@@ -143,13 +199,15 @@
         Some(Change::UpstreamLeaving(name))
     }
 
-    /// When the next lapsed upstream is due for removal.
+    /// When the next lapsed upstream, or another lost row, is due for removal.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.lapsed.values().min().copied()
+        let lapsed = self.lapsed.values().chain(self.lost_evacuations.values());
+        lapsed.chain(self.lost_members.values()).min().copied()
     }
 
-    /// Removes the lapsed upstreams that did not register again in time.
+    /// Removes the lapsed upstreams that did not register again in time, and what other lost rows said
+    /// that were not written again.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         if self.is_outage {
             return Vec::new();
@@ -161,7 +219,16 @@
             self.view.upstreams.remove(name);
             self.leaving.remove(name);
         }
-        expired.into_iter().map(Change::UpstreamGone).collect()
+        let mut changes: Vec<Change> = expired.into_iter().map(Change::UpstreamGone).collect();
+        for zone in take_expired(&mut self.lost_evacuations, now) {
+            self.view.evacuated_zones.remove(&zone);
+            changes.push(Change::Returned(zone));
+        }
+        for name in take_expired(&mut self.lost_members, now) {
+            self.view.members.remove(&name);
+            changes.push(Change::MemberGone(name));
+        }
+        changes
     }
 
     fn apply_row(&mut self, row: &Row, now: Instant) -> Option<Change> {
@@ -185,10 +252,12 @@
         match rows::parse_operator_key(&row.key) {
             OperatorKey::Config => self.apply_config(row),
             OperatorKey::Evacuation(zone) if row.value.is_some() => {
+                self.lost_evacuations.remove(&zone);
                 self.view.evacuated_zones.insert(zone.clone());
                 Some(Change::Evacuated(zone))
             }
             OperatorKey::Evacuation(zone) => {
+                self.lost_evacuations.remove(&zone);
                 self.view.evacuated_zones.remove(&zone);
                 Some(Change::Returned(zone))
             }
@@ -263,6 +332,7 @@
             return Some(self.apply_software(service, software, row.value.is_some()));
         }
         let name = rows::parse_member_key(&row.key)?;
+        self.lost_members.remove(&name);
         let Some(value) = row.value.as_deref() else {
             self.view.members.remove(&name);
             return Some(Change::MemberGone(name));
@@ -297,6 +367,12 @@
     }
 }
 
+/// Removes the entries that are due; returns their keys.
+fn take_expired<K: Clone + Ord>(held: &mut BTreeMap<K, Instant>, now: Instant) -> Vec<K> {
+    let expired = held.extract_if(.., |_, until| *until <= now);
+    expired.map(|(key, _)| key).collect()
+}
+
 fn loss_change(fingerprint: id::Fingerprint, incarnation: id::Incarnation, row: &Row) -> Change {
     let Some(value) = row.value.as_deref() else {
         return Change::LossDropped(fingerprint, incarnation);
--- a/crates/node/tests/it/view_rows.rs
+++ b/crates/node/tests/it/view_rows.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use base::id;
+use mirror::Batch;
+use mirror::Effect;
+use mirror::Era;
 use mirror::Mirror;
 use mirror::Row;
 use mirror::Table;
+use mirror::Update;
 use node::view_tracker::Change;
 use node::view_tracker::ViewTracker;
 use platform::rows;
@@ -138,11 +142,29 @@
             value,
         };
         let table = Table::Upstreams;
-        let changed_rows = self
-            .mirror
-            .apply_changes(table, vec![row.clone()], self.version);
-        let mut changes = self.tracker.apply(&changed_rows, now);
-        changes.extend(self.tracker.apply(&self.mirror.merge(vec![row]), now));
+        let era = Era::default();
+        let batch = Batch {
+            era,
+            rows: vec![row.clone()],
+            version: self.version,
+        };
+        let update = Update {
+            table,
+            era,
+            version: self.version,
+            is_full: false,
+            rows: vec![row],
+        };
+        let mut changes = Vec::new();
+        for effect in [
+            self.mirror.apply_changes(table, batch),
+            self.mirror.merge(update),
+        ] {
+            let Effect::Merged(changed_rows) = effect else {
+                panic!("{effect:?}");
+            };
+            changes.extend(self.tracker.apply(&changed_rows, now));
+        }
         changes
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod message;
 pub mod peer;
+pub mod protocol;
 pub mod quic;
 pub mod quota;
 pub mod status;
@@ -18,3 +19,4 @@
 
 pub use message::Reply;
 pub use message::Request;
+pub use protocol::Protocol;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -64,6 +64,8 @@
     Origins(Vec<Origin>),
     /// Connects to an upstream. If that succeeds, the stream carries its bytes both ways.
     Tunnel(tunnel::Open),
+    /// Like [`Request::Rows`], with the eras of the store; since [`crate::Protocol::V2`].
+    Updates(Vec<mirror::Position>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -100,6 +102,8 @@
     RateLimits(Vec<Observation>),
     /// Whether a tunnel is open.
     Tunnel(tunnel::Answer),
+    /// What the requester's copies of the tables lack, with recent losses.
+    Updates(Box<TablesUpdate>),
 }
 
 /// Where a stream began, for the instance that saves it.
@@ -118,7 +122,25 @@
 pub struct RowsUpdate {
     /// Store rows newer than the requested positions, oldest first.
     pub rows: Vec<mirror::Row>,
-    /// Time since the sender's copy was known to be complete; `None` if it never was.
+    /// Everything else.
+    pub news: News,
+}
+
+/// What the requester of [`Request::Updates`] may not know yet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TablesUpdate {
+    /// Changes of the tables.
+    pub tables: Vec<mirror::Update>,
+    /// Everything else.
+    pub news: News,
+}
+
+/// What an instance tells those that follow it, beside the rows of the store. Encoded as part of
+/// [`RowsUpdate`], of which earlier builds know every field.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Time since the sender's copy was known to be complete; `None` if it never was, or if it is of
+    /// an earlier era than the requester's.
     pub age: Option<Duration>,
     /// Recent losses of upstreams while they ran a request.
     pub losses: Vec<Loss>,
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use quinn::crypto::rustls::HandshakeData;
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use tokio::sync::Mutex;
@@ -18,12 +19,12 @@
 use crate::peer::Handler;
 use crate::peer::Peer;
 use crate::peer::Replies;
+use crate::protocol::Protocol;
 use crate::tls;
 use crate::tls::Identity;
 use crate::tunnel;
 use crate::tunnel::Tunnel;
 
-const ALPN: &[u8] = b"catkinvane/1";
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time without any packet from the peer after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -122,45 +123,66 @@
         to: SocketAddr,
         open: tunnel::Open,
     ) -> Result<Result<Tunnel, tunnel::Answer>, peer::Error> {
-        let (send, recv) = self.send(to, &Request::Tunnel(open)).await?;
+        let connection = self.connection(to).await?;
+        let (send, recv) = send(&connection, &Request::Tunnel(open)).await?;
         Tunnel::open(send, recv).await
     }
 
-    /// Opens a stream and sends a request on it.
-    async fn send(
+    /// Sends the request that `request` makes for the protocol of the connection; returns that
+    /// protocol too.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be reached.
+    pub async fn open_with(
         &self,
         to: SocketAddr,
-        request: &Request,
-    ) -> Result<(quinn::SendStream, quinn::RecvStream), peer::Error> {
+        request: impl FnOnce(Protocol) -> Request,
+    ) -> Result<(Protocol, Replies), peer::Error> {
         let connection = self.connection(to).await?;
-        let (mut send, recv) = connection
-            .open_bi()
-            .await
-            .map_err(|_| peer::Error::Unreachable)?;
-        let frame = codec::encode(request).map_err(|_| peer::Error::Protocol)?;
-        send.write_all(&frame)
-            .await
-            .map_err(|_| peer::Error::Lost)?;
-        Ok((send, recv))
-    }
-
-    async fn open(&self, to: SocketAddr, request: Request) -> Result<Replies, peer::Error> {
-        let (mut send, recv) = self.send(to, &request).await?;
+        let protocol = agreed_protocol(&connection);
+        let (mut send, recv) = send(&connection, &request(protocol)).await?;
         // Fails only if the stream is already closed.
         let _ = send.finish();
         let (replies, receiver) = mpsc::channel(peer::REPLY_BUFFER);
         tokio::spawn(receive(recv, replies));
-        Ok(Replies(receiver))
+        Ok((protocol, Replies(receiver)))
     }
 }
 
+/// Opens a stream and sends a request on it.
+async fn send(
+    connection: &quinn::Connection,
+    request: &Request,
+) -> Result<(quinn::SendStream, quinn::RecvStream), peer::Error> {
+    let (mut send, recv) = connection
+        .open_bi()
+        .await
+        .map_err(|_| peer::Error::Unreachable)?;
+    let frame = codec::encode(request).map_err(|_| peer::Error::Protocol)?;
+    send.write_all(&frame)
+        .await
+        .map_err(|_| peer::Error::Lost)?;
+    Ok((send, recv))
+}
+
+/// The protocol that the handshake of a connection agreed on.
+fn agreed_protocol(connection: &quinn::Connection) -> Protocol {
+    let handshake = connection.handshake_data();
+    let handshake = handshake.and_then(|it| it.downcast::<HandshakeData>().ok());
+    Protocol::agreed(handshake.and_then(|it| it.protocol).as_deref())
+}
+
 impl Peer for Client {
     fn open(
         &self,
         to: SocketAddr,
         request: Request,
     ) -> BoxFuture<'_, Result<Replies, peer::Error>> {
-        Box::pin(Client::open(self, to, request))
+        Box::pin(async move {
+            let (_, replies) = self.open_with(to, |_| request).await?;
+            Ok(replies)
+        })
     }
 }
 
@@ -303,7 +325,7 @@
         .with_root_certificates(identity.roots.clone())
         .with_client_auth_cert(identity.chain.clone(), identity.key.clone_key())
         .map_err(tls_error)?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
+    tls.alpn_protocols = Protocol::names();
     let crypto = QuicClientConfig::try_from(tls).map_err(tls_error)?;
     let mut config = quinn::ClientConfig::new(Arc::new(crypto));
     // Only clients open streams.
@@ -324,7 +346,7 @@
         .with_client_cert_verifier(verifier)
         .with_single_cert(identity.chain.clone(), identity.key.clone_key())
         .map_err(tls_error)?;
-    tls.alpn_protocols = vec![ALPN.to_vec()];
+    tls.alpn_protocols = Protocol::names();
     let crypto = QuicServerConfig::try_from(tls).map_err(tls_error)?;
     let mut config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
     config.transport_config(transport(STREAMS_MAX));
