Leave rows newer than a paged read to the feed

A row of a later page may be newer than the first page; the feed then began after it, and a change of a row of the first page in between was never seen, nor passed on to others. Rows above the version of the first page are now left to the feed. The test failed before: the table counted as complete up to the newer row.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -205,7 +205,7 @@
                 value: None,
             })
             .collect();
-        changed.extend(rows);
+        changed.extend(rows.into_iter().filter(|it| it.version <= version));
         self.merge(changed)
     }
 
@@ -365,11 +365,15 @@
             return Effect::OtherEra;
         }
         content.era = Some(batch.era);
+        let rows = batch.rows.into_iter();
+        let rows = rows.filter(|it| it.version <= batch.version).collect();
         content.synced_version = content.synced_version.max(Some(batch.version));
-        Effect::Merged(content.merge(batch.rows))
+        Effect::Merged(content.merge(rows))
     }
 
-    /// Merges a full read of a table: rows missing from it are deleted unless they are newer.
+    /// Merges a full read of a table: rows missing from it are deleted unless they are newer. Rows
+    /// above the batch's version were read later than the others and are left to the feed, since
+    /// changes before them may be missing.
     pub fn apply_snapshot(&mut self, table: Table, batch: Batch) -> Effect {
         let update = Update {
             table,
--- a/crates/mirror/tests/merge.rs
+++ b/crates/mirror/tests/merge.rs
@@ -127,6 +127,19 @@
     assert_eq!(rows, [other, row("b", 2, Some(""))]);
 }
 
+/// Guards against the changes between two pages of a table: a row of the second page was newer than
+/// one of the first that had changed since, and the feed then began after both.
+#[test]
+fn rows_above_the_version_of_a_full_read_do_not_advance_the_complete_version() {
+    let mut mirror = Mirror::default();
+    let rows = [row("a", 3, Some("old")), row("z", 12, Some("new"))];
+    read(&mut mirror, &rows, 9);
+    assert_eq!(mirror.complete_version(Table::Operators), Some(9));
+    let changes = [row("a", 11, Some("new")), row("z", 12, Some("new"))];
+    let effect = mirror.apply_changes(Table::Operators, batch(1, &changes, 12));
+    assert_eq!(effect, Effect::Merged(changes.to_vec()));
+}
+
 #[test]
 fn a_later_era_replaces_the_table() {
     let mut mirror = Mirror::default();
