--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -13,6 +13,7 @@
 use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use memchr::memmem;
 use tokio::time::Instant;
 
 use crate::buffer::Reservation;
@@ -218,8 +219,7 @@
 
     fn take_events(&mut self) -> Option<Bytes> {
         let from = self.scanned.saturating_sub(EVENT_TERMINATOR.len() - 1);
-        let mut unscanned = self.buffer[from..].windows(EVENT_TERMINATOR.len());
-        let end = unscanned.rposition(|it| it == EVENT_TERMINATOR);
+        let end = memmem::rfind(&self.buffer[from..], EVENT_TERMINATOR);
         self.scanned = self.buffer.len();
         let end = from + end?;
         self.scanned -= end + EVENT_TERMINATOR.len();
