--- a/crates/mirror/tests/merge.rs
+++ b/crates/mirror/tests/merge.rs
@@ -122,7 +122,7 @@
         table: Table::Upstreams,
         ..row("u", 1, Some(""))
     };
-    merge(&mut mirror, &[other.clone()]);
+    merge(&mut mirror, std::slice::from_ref(&other));
     let rows = mirror.rows_since(&[(Table::Operators, 1), (Table::Upstreams, 0)]);
     assert_eq!(rows, [other, row("b", 2, Some(""))]);
 }
@@ -168,7 +168,7 @@
     let lost: Vec<(&str, &[u8])> = mirror.lost(Table::Operators).collect();
     assert_eq!(lost, [("lost", &b"l"[..])]);
     let again = row("lost", 7, Some("l"));
-    let effect = mirror.apply_changes(Table::Operators, batch(2, &[again.clone()], 7));
+    let effect = mirror.apply_changes(Table::Operators, batch(2, std::slice::from_ref(&again), 7));
     assert_eq!(effect, Effect::Merged(vec![again]));
     assert_eq!(mirror.lost(Table::Operators).count(), 0);
 }
@@ -194,7 +194,8 @@
     let mut mirror = Mirror::default();
     read(&mut mirror, &[row("config", 4, Some("lost"))], 4);
     let config = row("config", 4, Some("new"));
-    let effect = mirror.apply_snapshot(Table::Operators, batch(2, &[config.clone()], 4));
+    let effect =
+        mirror.apply_snapshot(Table::Operators, batch(2, std::slice::from_ref(&config), 4));
     let replacement = Replacement {
         changed: vec![config],
         lost: Vec::new(),
--- a/crates/node/tests/it/returns.rs
+++ b/crates/node/tests/it/returns.rs
@@ -1,18 +1,11 @@
 //! The store comes back from an older copy of its rows and gives out versions again.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use platform_standin::client;
-use platform_standin::server;
-use platform_standin::server::Action;
-use platform_standin::server::Handler;
-use platform_standin::server::Request;
 use platform_standin::site::API_KEY;
 use platform_standin::store::Copy;
+use platform_standin::store::Gate;
 use platform_standin::store::Mode;
 use platform_standin::store::Store;
 use serde_json::json;
@@ -31,35 +24,6 @@
 /// Writes that are lost in a return, so that it takes the store a while to pass their versions again.
 const LOST_WRITES: u64 = 200;
 
-/// A way to the store that can be closed for some nodes.
-struct Gate {
-    store: Arc<Store>,
-    is_open: AtomicBool,
-}
-
-impl Handler for Gate {
-    async fn handle(&self, request: Request) -> Action {
-        if !self.is_open.load(Ordering::Relaxed) {
-            return Action::Reset;
-        }
-        self.store.handle(request).await
-    }
-
-    fn record_endless_bytes(&self, bytes: u64) {
-        self.store.record_endless_bytes(bytes);
-    }
-}
-
-async fn open_gate(store: &Arc<Store>) -> (Arc<Gate>, SocketAddr) {
-    let gate = Arc::new(Gate {
-        store: store.clone(),
-        is_open: AtomicBool::new(true),
-    });
-    let (listener, address) = server::bind().await.expect("a port");
-    tokio::spawn(server::serve(listener, gate.clone()));
-    (gate, address)
-}
-
 /// Writes configuration `version` with a route for each of `prefixes`.
 fn configure(fixture: &Fixture, version: u64, prefixes: &[&str]) {
     let routes = prefixes.iter().map(|prefix| {
@@ -186,14 +150,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_without_the_store_hears_of_a_return_from_others() {
     let mut fixture = Fixture::start(3).await;
-    let (gate, address) = open_gate(&fixture.site.store).await;
+    let (gate, address) = Gate::start(&fixture.site.store).await.expect("a port");
     let node = Node::start("n9", "a", address);
     eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
     fixture.nodes.push(node);
     let older = copy(&fixture.site.store);
     configure(&fixture, 2, &["/lost/"]);
     wait_until_served(&fixture.nodes, "/lost/").await;
-    gate.is_open.store(false, Ordering::Relaxed);
+    gate.close();
     return_from(&fixture.site.store, older).await;
     configure(&fixture, 2, &["/lost/"]);
     tokio::time::sleep(Duration::from_secs(1)).await;
