Relay only events that continue a stream

Once an event had an id, only events with a higher one and comments follow now; a status line never does. The stream then counts as broken, and is resumed or visibly aborted.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use forwarding::events;
+use forwarding::events::Sequence;
 use forwarding::poison;
 use futures_util::Stream;
 use http_body_util::BodyExt;
@@ -30,7 +32,6 @@
 /// Time from the first event after which the answer is known not to crash its upstream: one that
 /// crashes ends tens of milliseconds after it has begun.
 const SOUND_RUN_MIN: Duration = Duration::from_millis(500);
-const EVENT_TERMINATOR: &[u8] = b"\n\n";
 
 /// Why a stream was aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -66,8 +67,9 @@
     /// Length of the part of the buffer that was already searched for the end of an event.
     scanned: usize,
     reservation: Reservation,
-    /// Id of the last complete event that had one.
-    last_event: Option<u64>,
+    sequence: Sequence,
+    /// Whether bytes have arrived that do not continue the stream.
+    is_out_of_sequence: bool,
     /// Whether the body has a length or is chunked, so that its end is known to be complete.
     is_framed: bool,
     /// When the first complete event of this upstream arrived.
@@ -109,7 +111,8 @@
             buffer: BytesMut::new(),
             scanned: 0,
             reservation: node.memory.new_reservation(),
-            last_event: None,
+            sequence: Sequence::default(),
+            is_out_of_sequence: false,
             last_arrival: None,
             longest_pause: Duration::ZERO,
             in_flight: None,
@@ -125,6 +128,8 @@
                 let rest = std::mem::replace(&mut self.buffer, BytesMut::from(&events[..]));
                 self.buffer.extend_from_slice(&rest);
                 self.scanned = 0;
+                self.sequence = Sequence::default();
+                self.is_out_of_sequence = false;
                 self.preparation = None;
                 true
             }
@@ -168,7 +173,7 @@
                     None
                 }
                 Err(err) => {
-                    let last_event = relay.last_event;
+                    let last_event = relay.sequence.last_event;
                     slog::warn!(relay.node.logger(), "stream_broken";
                         "request" => &relay.request.id, "cause" => %err,
                         "upstream" => relay.send_guard.upstream.name.as_str(),
@@ -195,6 +200,12 @@
             if let Some(events) = self.take_events() {
                 return Ok(Chunk::Events(events));
             }
+            if self.is_out_of_sequence {
+                slog::warn!(self.node.logger(), "event_out_of_sequence";
+                    "request" => &self.request.id, "last_event" => self.sequence.last_event,
+                    "upstream" => self.send_guard.upstream.name.as_str());
+                return Err(Error::Broken);
+            }
             let frame = tokio::select! {
                 biased;
                 frame = self.body.frame() => frame,
@@ -217,17 +228,24 @@
         }
     }
 
+    /// Takes the complete events that have arrived, up to one that does not continue the stream.
     fn take_events(&mut self) -> Option<Bytes> {
-        let from = self.scanned.saturating_sub(EVENT_TERMINATOR.len() - 1);
-        let end = memmem::rfind(&self.buffer[from..], EVENT_TERMINATOR);
+        if self.is_out_of_sequence {
+            return None;
+        }
+        let from = self.scanned.saturating_sub(events::TERMINATOR.len() - 1);
+        let end = memmem::rfind(&self.buffer[from..], events::TERMINATOR);
         self.scanned = self.buffer.len();
         let end = from + end?;
-        self.scanned -= end + EVENT_TERMINATOR.len();
-        let events = self.buffer.split_to(end + EVENT_TERMINATOR.len()).freeze();
-        self.reservation.shrink(self.buffer.len());
-        if let Some(id) = last_id(&events) {
-            self.last_event = Some(id);
+        let end = end + events::TERMINATOR.len();
+        let length = self.sequence.follow(&self.buffer[..end]);
+        self.is_out_of_sequence = length < end;
+        self.scanned -= length;
+        if length == 0 {
+            return None;
         }
+        let events = self.buffer.split_to(length).freeze();
+        self.reservation.shrink(self.buffer.len());
         let now = Instant::now();
         let pause = self
             .last_arrival
@@ -274,7 +292,7 @@
             &self.request,
             &self.send_guard.upstream,
             self.sends,
-            self.last_event,
+            self.sequence.last_event,
         )
         .await;
         let source = resumed.ok_or(Error::Broken)?;
@@ -283,12 +301,14 @@
         self.body = source.body;
         self.send_guard = source.send_guard;
         self.is_framed = source.is_framed;
+        self.is_out_of_sequence = false;
         self.first_arrival = None;
         self.is_sound = false;
-        let last_relayed = self.last_event;
+        let last_relayed = self.sequence.last_event;
         let chunk = self.read_events().await?;
         if let Chunk::Events(events) = &chunk {
-            let is_next = first_id(events) == last_relayed.map(|it| it + 1).or(first_id(events));
+            let is_next = events::first_id(events)
+                == last_relayed.map(|it| it + 1).or(events::first_id(events));
             if !is_next {
                 return Err(Error::Broken);
             }
@@ -298,7 +318,7 @@
 
     fn record_success(&mut self) {
         self.send_guard.record_completed();
-        if self.last_event.is_none() {
+        if self.sequence.last_event.is_none() {
             return;
         }
         self.record_sound_run();
@@ -314,7 +334,7 @@
         }
         let elapsed = self.request.received_at.elapsed();
         slog::info!(self.node.logger(), "stream_ended"; "request" => &self.request.id,
-            "upstream" => self.send_guard.upstream.name.as_str(), "last_event" => self.last_event,
+            "upstream" => self.send_guard.upstream.name.as_str(), "last_event" => self.sequence.last_event,
             "took_ms" => elapsed.as_millis() as u64,
             "longest_pause_ms" => self.longest_pause.as_millis() as u64);
         let telemetry = &self.node.telemetry;
@@ -328,18 +348,3 @@
         }
     }
 }
-
-/// Numeric ids of `events`, from their `id:` lines.
-fn ids(events: &[u8]) -> impl DoubleEndedIterator<Item = u64> {
-    let lines = events.split(|it| *it == b'\n');
-    let values = lines.filter_map(|it| it.strip_prefix(b"id:"));
-    values.filter_map(|it| std::str::from_utf8(it).ok()?.trim().parse().ok())
-}
-
-fn first_id(events: &[u8]) -> Option<u64> {
-    ids(events).next()
-}
-
-fn last_id(events: &[u8]) -> Option<u64> {
-    ids(events).next_back()
-}
