--- a/crates/node/tests/upgrade/main.rs
+++ b/crates/node/tests/processes/upgrade.rs
@@ -1,97 +1,31 @@
-//! Instances of this build and of the previous release side by side, as real processes against the
-//! stand-in of the users' platform, while they are replaced one after the other.
-
-mod programs;
+//! Instances of this build and of the previous release side by side, while they are replaced one
+//! after the other.
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 
 use platform_standin::client;
 use platform_standin::client::Response;
-use platform_standin::site;
 use platform_standin::site::API_KEY;
-use platform_standin::site::RetryLimit;
-use platform_standin::site::Site;
 use platform_standin::store::Gate;
 use rustix::process::Signal;
 use serde_json::json;
-use testbed::process::Daemon;
-use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::deployment::Deployment;
+use crate::deployment::Instance;
+use crate::programs;
+
 /// The users' bound on the time until a configuration is in force at all instances.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
-const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time from the stop signal until the load balancer sends an instance no more connections.
 const ROTATION_TIME: Duration = Duration::from_millis(2_000);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 /// Pause between the requests of one client.
 const REQUEST_PAUSE: Duration = Duration::from_millis(40);
 
-/// A running process of one of the builds.
-struct Instance {
-    daemon: Daemon,
-    client_address: SocketAddr,
-    load: Option<JoinHandle<Vec<String>>>,
-    stop_load: Arc<tokio::sync::Notify>,
-}
-
-/// A site, and where its processes keep their files.
-struct Deployment {
-    site: Site,
-    dir: PathBuf,
-    config_version: u64,
-    instances: Vec<Instance>,
-}
-
 impl Deployment {
-    async fn start(name: &str) -> Deployment {
-        let dir = programs::target_dir().join("upgrade").join(name);
-        std::fs::create_dir_all(&dir).expect("a directory");
-        Deployment {
-            site: Site::start().await.expect("ports for the site"),
-            dir,
-            config_version: 1,
-            instances: Vec::new(),
-        }
-    }
-
-    /// Starts a process of `program` under the name `name` and waits until it serves.
-    async fn run(&self, name: &str, program: &Path, store: SocketAddr) -> Instance {
-        let ports = site::reserve_ports().expect("ports");
-        let settings = site::settings(name, "a", store, ports, RetryLimit::AMPLE);
-        // The users' time for a stop, in which every stream can end.
-        let settings = settings.replace("grace_s: 4", "grace_s: 8");
-        let path = self.dir.join(format!("{name}-{}.yaml", ports[0]));
-        std::fs::write(&path, settings).expect("a file");
-        let daemon = Daemon::start(&format!("{name}-{}", ports[0]), program, &path, &self.dir);
-        let client_address = SocketAddr::from(([127, 0, 0, 1], ports[0]));
-        let ready_address = SocketAddr::from(([127, 0, 0, 1], ports[1]));
-        let deadline = Instant::now() + START_TIMEOUT;
-        loop {
-            let response = client::send_request(ready_address, "GET /api/readyz", &[], b"").await;
-            if response.status == 200 {
-                break;
-            }
-            assert!(Instant::now() < deadline, "{name} is not ready");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        Instance {
-            daemon: daemon.expect("a process"),
-            client_address,
-            load: None,
-            stop_load: Arc::default(),
-        }
-    }
-
-    async fn add(&mut self, name: &str, program: &Path) {
-        let instance = self.run(name, program, self.site.store_address).await;
-        self.instances.push(instance);
-    }
-
     /// Adds a route and waits until all of `served_by` serve it, no longer than a change may take.
     async fn change_config(&mut self, served_by: impl Fn(usize) -> bool) {
         self.config_version += 1;
