Ignore rows that were deleted before the first read of their table

A replica that is complete up to some version knows each row below it, or the row was deleted. A row from another instance that arrives after the first full read, and was deleted in between, came back for good: an evacuation that was over, or an upstream that was gone.

A full update from another instance also counts as a full read now: a relay that never reached the store could not pass a table on to its followers.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -167,10 +167,13 @@
 
     /// Keeps the newer version of each row; returns those that were new.
     fn merge(&mut self, rows: Vec<Row>) -> Vec<Row> {
+        // An unknown row that is not above it was deleted since, and arrives late.
+        let complete_version = self.complete_version().unwrap_or_default();
         let mut changed_rows = Vec::new();
         for row in rows {
             let known = self.rows.get(&row.key);
-            if known.is_some_and(|it| it.version >= row.version) {
+            let held_version = known.map_or(complete_version, |it| it.version);
+            if held_version >= row.version {
                 continue;
             }
             let live_version = known.and_then(|it| match it.value {
@@ -286,7 +289,7 @@
 
 impl Mirror {
     /// Version up to which the store's changes of the table are merged; `None` before its first
-    /// full read and after [`Mirror::reset_sync`].
+    /// full read, from the store or another replica, and after [`Mirror::reset_sync`].
     #[must_use]
     pub fn synced_version(&self, table: Table) -> Option<u64> {
         self.tables.get(&table)?.synced_version
@@ -367,8 +370,9 @@
         content.era = Some(batch.era);
         let rows = batch.rows.into_iter();
         let rows = rows.filter(|it| it.version <= batch.version).collect();
+        let changed = content.merge(rows);
         content.synced_version = content.synced_version.max(Some(batch.version));
-        Effect::Merged(content.merge(rows))
+        Effect::Merged(changed)
     }
 
     /// Merges a full read of a table: rows missing from it are deleted unless they are newer. Rows
@@ -382,12 +386,7 @@
             is_full: true,
             rows: batch.rows,
         };
-        let effect = self.merge_full(update);
-        if effect != Effect::OtherEra {
-            let content = self.tables.entry(table).or_default();
-            content.synced_version = content.synced_version.max(Some(batch.version));
-        }
-        effect
+        self.merge_full(update)
     }
 
     /// Merges an update from another replica.
@@ -433,7 +432,9 @@
             return Effect::Replaced(content.replace(table, era, rows, version));
         }
         content.era = Some(era);
-        Effect::Merged(content.merge_all(table, rows, version))
+        let changed = content.merge_all(table, rows, version);
+        content.synced_version = content.synced_version.max(Some(version));
+        Effect::Merged(changed)
     }
 
     /// What a replica at `positions` lacks.
--- a/crates/mirror/tests/merge.rs
+++ b/crates/mirror/tests/merge.rs
@@ -188,6 +188,22 @@
     assert_eq!(mirror.complete_version(Table::Operators), Some(9));
 }
 
+/// Guards against a deleted row that is back for good: another instance had sent it before it was
+/// deleted, and it arrived after a full read.
+#[test]
+fn a_row_that_was_deleted_before_the_first_read_stays_so() {
+    let mut mirror = Mirror::default();
+    read(&mut mirror, &[row("config", 4, Some("c"))], 9);
+    let update = Update {
+        table: Table::Operators,
+        era: Era(1),
+        version: 6,
+        is_full: true,
+        rows: vec![row("config", 4, Some("c")), row("evacuate/z", 6, Some(""))],
+    };
+    assert_eq!(mirror.merge(update), Effect::Merged(Vec::new()));
+}
+
 /// Guards against an equal version and value of another era that is taken for an unchanged table.
 #[test]
 fn a_version_that_was_given_out_again_is_compared_by_value() {
