Deny nothing for good while a newer configuration may be in force

Clients of an instance that had not reached the store, directly or through others, for longer than a configuration may take to come into force got 404 or 401 for a route or key that had been added meanwhile, and did not come back. It answers 503 with Retry-After now until its rows are known to be complete; time for which the machine was suspended counts. Other requests are served as before. The test failed before with 404.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -33,7 +33,7 @@
 use crate::forward::ClientResponse;
 use crate::state::Node;
 
-/// `Retry-After` while no configuration is in force.
+/// `Retry-After` while no configuration is in force, or perhaps not the newest one.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for reading the body of a request that states no deadline.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -44,6 +44,9 @@
 pub enum Rejection {
     /// No configuration is in force.
     NotReady,
+    /// No route matches, or no workspace has the API key, in a configuration that may not be the
+    /// newest one.
+    Outdated,
     /// No route matches the host and path.
     NoRoute,
     /// The API key is missing or belongs to no workspace.
@@ -61,7 +64,7 @@
 impl Rejection {
     fn status(self) -> StatusCode {
         match self {
-            Rejection::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Rejection::NotReady | Rejection::Outdated => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::NoRoute => StatusCode::NOT_FOUND,
             Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
             Rejection::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -160,8 +163,14 @@
     check_header_size(catalog, request)?;
     let head = RequestHead::read(request.headers());
     let path = request.uri().path();
-    let route = catalog.route(&head.host, path).ok_or(Rejection::NoRoute)?;
-    let workspace = find_workspace(catalog, route, head.api_key.as_deref())?;
+    // What a newer configuration may allow is not denied for good.
+    let deny = |rejection| match node.may_lack_configuration() {
+        true => Rejection::Outdated,
+        false => rejection,
+    };
+    let route = catalog.route(&head.host, path);
+    let route = route.ok_or_else(|| deny(Rejection::NoRoute))?;
+    let workspace = find_workspace(catalog, route, head.api_key.as_deref()).map_err(deny)?;
     let path_and_query = request.uri().path_and_query();
     let path_and_query = path_and_query.map_or("/", |it| it.as_str()).to_owned();
     let timeout = head.deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
@@ -314,7 +323,7 @@
     node.telemetry
         .count_tagged("rejections", rejection.into(), 1);
     response.status_code(status);
-    if rejection == Rejection::NotReady {
+    if matches!(rejection, Rejection::NotReady | Rejection::Outdated) {
         set_retry_after(response, NOT_READY_RETRY_AFTER);
     }
     let is_body_unread = matches!(
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -60,6 +60,8 @@
     pub tracker: ViewTracker,
     /// When the rows were last known to be complete.
     complete_at: Option<Instant>,
+    /// Time for which the machine had been suspended until then.
+    suspended_before: Duration,
     /// Whether this instance's latest call to the store failed.
     is_store_failing: bool,
 }
@@ -215,6 +217,16 @@
             .saturating_sub(STORE_READ_TIME)
     }
 
+    /// Whether a configuration may be in force at other instances that this one does not know, because
+    /// its rows were last complete too long ago.
+    #[must_use]
+    pub fn may_lack_configuration(&self) -> bool {
+        let copy = self.store_copy();
+        let age = copy.age(Instant::now());
+        let suspended = clock::time_suspended().saturating_sub(copy.suspended_before);
+        age.is_none_or(|it| it + suspended >= self.settings.bounds.config_timeout)
+    }
+
     /// Records whether the store answered a call of this instance; returns whether that differs
     /// from the previous call.
     pub fn record_store_call(&self, is_answered: bool) -> bool {
@@ -234,6 +246,7 @@
                 let age = copy.age(now);
                 copy.tracker.set_age(age, now);
             }
+            copy.suspended_before = clock::time_suspended();
             copy.complete_at
         };
         if let Some(complete_at) = complete_at {
--- a/crates/node/tests/it/returns.rs
+++ b/crates/node/tests/it/returns.rs
@@ -16,6 +16,8 @@
 
 /// The users' bound on the time until a configuration is in force at all instances.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after a fault of the store from which on the users' bounds hold again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time for which the store is away at a return.
 const AWAY: Duration = Duration::from_millis(500);
 /// Calls to the store in two seconds after a return, of three nodes. Each table is read once by each
@@ -165,6 +167,27 @@
     wait_until_served(&fixture.nodes, "/added/").await;
 }
 
+/// Guards against a final 404 or 401 from an instance that cannot know the newest configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_with_old_rows_denies_nothing_for_good() {
+    let fixture = Fixture::start(1).await;
+    let node = &fixture.nodes[0];
+    assert_eq!(status(node, "/unknown/").await, 404);
+    fixture.site.store.set_mode(Mode::Silent);
+    tokio::time::sleep(CONFIG_TIMEOUT + Duration::from_millis(800)).await;
+    let response = fixture.send("GET /unknown/x", "r1", &[]).await;
+    assert_eq!(response.status, 503);
+    assert!(response.head.contains("retry-after: "), "{}", response.head);
+    let headers = ["authorization: Bearer other", "x-request-id: r2"];
+    let response = client::send_request(node.client_address, "GET /read/x", &headers, b"").await;
+    assert_eq!(response.status, 503);
+    assert_eq!(status(node, "/read/").await, 200);
+    fixture.site.store.set_mode(Mode::Up);
+    let is_denied = || async { status(node, "/unknown/").await == 404 };
+    let timeout = CONTACT_TIME + CONFIG_TIMEOUT;
+    eventually("a final answer", timeout, is_denied).await;
+}
+
 /// Guards against instances that vanish from the store and are no longer known, and against keys of
 /// the deployment and software versions that stay lost.
 #[tokio::test(flavor = "multi_thread")]
