Use no connection again after a step call that was not answered with results

Answers to step calls name no call, so that nothing tells them apart; a copy of earlier results is known by the results, a refusal or an unreadable answer is not. The connection is closed after any of these now, also when results are freed.

The test with the project's stand-in that is added here did not fail before: the stand-in's late refusals do not shift the answers, not traced.

--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -78,7 +78,12 @@
             slog::warn!(node.logger(), "foreign_answer"; "call" => call.id, "upstream" => name);
             return Ok((response.head, Outcome::Lost));
         }
-        Ok((response.release().await, outcome))
+        // Responses name no call. After a rejection or an unreadable response another copy of it
+        // may follow, and would be taken for the response to the next call.
+        match outcome {
+            Outcome::Done(_) => Ok((response.release().await, outcome)),
+            _ => Ok((response.head, outcome)),
+        }
     };
     let result = tokio::time::timeout(call.timeout, exchange).await;
     match result {
@@ -129,7 +134,13 @@
         permit,
         &mut way,
     );
-    let exchange = async { Ok::<_, connection::Error>(exchange.await?.release().await) };
+    let exchange = async {
+        let response = exchange.await?;
+        Ok::<_, connection::Error>(match response.head.status.is_success() {
+            true => response.release().await,
+            false => response.head,
+        })
+    };
     let result = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
     result.ok()?.ok()
 }
--- a/crates/node/tests/it/answers.rs
+++ b/crates/node/tests/it/answers.rs
@@ -2,6 +2,7 @@
 //! error, and the request runs no more often than its route allows.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use platform_standin::upstream::Fault;
 
@@ -234,3 +235,38 @@
         }
     }
 }
+
+/// Guards against a late copy of an upstream's refusal of a step call: from then on each answer on the
+/// connection was taken for the call after it, and requests got the step results of others.
+#[tokio::test]
+async fn a_late_refusal_of_a_step_call_gives_no_request_the_results_of_another() {
+    let fixture = Fixture::start(1).await;
+    // The pieces of each request fill one call.
+    let headers = ["x-chunks: 8", "x-chunk-key: k"];
+    let ids: Vec<String> = (0..100).map(|it| format!("d{it}")).collect();
+    let requests = ids.iter().enumerate().map(|(idx, id)| {
+        let fixture = &fixture;
+        async move {
+            tokio::time::sleep(Duration::from_millis(40) * idx as u32).await;
+            match idx % 30 {
+                5 => fixture.set_fault("steps", Fault::Full, Some(1)),
+                8 => fixture.set_fault("steps", Fault::LateRefusal, None),
+                _ => {}
+            }
+            fixture.send("POST /draft/1", id, &headers).await
+        }
+    });
+    let responses = futures_util::future::join_all(requests).await;
+    let served = responses.iter().filter(|it| it.status == 200).count();
+    assert!(served > ids.len() / 2, "{served} served");
+    for id in &ids {
+        let runs = fixture.runs(id);
+        let inputs = runs.iter().filter_map(|it| it.headers.get("x-inputs"));
+        for result in inputs.flat_map(|it| it.split(',')) {
+            assert!(
+                result.ends_with(&format!(".{id}")),
+                "{id} was given {result}"
+            );
+        }
+    }
+}
