Stop by the time that the newest settings give

The settings are read again every two seconds, on SIGHUP and at the stop signal; the time for a stop takes effect until the shutdown begins.

--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -94,7 +94,7 @@
         node.settings.metrics_address,
         router,
     )?;
-    spawn_tasks(&mut supervisor, &node, &store, path);
+    spawn_tasks(&mut supervisor, &node, &store, path.clone());
     let (event_node, events) = (node.clone(), Arc::new(Mutex::new(events)));
     supervisor.spawn("findings", RestartPolicy::Always, move || {
         handle_upstream_events(event_node.clone(), events.clone())
@@ -102,6 +102,11 @@
 
     let stop = async {
         stop.await;
+        // They may have changed a moment ago.
+        match settings::read(&path) {
+            Ok(settings) => node.set_stop_grace(settings.stop_grace),
+            Err(err) => slog::warn!(node.logger(), "settings_unusable"; "reason" => %err),
+        }
         crate::stop::run(node.clone(), store, handle).await;
         // The process ends anyway, so an error of the server is ignored.
         let _ = serving.await;
@@ -241,8 +246,8 @@
     tokio::join!(server.serve(handler), follow::register(node, store));
 }
 
-/// Rereads the settings on SIGHUP and periodically. Only the bounds that `Limits` enforces take
-/// effect; all other changes are merely logged.
+/// Rereads the settings on SIGHUP and periodically. Only the bounds that `Limits` enforces and the
+/// time for a stop take effect; all other changes are merely logged.
 async fn watch_settings(node: Arc<Node>, path: PathBuf) {
     use tokio::signal::unix;
     let Ok(mut hangup) = unix::signal(unix::SignalKind::hangup()) else {
@@ -259,6 +264,7 @@
             Ok(settings) => {
                 slog::info!(node.logger(), "settings_read"; "changed" => settings != known);
                 node.limits().set_bounds(settings.bounds);
+                node.set_stop_grace(settings.stop_grace);
                 known = settings;
             }
             Err(err) => slog::warn!(node.logger(), "settings_unusable"; "reason" => %err),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -83,7 +83,7 @@
 
 /// Shared state of one node process.
 pub struct Node {
-    /// Settings as read at the start; later changes only reach [`Limits`].
+    /// Settings as read at the start; later changes only reach [`Limits`] and the shutdown.
     pub settings: Settings,
     /// Logger and metrics.
     pub telemetry: Telemetry,
@@ -107,6 +107,8 @@
     paths: Mutex<Paths>,
     shard_waits: Mutex<ShardWaits>,
     shutdown: Arc<OnceLock<Shutdown>>,
+    /// Time from the stop signal to the exit, from the newest settings.
+    stop_grace: Mutex<Duration>,
     in_flight: AtomicUsize,
     /// Tunnels that this instance carries for others.
     pub(crate) tunnels: Arc<Semaphore>,
@@ -153,6 +155,7 @@
             store_copy: Mutex::default(),
             shard_waits: Mutex::default(),
             shutdown: Arc::default(),
+            stop_grace: Mutex::new(settings.stop_grace),
             in_flight: AtomicUsize::new(0),
             tunnels: detour::tunnel_permits(settings.max_fds),
             path_lost: Notify::new(),
@@ -313,9 +316,19 @@
         self.shutdown.clone()
     }
 
+    /// Sets the time from the stop signal to the exit; a shutdown that has begun keeps its own.
+    pub fn set_stop_grace(&self, grace: Duration) {
+        *self.lock_stop_grace() = grace;
+    }
+
+    fn lock_stop_grace(&self) -> MutexGuard<'_, Duration> {
+        let grace = self.stop_grace.lock();
+        grace.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Begins the shutdown: the readiness check fails from now on; requests are still served.
     pub fn begin_shutdown(&self) -> Shutdown {
-        let grace = self.settings.stop_grace;
+        let grace = *self.lock_stop_grace();
         *self
             .shutdown
             .get_or_init(|| Shutdown::begin(grace, Instant::now()))
--- a/crates/node/tests/processes/deployment.rs
+++ b/crates/node/tests/processes/deployment.rs
@@ -20,6 +20,7 @@
 
 /// A running process of one of the builds.
 pub(crate) struct Instance {
+    pub(crate) settings: PathBuf,
     pub(crate) daemon: Daemon,
     pub(crate) client_address: SocketAddr,
     pub(crate) load: Option<JoinHandle<Vec<String>>>,
@@ -67,6 +68,7 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         Instance {
+            settings: path,
             daemon: daemon.expect("a process"),
             client_address,
             load: None,
--- a/crates/node/tests/processes/main.rs
+++ b/crates/node/tests/processes/main.rs
@@ -3,4 +3,5 @@
 mod deployment;
 mod programs;
 mod standstill;
+mod stop;
 mod upgrade;
