--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -51,6 +51,8 @@
     NoRoute,
     /// The API key is missing or belongs to no workspace.
     UnknownKey,
+    /// The request asks for more pieces of its steps than an instance can keep.
+    TooManyPieces,
     /// The headers and the path together are larger than allowed.
     HeaderTooLarge,
     /// The body is larger than allowed.
@@ -70,7 +72,7 @@
             Rejection::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Rejection::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Rejection::BodyBroken => StatusCode::BAD_REQUEST,
+            Rejection::TooManyPieces | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
         }
     }
 }
@@ -171,6 +173,9 @@
     let route = catalog.route(&head.host, path);
     let route = route.ok_or_else(|| deny(Rejection::NoRoute))?;
     let workspace = find_workspace(catalog, route, head.api_key.as_deref()).map_err(deny)?;
+    if stages::has_too_many_pieces(head.piece_counts.iter().copied()) {
+        return Err(Rejection::TooManyPieces);
+    }
     let path_and_query = request.uri().path_and_query();
     let path_and_query = path_and_query.map_or("/", |it| it.as_str()).to_owned();
     let timeout = head.deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
--- a/crates/node/tests/it/bad_input.rs
+++ b/crates/node/tests/it/bad_input.rs
@@ -44,6 +44,12 @@
     a_key_of_another_scheme: "GET /read/1", ["authorization: Basic key-1"], [] => 401;
     a_large_header:
         "GET /read/1", [authorization(), &format!("x-large: {}", "a".repeat(17_000))], [] => 431;
+    more_pieces_than_memory_holds:
+        "POST /draft/1", [authorization(), "x-chunks: 2000000000", "x-chunk-key: k"], [] => 400;
+    pieces_beyond_any_number:
+        "POST /draft/1", [authorization(), "x-chunks: 99999999999999999999"], [] => 400;
+    pieces_of_several_steps_whose_sum_overflows: "POST /draft/1",
+        [authorization(), "x-chunks: 18446744073709551615,18446744073709551615"], [] => 400;
     a_large_body: "POST /post/1", [authorization()], vec![b'a'; 100_001] => 413;
 }
 
--- a/crates/stages/src/plan.rs
+++ b/crates/stages/src/plan.rs
@@ -34,6 +34,16 @@
     pub result_bytes: u64,
 }
 
+/// Most pieces of one request over all its steps; its owner keeps some tens of bytes for each.
+pub const PIECES_MAX: usize = 10_000;
+
+/// Whether a request with these numbers of pieces may be prepared.
+#[must_use]
+pub fn has_too_many_pieces(counts: impl IntoIterator<Item = usize>) -> bool {
+    let total = counts.into_iter().fold(0_usize, usize::saturating_add);
+    total > PIECES_MAX
+}
+
 /// The steps that one request needs before it can run, with its deadlines.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::Replica;
 use crate::fleet::UpstreamState;
+use crate::plan;
 use crate::plan::Handle;
 use crate::plan::Plan;
 use crate::plan::Prepared;
@@ -124,9 +125,12 @@
     ///
     /// # Errors
     ///
-    /// Fails if a service has no usable upstream or if the plan is not expected to end before its
-    /// deadline.
+    /// Fails if a service has no usable upstream, if the plan is not expected to end before its
+    /// deadline or if it has too many pieces.
     pub fn submit(&mut self, plan: Plan, now: Instant) -> Result<PlanId, Refusal> {
+        if plan::has_too_many_pieces(plan.steps.iter().map(|it| it.pieces)) {
+            return Err(Refusal::Failed);
+        }
         for step in &plan.steps {
             let fleet = self.fleets.get(&step.service);
             if fleet.is_none_or(|it| it.usable_count() == 0) {
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -9,6 +9,7 @@
 use stages::Input;
 use stages::ItemFailure;
 use stages::Outcome;
+use stages::PIECES_MAX;
 use stages::Plan;
 use stages::PlanId;
 use stages::Planner;
@@ -102,6 +103,21 @@
     submit(planner, plan(request, steps, now), now)
 }
 
+/// Guards against a request whose pieces no memory holds, and that ends the process of its owner, then
+/// that of the next owner.
+#[test]
+fn a_plan_with_more_pieces_than_memory_holds_is_refused() {
+    let now = Instant::now();
+    for pieces in [PIECES_MAX + 1, 2_000_000_000, usize::MAX] {
+        let steps = vec![
+            step("first", 0, &[], 1, 10),
+            step("first", 1, &[], pieces, 10),
+        ];
+        let refusal = planner(now).submit(plan("r", steps, now), now);
+        assert_eq!(refusal, Err(Refusal::Failed));
+    }
+}
+
 #[test]
 fn pieces_of_several_requests_share_a_call() {
     let now = Instant::now();
