--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -36,6 +36,10 @@
     Evacuate(&'static str),
     /// Writes a newer version of the configuration. Has no end.
     Configure,
+    /// Copies the store. Has no end.
+    CopyStore,
+    /// Lets the store come back from its last copy. Has no end.
+    ReturnStore,
     /// Sends SIGKILL to all nodes; restarts them at the end.
     KillAll,
     /// Starts an engine with a software version under a new name. Has no end.
@@ -84,6 +88,23 @@
     faults
 }
 
+/// Generates returns of the store from an older copy, in half of the runs, sorted by start.
+pub(crate) fn generate_returns(rng: &mut SmallRng, load_duration: Duration) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut at = load_duration.mul_f64(rng.random_range(0.05..0.5));
+    while rng.random_bool(0.5) && at < load_duration {
+        for fault in [Fault::CopyStore, Fault::ReturnStore] {
+            faults.push(ScheduledFault {
+                at,
+                duration: Duration::ZERO,
+                fault,
+            });
+            at += random_duration(rng);
+        }
+    }
+    faults
+}
+
 /// A random duration of a fault.
 pub(crate) fn random_duration(rng: &mut SmallRng) -> Duration {
     rng.random_range(MIN_DURATION..MAX_DURATION)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,7 @@
 use platform_standin::site::API_KEY;
 use platform_standin::site::RetryLimit;
 use platform_standin::site::Site;
+use platform_standin::store::Copy;
 use platform_standin::store::Mode;
 use platform_standin::upstream;
 use rand::Rng;
@@ -101,6 +102,7 @@
     nodes: Vec<NodeProcess>,
     engines: Engines,
     config_version: u64,
+    store_copy: Option<Copy>,
     /// Runs of poison requests sent before this time are exempt from their bound, because nodes may
     /// have missed crash reports in the store.
     store_excused_until: Arc<Mutex<Instant>>,
@@ -139,6 +141,7 @@
     let limit = Limit::start(&run.site, &mut own_rng);
     let releases = versions::generate(&mut own_rng, options.load_duration, &faults);
     faults.extend(releases);
+    faults.extend(fault::generate_returns(&mut own_rng, options.load_duration));
     faults.sort_by_key(|it| it.at);
     let crashes = poison::start(&run.site.store, &mut rng).await?;
     let targets = run.targets();
@@ -198,6 +201,7 @@
             nodes: Vec::new(),
             engines,
             config_version: 1,
+            store_copy: None,
             store_excused_until: Arc::new(Mutex::new(Instant::now())),
             violations: Vec::new(),
         };
@@ -298,6 +302,13 @@
                 self.excuse_store();
                 self.site.store.compact();
             }
+            Fault::CopyStore => self.store_copy = Some(self.site.store.copy()),
+            Fault::ReturnStore => {
+                self.excuse_store();
+                if let Some(copy) = self.store_copy.take() {
+                    self.site.store.drill(copy);
+                }
+            }
             Fault::StorePath(mode) => {
                 self.excuse_store();
                 self.store_proxy.set_mode(*mode);
@@ -361,6 +372,8 @@
                 }
             }
             Fault::Compact
+            | Fault::CopyStore
+            | Fault::ReturnStore
             | Fault::Configure
             | Fault::Release(_)
             | Fault::Replace(_)
