--- a/crates/node/tests/it/lapse.rs
+++ b/crates/node/tests/it/lapse.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 const REGISTRATION: &[u8] = br#"{"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,
-    "phase":"ready","born":1}"#;
+    "phase":"ready","born":1,"version":"v1","cold_left_ms":0,"call_seq":1}"#;
 
 fn row(version: u64, value: Option<&[u8]>) -> Row {
     Row {
--- a/crates/node/tests/it/odd_rows.rs
+++ b/crates/node/tests/it/odd_rows.rs
@@ -32,6 +32,9 @@
         ("slots", "4".to_owned()),
         ("phase", "\"ready\"".to_owned()),
         ("born", "1".to_owned()),
+        ("version", "\"v1\"".to_owned()),
+        ("cold_left_ms", "0".to_owned()),
+        ("call_seq", "1".to_owned()),
     ];
     let fields = fields.iter().filter(|it| it.0 != field);
     let fields = fields.map(|(name, value)| format!("\"{name}\":{value}"));
@@ -43,7 +46,7 @@
     format!("{}{}", "[".repeat(depth), "]".repeat(depth))
 }
 
-/// Registrations, of which only the last ones can be used.
+/// Odd registrations; some name an upstream that can be used as far as anyone can tell.
 fn registrations(service: &str) -> Vec<Vec<u8>> {
     let odd = |field: &str, value: &str| registration(service, field, value);
     vec![
@@ -77,7 +80,10 @@
         odd("born", "18446744073709551616"),
         odd("version", &nested(100_000)),
         odd("cold_left_ms", "1e999"),
+        odd("cold_left_ms", "\"none\""),
+        odd("cold_left_ms", "-1"),
         odd("call_seq", "-1e300"),
+        odd("call_seq", "[]"),
     ]
 }
 
--- a/crates/node/tests/it/view_rows.rs
+++ b/crates/node/tests/it/view_rows.rs
@@ -68,14 +68,24 @@
         prop::collection::vec(any::<u8>(), 0..64),
         (0..valid - 1).prop_map(|length| registration(4)[..length].to_vec()),
         (1_usize..100_000).prop_map(|length| vec![b'{'; length]),
-        prop::sample::select(vec!["address", "slots", "phase", "born", "service", "zone"])
-            .prop_map(|it| {
-                let text = String::from_utf8_lossy(&registration(4)).into_owned();
-                text.replace(it, "other").into_bytes()
-            })
-            .prop_filter("a start time is optional", |it| {
-                rows::decode_upstream("u", 1, it).is_err()
-            }),
+        prop::sample::select(vec![
+            "address",
+            "slots",
+            "phase",
+            "born",
+            "service",
+            "zone",
+            "version",
+            "cold_left_ms",
+            "call_seq",
+        ])
+        .prop_map(|it| {
+            let text = String::from_utf8_lossy(&registration(4)).into_owned();
+            text.replace(it, "other").into_bytes()
+        })
+        .prop_filter("a start time is optional", |it| {
+            rows::decode_upstream("u", 1, it).is_err()
+        }),
         (1_usize..100_000).prop_map(|length| {
             let text = String::from_utf8_lossy(&registration(4)).into_owned();
             text.replace("ready", &"p".repeat(length)).into_bytes()
@@ -86,7 +96,8 @@
 fn registration(slots: u32) -> Vec<u8> {
     let text = format!(
         "{{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"slots\":{slots},\
-         \"phase\":\"ready\",\"born\":1}}"
+         \"phase\":\"ready\",\"born\":1,\"version\":\"v1\",\"cold_left_ms\":0,\
+         \"call_seq\":1}}"
     );
     text.into_bytes()
 }
