Drop what a full read lacks of rows of unknown era

Rows that instances of earlier builds pass on count until the next full read of the store. What that read lacked was then taken for lost in a return of the store, and held or written again: an evacuation that had ended meanwhile went on for ten seconds. It is taken for deleted now. Found by reading; the test failed before on the effect of the full read.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -99,8 +99,7 @@
 pub enum Effect {
     /// The rows that were new.
     Merged(Vec<Row>),
-    /// The table was replaced because the store came back from an older copy, or because it held
-    /// rows of unknown era.
+    /// The table was replaced because the store came back from an older copy.
     Replaced(Replacement),
     /// The rows belong to another era than the table, and none was used.
     OtherEra,
@@ -426,11 +425,20 @@
         if content.era.is_some_and(|it| it > era) {
             return Effect::OtherEra;
         }
-        let is_later = content.era.is_some_and(|it| it < era);
-        if is_later || content.is_unverified {
-            self.has_replaced |= is_later;
+        if content.era.is_some_and(|it| it < era) {
+            self.has_replaced = true;
             return Effect::Replaced(content.replace(table, era, rows, version));
         }
+        if content.is_unverified {
+            let Replacement { mut changed, lost } = content.replace(table, era, rows, version);
+            content.lost.clear();
+            changed.extend(lost.into_iter().map(|it| Row {
+                version,
+                value: None,
+                ..it
+            }));
+            return Effect::Merged(changed);
+        }
         content.era = Some(era);
         let changed = content.merge_all(table, rows, version);
         content.synced_version = content.synced_version.max(Some(version));
--- a/crates/mirror/tests/merge.rs
+++ b/crates/mirror/tests/merge.rs
@@ -224,15 +224,18 @@
 fn a_full_read_replaces_unverified_rows() {
     let mut mirror = Mirror::default();
     read(&mut mirror, &[row("config", 4, Some("c"))], 9);
-    let changed = mirror.merge_unverified(vec![row("config", 40, Some("old"))]);
-    assert_eq!(changed.len(), 1);
+    let unverified = [
+        row("config", 40, Some("old")),
+        row("evacuate/z", 41, Some("")),
+    ];
+    assert_eq!(mirror.merge_unverified(unverified.to_vec()), unverified);
     assert!(mirror.updates_since(&[]).is_empty(), "passed on");
     assert_eq!(mirror.complete_version(Table::Operators), None);
-    mirror.apply_snapshot(
-        Table::Operators,
-        batch(1, &[row("config", 10, Some("d"))], 10),
-    );
+    let changed = read(&mut mirror, &[row("config", 10, Some("d"))], 10);
+    let deletion = row("evacuate/z", 10, None);
+    assert_eq!(changed, [row("config", 10, Some("d")), deletion]);
     assert_eq!(content(&mirror), [row("config", 10, Some("d"))]);
+    assert_eq!(mirror.lost(Table::Operators).count(), 0);
     assert!(!mirror.is_unverified(Table::Operators));
 }
 
