Ask for the whole table while rows of unknown era are held

An instance that the store does not answer, and that had used rows of an instance of the previous release, asked those of this build only for rows above its own: lost rows of an earlier era with higher versions could hide the true ones until the store answered again. It names the first position for such a table now, and gets the whole of it. Found by reading; an_update_replaces_unverified_rows failed before. Requests to instances of the previous release name the versions held, as before.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -342,20 +342,36 @@
         }
     }
 
-    /// Position in each table, in table order.
+    /// Position in each table, in table order. That of a table with rows of unknown era is the first
+    /// one, so that other replicas send the whole table.
     #[must_use]
     pub fn positions(&self) -> Vec<Position> {
-        let positions = Table::iter().map(|table| {
-            let content = self.tables.get(&table);
-            Position {
+        let positions = self.newest_versions().into_iter();
+        let positions = positions.map(|(table, version)| match self.is_unverified(table) {
+            true => Position {
+                table,
+                era: Era::default(),
+                version: 0,
+            },
+            false => Position {
                 table,
                 era: self.era(table),
-                version: content.map_or(0, Content::newest_version),
-            }
+                version,
+            },
         });
         positions.collect()
     }
 
+    /// Newest version held of each table, whatever its era, in table order; 0 for empty tables.
+    #[must_use]
+    pub fn newest_versions(&self) -> Vec<(Table, u64)> {
+        let versions = Table::iter().map(|table| {
+            let content = self.tables.get(&table);
+            (table, content.map_or(0, Content::newest_version))
+        });
+        versions.collect()
+    }
+
     /// Merges changes of `table` from the store's feed. If they are of a later era, the table must
     /// be read in full.
     pub fn apply_changes(&mut self, table: Table, batch: Batch) -> Effect {
--- a/crates/mirror/tests/merge.rs
+++ b/crates/mirror/tests/merge.rs
@@ -239,6 +239,23 @@
     assert!(!mirror.is_unverified(Table::Operators));
 }
 
+/// Guards against rows of unknown era that hide those of a replica that knows the era: their versions
+/// may be higher than any that it holds.
+#[test]
+fn an_update_replaces_unverified_rows() {
+    let mut source = Mirror::default();
+    read(&mut source, &[row("config", 10, Some("d"))], 10);
+    let mut mirror = Mirror::default();
+    read(&mut mirror, &[row("config", 4, Some("c"))], 9);
+    mirror.merge_unverified(vec![row("config", 40, Some("old"))]);
+    assert!(mirror.newest_versions().contains(&(Table::Operators, 40)));
+    for update in source.updates_since(&mirror.positions()) {
+        mirror.merge(update);
+    }
+    assert_eq!(content(&mirror), [row("config", 10, Some("d"))]);
+    assert!(!mirror.is_unverified(Table::Operators));
+}
+
 #[test]
 fn updates_since_are_full_for_another_era_only() {
     let mut mirror = Mirror::default();
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -268,7 +268,7 @@
 async fn fetch_peer_rows(node: &Node, member: &Member) -> bool {
     let reply = async {
         let request = |protocol| match protocol {
-            Protocol::V1 => Request::Rows(unversioned_positions(node)),
+            Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
             Protocol::V2 => Request::Updates(node.store_copy().mirror.positions()),
         };
         let mut replies = node.peers.open_with(member, request).await.ok()?;
@@ -313,12 +313,6 @@
     copy.is_store_failing() && !copy.mirror.has_replaced()
 }
 
-fn unversioned_positions(node: &Node) -> Vec<(Table, u64)> {
-    let positions = node.store_copy().mirror.positions();
-    let positions = positions.into_iter().map(|it| (it.table, it.version));
-    positions.collect()
-}
-
 /// Merges what another instance tells beside its rows; returns whether these are fresh enough to keep
 /// following it.
 fn merge_news(node: &Node, news: News) -> bool {
