Reuse the order of writers, the back-off and the one conditional write

What any instance may write (software versions, lost rows) had its delays twice, and a row that must not exist was written in two ways.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -64,21 +64,29 @@
 /// Interval at which following starts again with the preferred peer.
 const PEER_RESET_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Delay per position in the order of readers before an instance writes what any of them may write,
+/// so that mostly one does.
+const WRITE_DELAY: Duration = Duration::from_millis(300);
+/// The delay of instances that are no readers, which write if the readers cannot; longer by a random
+/// factor, so that they do not write together.
+const OTHERS_WRITE_DELAY: Duration = Duration::from_millis(1_500);
+const OTHERS_WRITE_SPREAD: f64 = 3.0;
+
 /// Exponential back-off with jitter; holds the next pause.
-struct Backoff(Duration);
+pub(crate) struct Backoff(Duration);
 
 impl Backoff {
-    fn new() -> Backoff {
+    pub(crate) fn new() -> Backoff {
         Backoff(RETRY_MIN)
     }
 
-    async fn wait(&mut self, pause_max: Duration) {
+    pub(crate) async fn wait(&mut self, pause_max: Duration) {
         let jitter: f64 = rand::random_range(0.7..1.3);
         tokio::time::sleep(self.0.mul_f64(jitter)).await;
         self.0 = (self.0 * 2).min(pause_max);
     }
 
-    fn reset(&mut self) {
+    pub(crate) fn reset(&mut self) {
         self.0 = RETRY_MIN;
     }
 }
@@ -356,6 +364,16 @@
     readers.position(|it| *it == node.settings.instance)
 }
 
+/// Draws the delay with which this instance writes as long as it is no reader; see [`write_delay`].
+pub(crate) fn draw_others_delay() -> Duration {
+    OTHERS_WRITE_DELAY.mul_f64(rand::random_range(1.0..OTHERS_WRITE_SPREAD))
+}
+
+/// Delay before this instance writes what any instance may write.
+pub(crate) fn write_delay(node: &Node, others_delay: Duration) -> Duration {
+    reader_position(node).map_or(others_delay, |it| WRITE_DELAY * it as u32)
+}
+
 /// Instances that are not suspected, in the order in which they become readers of the store.
 fn reader_order(node: &Node) -> Vec<id::Instance> {
     let view = node.view();
@@ -418,7 +436,10 @@
     let pem = wire::tls::generate().map_err(|err| err.to_string())?;
     let value = serde_json::to_vec(&pem).map_err(|err| err.to_string())?;
     let put = client
-        .put(rows::CERTIFICATES_KEY, &value, Precondition::Absent)
+        .put(
+            &[(rows::CERTIFICATES_KEY.to_owned(), value)],
+            Precondition::Absent,
+        )
         .await;
     match put {
         Ok(()) => wire::tls::parse(&pem).map_err(|err| err.to_string()),
@@ -440,23 +461,24 @@
     let Ok(value) = rows::encode_member(&own) else {
         return;
     };
-    let key = rows::member_key(&own.instance);
+    let row = [(rows::member_key(&own.instance), value)];
+    let [(key, value)] = &row;
     let mut view = node.watch_view();
     let mut backoff = Backoff::new();
     loop {
         view.mark_unchanged();
-        if is_stored(&node, &key, &value) || node.is_shutting_down() {
+        if is_stored(&node, key, value) || node.is_shutting_down() {
             backoff.reset();
             if view.changed().await.is_err() {
                 return;
             }
             continue;
         }
-        match client.put(&key, &value, Precondition::None).await {
+        match client.put(&row, Precondition::None).await {
             Ok(()) => {
-                slog::info!(node.logger(), "registered"; "key" => &key);
+                slog::info!(node.logger(), "registered"; "key" => key);
                 backoff.reset();
-                wait_until_seen(&node, &key, &value).await;
+                wait_until_seen(&node, key, value).await;
             }
             Err(err) => {
                 slog::warn!(node.logger(), "register_failed"; "reason" => %err);
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -63,14 +63,8 @@
 const LOOKUP_PAUSE: Duration = Duration::from_millis(150);
 /// Timeout of one lookup.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
-/// Delay per position in the order of readers before a missing software version is recorded, so
-/// that mostly one of them writes it.
-const RECORD_DELAY: Duration = Duration::from_millis(300);
-/// Interval at which that is looked at.
+/// Interval at which missing software versions are looked at.
 const RECORD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// The delay of instances that are no readers, which write if the readers cannot.
-const FALLBACK_RECORD_DELAY: Duration = Duration::from_millis(1_500);
-
 /// How the origin of a stream was found.
 #[derive(Clone, Copy, Debug, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -393,7 +387,7 @@
     let mut gone_since: BTreeMap<(id::Service, id::Software), Instant> = BTreeMap::new();
     let mut missing_since = None;
     let mut failure_pause = FAILURE_PAUSE;
-    let fallback_delay = FALLBACK_RECORD_DELAY.mul_f64(rand::random_range(1.0..3.0));
+    let others_delay = follow::draw_others_delay();
     loop {
         view.mark_unchanged();
         let position = follow::reader_position(&node);
@@ -403,8 +397,7 @@
             missing_since = None;
         } else {
             let since = *missing_since.get_or_insert_with(Instant::now);
-            let delay = position.map_or(fallback_delay, |it| RECORD_DELAY * it as u32);
-            if since.elapsed() >= delay {
+            if since.elapsed() >= follow::write_delay(&node, others_delay) {
                 match put_versions(&node, &missing).await {
                     true => failure_pause = FAILURE_PAUSE,
                     false => {
--- a/crates/node/src/restore.rs
+++ b/crates/node/src/restore.rs
@@ -10,30 +10,25 @@
 use mirror::Table;
 use platform::rows;
 use platform::store;
+use platform::store::Precondition;
 use tokio::time::Instant;
 
 use crate::follow;
+use crate::follow::Backoff;
 use crate::state::Node;
 
-/// Delay per position in the order of readers before lost rows are written.
-const READER_DELAY: Duration = Duration::from_millis(300);
-/// The delay of instances that are no readers, which write if the readers cannot; longer by a random
-/// factor up to [`OTHERS_SPREAD`].
-const OTHERS_DELAY: Duration = Duration::from_millis(1_500);
-const OTHERS_SPREAD: f64 = 3.0;
 /// Interval at which lost rows are looked for while there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after rows were written: they appear in the replica, or were written by another instance.
 const WRITE_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after a failure; it doubles with each further one.
-const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause after failures.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(8);
 
 /// Writes lost rows whenever there are any; never returns.
 pub(crate) async fn run(node: Arc<Node>, client: store::Client) {
-    let others_delay = OTHERS_DELAY.mul_f64(rand::random_range(1.0..OTHERS_SPREAD));
+    let others_delay = follow::draw_others_delay();
     let mut lost_since = None;
-    let mut failure_pause = FAILURE_PAUSE;
+    let mut backoff = Backoff::new();
     loop {
         let lost = lost_rows(&node);
         if lost.is_empty() {
@@ -42,25 +37,22 @@
             continue;
         }
         let since = *lost_since.get_or_insert_with(Instant::now);
-        let position = follow::reader_position(&node);
-        let delay = position.map_or(others_delay, |it| READER_DELAY * it as u32);
+        let delay = follow::write_delay(&node, others_delay);
         if since.elapsed() < delay || node.is_shutting_down() {
             tokio::time::sleep(CHECK_INTERVAL).await;
             continue;
         }
-        match client.restore(&lost).await {
+        match client.put(&lost, Precondition::Absent).await {
             Ok(()) => {
                 slog::info!(node.logger(), "rows_restored"; "rows" => lost.len());
-                failure_pause = FAILURE_PAUSE;
+                backoff.reset();
                 tokio::time::sleep(WRITE_PAUSE).await;
             }
             // Some are there again, and will be seen.
             Err(store::Error::Conflict) => tokio::time::sleep(WRITE_PAUSE).await,
             Err(err) => {
                 slog::warn!(node.logger(), "rows_not_restored"; "reason" => %err);
-                let jitter: f64 = rand::random_range(0.7..1.3);
-                tokio::time::sleep(failure_pause.mul_f64(jitter)).await;
-                failure_pause = (failure_pause * 2).min(FAILURE_PAUSE_MAX);
+                backoff.wait(FAILURE_PAUSE_MAX).await;
             }
         }
     }
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -29,8 +29,9 @@
 /// Time after the store's recovery within which every live upstream has registered again.
 const LAPSE_HOLD: Duration = Duration::from_millis(2_100);
 
-/// Time after a return of the store from an older copy within which operators and instances of this
-/// system have written again what it lost.
+/// Time for which evacuations and instances whose rows the store has lost stay in force. No bound is
+/// known within which operators write again; an evacuation that goes on too long costs only capacity,
+/// one that ends too soon sends requests to upstreams that must get none.
 const REWRITE_HOLD: Duration = Duration::from_secs(10);
 
 /// The store counts as unavailable when no instance has received an answer for this long.
