Take what operators write after a return of the store, whatever its number

Callers got 404 and 401 from all instances, for good, for a route that an acknowledged configuration had added: the store had come back from an older copy, and the operator went on from there and gave out a number again that was lost, or a lower one. The view dropped each configuration whose number was not above the known one, without a line in the log. Instances that started later did use it, so that instances disagreed.

Cause: the number of the writer was taken for the order, which is the store's. Now the order is that of the store within an era. Across a return, a value of the copy or a lost one that is written again undoes nothing: both are recognised by their content. The same number with another content, or a greater one, is used at once. A lower number with unknown content is used if it was written since the return and no other one follows within 0.5 s, as operators write lost ones again oldest first. While one is held or cannot be told from an older one, or the newest row cannot be decoded, nothing is denied for good: 503 with Retry-After. Each configuration that is not used is logged with both numbers, eras and the reason.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -8,6 +8,7 @@
 //! performs no I/O.
 
 pub mod era;
+pub mod succession;
 pub mod tree;
 
 use std::collections::BTreeMap;
@@ -128,6 +129,9 @@
 struct Content {
     /// `None` before any row was read.
     era: Option<Era>,
+    /// Version up to which the first copy of the table in its era was complete; 0 if changes built
+    /// the table up.
+    era_start: u64,
     rows: BTreeMap<String, Entry>,
     synced_version: Option<u64>,
     /// Highest version of a tombstone that was dropped.
@@ -215,6 +219,7 @@
     fn replace(&mut self, table: Table, era: Era, rows: Vec<Row>, version: u64) -> Replacement {
         let before = std::mem::take(self);
         self.era = Some(era);
+        self.era_start = version;
         self.synced_version = Some(version);
         self.lost = before.lost;
         let mut replacement = Replacement::default();
@@ -308,6 +313,16 @@
         content.map(Content::era).unwrap_or_default()
     }
 
+    /// Origin of the table's rows, other than those of unknown era.
+    #[must_use]
+    pub fn origin(&self, table: Table) -> succession::Origin {
+        let content = self.tables.get(&table);
+        succession::Origin {
+            era: Some(self.era(table)),
+            start: content.map_or(0, |it| it.era_start),
+        }
+    }
+
     /// Whether any table was replaced since the replica was created.
     #[must_use]
     pub fn has_replaced(&self) -> bool {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod buffer;
 pub mod client_request;
 pub mod clock;
+pub mod configuration;
 pub mod connection;
 mod detour;
 pub mod follow;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -22,6 +22,7 @@
 use mirror::Row;
 use mirror::Table;
 use mirror::Update;
+use mirror::succession::Origin;
 use platform::settings::Settings;
 use platform::store;
 use stages::Shard;
@@ -220,11 +221,14 @@
             .saturating_sub(STORE_READ_TIME)
     }
 
-    /// Whether a configuration may be in force at other instances that this one does not know, because
-    /// its rows were last complete too long ago.
+    /// Whether a configuration may be in force that this instance does not use: its rows were last
+    /// complete too long ago, or it cannot tell which configuration is the newest.
     #[must_use]
     pub fn may_lack_configuration(&self) -> bool {
         let copy = self.store_copy();
+        if copy.tracker.is_configuration_uncertain() {
+            return true;
+        }
         let age = copy.age(Instant::now());
         let suspended = clock::time_suspended().saturating_sub(copy.suspended_before);
         age.is_none_or(|it| it + suspended >= self.settings.bounds.config_timeout)
@@ -367,7 +371,7 @@
     pub fn merge_unverified(&self, rows: Vec<Row>) {
         self.update(|copy, now| {
             let news = copy.mirror.merge_unverified(rows);
-            copy.tracker.apply(&news, now)
+            copy.tracker.apply(&news, Origin::UNVERIFIED, now)
         });
     }
 
@@ -383,11 +387,12 @@
             let before = copy.mirror.era(table);
             effect = merge(&mut copy.mirror);
             eras = (before, copy.mirror.era(table));
+            let origin = copy.mirror.origin(table);
             match &effect {
-                Effect::Merged(news) => copy.tracker.apply(news, now),
+                Effect::Merged(news) => copy.tracker.apply(news, origin, now),
                 Effect::Replaced(replacement) => {
                     let mut changes = copy.tracker.begin_era(table, &replacement.lost, now);
-                    changes.extend(copy.tracker.apply(&replacement.changed, now));
+                    changes.extend(copy.tracker.apply(&replacement.changed, origin, now));
                     changes
                 }
                 Effect::OtherEra => Vec::new(),
@@ -465,6 +470,8 @@
     fn log_change(&self, change: &Change, version: u64) {
         let what = match change {
             Change::Configured(version) => version.to_string(),
+            Change::ConfigurationHeld(comparison) => comparison.to_string(),
+            Change::ConfigurationIgnored(comparison, reason) => format!("{comparison}: {reason}"),
             Change::Unreadable(reason) => reason.clone(),
             Change::Upstream(name)
             | Change::UpstreamLeaving(name)
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -6,8 +6,8 @@
 //! fails to reach the store, because other instances confirm that the rows are complete.
 //!
 //! When the store comes back from an older copy, whoever wrote rows that it lost writes them again.
-//! Until then the view keeps what it knew: it goes back to no older configuration, and upstreams that
-//! were leaving stay so.
+//! Until then the view keeps what it knew: [`Configuration`] goes back to no older one, and upstreams
+//! that were leaving stay so.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -16,16 +16,23 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Catalog;
 use catalog::Phase;
 use catalog::View;
 use forwarding::poison::Loss;
 use mirror::Row;
 use mirror::Table;
+use mirror::succession::Origin;
+use mirror::succession::Reason;
 use platform::origins;
 use platform::rows;
 use platform::rows::OperatorKey;
 use tokio::time::Instant;
 
+use crate::configuration::Comparison;
+use crate::configuration::Configuration;
+use crate::configuration::Outcome;
+
 /// Time after the store's recovery within which every live upstream has registered again.
 const LAPSE_HOLD: Duration = Duration::from_millis(2_100);
 
@@ -47,6 +54,10 @@
 pub enum Change {
     /// A configuration with this version took effect.
     Configured(u64),
+    /// A configuration takes effect in a moment, unless another one follows.
+    ConfigurationHeld(Comparison),
+    /// A configuration is not used, with the reason.
+    ConfigurationIgnored(Comparison, Reason),
     /// A row cannot be decoded; reported once until it can be again. Any earlier configuration or member is kept; an upstream is
     /// removed from the view.
     Unreadable(String),
@@ -91,6 +102,7 @@
 #[derive(Debug, Default)]
 pub struct ViewTracker {
     view: View,
+    configuration: Configuration,
     /// Upstreams deleted during an outage or shortly after it, and until when they stay in use.
     lapsed: BTreeMap<id::Upstream, Instant>,
     /// Evacuations and instances whose rows the store has lost, and until when they stay in force.
@@ -138,9 +150,17 @@
         self.complete_since
     }
 
-    /// Applies rows that the mirror reported as changed.
-    pub fn apply(&mut self, changed_rows: &[Row], now: Instant) -> Vec<Change> {
-        let changes = changed_rows.iter().filter_map(|it| self.apply_row(it, now));
+    /// Whether operators may have put a configuration into force that the view does not have though
+    /// its row is known.
+    #[must_use]
+    pub fn is_configuration_uncertain(&self) -> bool {
+        self.configuration.is_uncertain()
+    }
+
+    /// Applies rows of `origin` that the mirror reported as changed.
+    pub fn apply(&mut self, changed_rows: &[Row], origin: Origin, now: Instant) -> Vec<Change> {
+        let rows = changed_rows.iter();
+        let changes = rows.filter_map(|it| self.apply_row(it, origin, now));
         changes.collect()
     }
 
@@ -204,15 +224,25 @@
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
         let lapsed = self.lapsed.values().chain(self.lost_evacuations.values());
-        lapsed.chain(self.lost_members.values()).min().copied()
+        let rows = lapsed.chain(self.lost_members.values()).min().copied();
+        rows.into_iter()
+            .chain(self.configuration.next_expiry())
+            .min()
     }
 
-    /// Removes the lapsed upstreams that did not register again in time, and what other lost rows said
-    /// that were not written again.
+    /// Puts a held configuration into force that is due. Removes the lapsed upstreams that did not
+    /// register again in time, and what other lost rows said that were not written again.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
-        if self.is_outage {
-            return Vec::new();
+        let configured = self.configuration.expire(now);
+        let configured = configured.map(|it| self.configure(it));
+        let mut changes: Vec<Change> = configured.into_iter().collect();
+        if !self.is_outage {
+            changes.extend(self.expire_rows(now));
         }
+        changes
+    }
+
+    fn expire_rows(&mut self, now: Instant) -> Vec<Change> {
         let expired = self.lapsed.iter().filter(|(_, until)| **until <= now);
         let expired: Vec<id::Upstream> = expired.map(|(name, _)| name.clone()).collect();
         for name in &expired {
@@ -232,10 +262,10 @@
         changes
     }
 
-    fn apply_row(&mut self, row: &Row, now: Instant) -> Option<Change> {
+    fn apply_row(&mut self, row: &Row, origin: Origin, now: Instant) -> Option<Change> {
         self.view.version = self.view.version.max(row.version);
         let change = match row.table {
-            Table::Operators => self.apply_operator(row),
+            Table::Operators => self.apply_operator(row, origin, now),
             Table::Upstreams => self.apply_upstream(row, now),
             Table::Members => self.apply_member(row),
         };
@@ -249,9 +279,12 @@
         change.filter(|_| is_new)
     }
 
-    fn apply_operator(&mut self, row: &Row) -> Option<Change> {
+    fn apply_operator(&mut self, row: &Row, origin: Origin, now: Instant) -> Option<Change> {
         match rows::parse_operator_key(&row.key) {
-            OperatorKey::Config => self.apply_config(row),
+            OperatorKey::Config => match self.configuration.apply(row, origin, now) {
+                Ok(outcome) => outcome.map(|it| self.apply_configuration(it)),
+                Err(err) => Some(unreadable(row, err)),
+            },
             OperatorKey::Evacuation(zone) if row.value.is_some() => {
                 self.lost_evacuations.remove(&zone);
                 self.view.evacuated_zones.insert(zone.clone());
@@ -266,19 +299,20 @@
         }
     }
 
-    fn apply_config(&mut self, row: &Row) -> Option<Change> {
-        let value = row.value.as_deref()?;
-        let catalog = match rows::decode_config(value) {
-            Ok(catalog) => catalog,
-            Err(err) => return Some(unreadable(row, err)),
-        };
-        let version = catalog.version;
-        let known = self.view.catalog.as_ref().map(|it| it.version);
-        if known.is_some_and(|it| it >= version) {
-            return None;
+    fn apply_configuration(&mut self, outcome: Outcome) -> Change {
+        match outcome {
+            Outcome::Used(catalog) => self.configure(catalog),
+            Outcome::Held(comparison) => Change::ConfigurationHeld(comparison),
+            Outcome::Ignored(comparison, reason) => {
+                Change::ConfigurationIgnored(comparison, reason)
+            }
         }
-        self.view.catalog = Some(Arc::new(catalog));
-        Some(Change::Configured(version))
+    }
+
+    fn configure(&mut self, catalog: Arc<Catalog>) -> Change {
+        let version = catalog.version;
+        self.view.catalog = Some(catalog);
+        Change::Configured(version)
     }
 
     fn apply_upstream(&mut self, row: &Row, now: Instant) -> Option<Change> {
--- a/crates/node/tests/it/lapse.rs
+++ b/crates/node/tests/it/lapse.rs
@@ -4,6 +4,7 @@
 
 use mirror::Row;
 use mirror::Table;
+use mirror::succession::Origin;
 use node::view_tracker::ViewTracker;
 use tokio::time::Instant;
 
@@ -28,7 +29,7 @@
 fn new_tracker(now: Instant) -> ViewTracker {
     let mut tracker = ViewTracker::default();
     tracker.set_age(Some(Duration::ZERO), now);
-    tracker.apply(&[row(1, Some(REGISTRATION))], now);
+    tracker.apply(&[row(1, Some(REGISTRATION))], Origin::default(), now);
     tracker
 }
 
@@ -40,7 +41,7 @@
     let now = Instant::now();
     let mut tracker = new_tracker(now);
     tracker.set_age(Some(Duration::from_millis(500)), now);
-    tracker.apply(&[row(2, None)], now);
+    tracker.apply(&[row(2, None)], Origin::default(), now);
     assert!(!is_used(&tracker));
 }
 
@@ -52,7 +53,7 @@
     let mut tracker = new_tracker(now);
     tracker.set_age(Some(Duration::from_secs(2)), now);
     tracker.set_age(Some(Duration::ZERO), now);
-    tracker.apply(&[row(2, None)], now);
+    tracker.apply(&[row(2, None)], Origin::default(), now);
     assert!(!is_used(&tracker));
 }
 
@@ -61,7 +62,7 @@
     let now = Instant::now();
     let mut tracker = new_tracker(now);
     tracker.set_age(Some(Duration::from_secs(4)), now);
-    tracker.apply(&[row(2, None)], now);
+    tracker.apply(&[row(2, None)], Origin::default(), now);
     assert!(is_used(&tracker));
     let recovered_at = now + Duration::from_secs(5);
     tracker.expire(recovered_at);
@@ -78,9 +79,13 @@
     let now = Instant::now();
     let mut tracker = new_tracker(now);
     tracker.set_age(Some(Duration::from_secs(4)), now);
-    tracker.apply(&[row(2, None)], now);
+    tracker.apply(&[row(2, None)], Origin::default(), now);
     tracker.set_age(Some(Duration::from_millis(500)), now);
-    tracker.apply(&[row(3, Some(REGISTRATION))], now + Duration::from_secs(1));
+    tracker.apply(
+        &[row(3, Some(REGISTRATION))],
+        Origin::default(),
+        now + Duration::from_secs(1),
+    );
     tracker.expire(now + Duration::from_secs(10));
     assert!(is_used(&tracker));
 }
@@ -105,9 +110,13 @@
         None,
         "no change the second time"
     );
-    tracker.apply(&[row(2, Some(REGISTRATION))], now);
+    tracker.apply(&[row(2, Some(REGISTRATION))], Origin::default(), now);
     assert!(!is_usable(&tracker));
     let restarted = String::from_utf8_lossy(REGISTRATION).replace("\"born\":1", "\"born\":2");
-    tracker.apply(&[row(3, Some(restarted.as_bytes()))], now);
+    tracker.apply(
+        &[row(3, Some(restarted.as_bytes()))],
+        Origin::default(),
+        now,
+    );
     assert!(is_usable(&tracker));
 }
--- a/crates/node/tests/it/returns.rs
+++ b/crates/node/tests/it/returns.rs
@@ -267,3 +267,90 @@
     };
     eventually("the upstream used again", CONFIG_TIMEOUT, is_used).await;
 }
+
+/// Names a case in which an operator goes on from the older copy: the number and the delay after the
+/// return of a configuration that it writes then. Configuration 5 was in force before.
+macro_rules! operator_goes_on {
+    ($($(#[$doc:meta])* $name:ident: $number:literal after $delay_ms:literal ms;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() {
+            let delay = Duration::from_millis($delay_ms);
+            check_that_the_operator_goes_on($number, delay).await;
+        }
+    )*};
+}
+
+operator_goes_on! {
+    /// Guards against a configuration that no node uses, as its number was given out before the
+    /// return (ccfao-fees, CONFIG and DENIED).
+    a_lost_number_that_is_given_out_again_comes_into_force: 5 after 3_000 ms;
+    /// Guards against one that no node uses, as a lost one has a greater number.
+    a_number_below_a_lost_one_comes_into_force: 4 after 3_000 ms;
+    /// Guards against one that counts as a row of the copy, as it is there at the first read.
+    a_lost_number_that_is_given_out_at_the_return_comes_into_force: 5 after 0 ms;
+    /// Guards against the same with a lower number.
+    a_number_below_a_lost_one_comes_into_force_at_the_return: 4 after 0 ms;
+}
+
+async fn check_that_the_operator_goes_on(number: u64, delay: Duration) {
+    let mut fixture = Fixture::start(3).await;
+    configure(&fixture, 3, &["/kept/"]);
+    wait_until_served(&fixture.nodes, "/kept/").await;
+    let older = copy(&fixture.site.store);
+    configure(&fixture, 5, &["/kept/", "/lost/"]);
+    wait_until_served(&fixture.nodes, "/lost/").await;
+    return_from(&fixture.site.store, older).await;
+    tokio::time::sleep(delay).await;
+    configure(&fixture, number, &["/kept/", "/added/"]);
+    // Instances that the return kept from the store have longer.
+    tokio::time::sleep(CONTACT_TIME.saturating_sub(delay)).await;
+    wait_until_served(&fixture.nodes, "/added/").await;
+    let node = Node::start("n9", "a", fixture.site.store_address);
+    eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    fixture.nodes.push(node);
+    for node in &fixture.nodes {
+        assert_eq!(status(node, "/lost/").await, 404);
+        assert_eq!(status(node, "/added/").await, 200);
+    }
+    // The order of the store holds from then on.
+    configure(&fixture, number + 1, &["/kept/", "/next/"]);
+    wait_until_served(&fixture.nodes, "/next/").await;
+}
+
+/// Guards against requests that an older configuration decides while an operator writes lost ones
+/// again, the oldest first.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_configurations_that_are_written_again_in_order_undo_nothing() {
+    let mut fixture = Fixture::start(2).await;
+    let older = copy(&fixture.site.store);
+    configure(&fixture, 4, &["/fourth/"]);
+    wait_until_served(&fixture.nodes, "/fourth/").await;
+    let node = Node::start("n9", "a", fixture.site.store_address);
+    eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    fixture.nodes.push(node);
+    configure(&fixture, 5, &["/fifth/"]);
+    wait_until_served(&fixture.nodes, "/fifth/").await;
+    return_from(&fixture.site.store, older).await;
+    let written = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        configure(&fixture, 4, &["/fourth/"]);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        configure(&fixture, 5, &["/fifth/"]);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    };
+    let checked = async {
+        loop {
+            for node in &fixture.nodes {
+                assert_eq!(status(node, "/fifth/").await, 200);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::select! {
+        () = written => {}
+        () = checked => {}
+    }
+    configure(&fixture, 6, &["/sixth/"]);
+    wait_until_served(&fixture.nodes, "/sixth/").await;
+}
--- a/crates/node/tests/it/view_rows.rs
+++ b/crates/node/tests/it/view_rows.rs
@@ -12,6 +12,7 @@
 use mirror::Row;
 use mirror::Table;
 use mirror::Update;
+use mirror::succession::Origin;
 use node::view_tracker::Change;
 use node::view_tracker::ViewTracker;
 use platform::rows;
@@ -174,7 +175,7 @@
             let Effect::Merged(changed_rows) = effect else {
                 panic!("{effect:?}");
             };
-            changes.extend(self.tracker.apply(&changed_rows, now));
+            changes.extend(self.tracker.apply(&changed_rows, Origin::default(), now));
         }
         changes
     }
@@ -247,7 +248,7 @@
         let mut read = |version: u64, value: Vec<u8>| {
             let (table, key) = (Table::Operators, "config".to_owned());
             let row = Row { table, key, version, value: Some(value) };
-            tracker.apply(&[row], now);
+            tracker.apply(&[row], Origin::default(), now);
             tracker.view().catalog.clone()
         };
         let first = read(1, configuration(1, "100"));
