--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod retries;
 mod returns;
 mod stop;
+mod store_paths;
 mod streams;
 mod versions;
 mod view_rows;
--- /dev/null
+++ b/crates/node/tests/it/store_paths.rs
@@ -0,0 +1,101 @@
+//! Instances of which only some reach the store, or whose connections to it have gone silent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform_standin::client;
+use platform_standin::proxy::Proxy;
+use platform_standin::site::API_KEY;
+use platform_standin::site::Site;
+use platform_standin::store::Gate;
+use serde_json::json;
+
+use crate::fixture::Fixture;
+use crate::fixture::Node;
+use crate::fixture::eventually;
+
+/// The users' bound on the time until a configuration is in force at all instances, and by how much
+/// it is longer while the store turns some away.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
+const OUTER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after a fault from which on the users' bounds hold again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const NODES: usize = 6;
+
+/// Writes configuration `version` with a route of its own.
+fn configure(site: &Site, version: u64) {
+    let prefix = format!("/v{version}/");
+    let route = json!([{"name": prefix, "host": "site.example", "prefix": prefix,
+        "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
+        "service": "ledger", "attempts": 2}]);
+    site.configure(version, route);
+}
+
+async fn serves(node: &Node, version: u64) -> bool {
+    let key = format!("authorization: Bearer {API_KEY}");
+    let headers = [
+        key.as_str(),
+        "host: site.example",
+        "x-request-id: q",
+        "x-deadline-ms: 1500",
+    ];
+    let target = format!("GET /v{version}/x");
+    let response = client::send_request(node.client_address, &target, &headers, b"").await;
+    response.status == 200
+}
+
+/// Starts nodes, each with its own way to the store.
+async fn start_gated() -> (Fixture, Vec<Arc<Gate>>) {
+    let site = Site::start().await.expect("ports for the site");
+    let mut fixture = Fixture::start_at(site, 0).await;
+    let mut gates = Vec::new();
+    for idx in 0..NODES {
+        let (gate, address) = Gate::start(&fixture.site.store).await.expect("a port");
+        gates.push(gate);
+        fixture
+            .nodes
+            .push(Node::start(&format!("n{idx}"), "a", address));
+    }
+    for node in &fixture.nodes {
+        eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    }
+    (fixture, gates)
+}
+
+/// Guards against instances that follow readers which the store turns away, while another instance
+/// has newer rows.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_instance_with_the_store_is_enough_for_all() {
+    for served in 0..NODES {
+        let (fixture, gates) = start_gated().await;
+        let closed = gates.iter().enumerate().filter(|it| it.0 != served);
+        closed.for_each(|it| it.1.close());
+        configure(&fixture.site, 2);
+        for node in &fixture.nodes {
+            let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
+            eventually("configuration 2", timeout, || serves(node, 2)).await;
+        }
+        configure(&fixture.site, 3);
+        for node in &fixture.nodes {
+            let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
+            eventually("configuration 3", timeout, || serves(node, 3)).await;
+        }
+    }
+}
+
+/// Guards against feeds that wait on connections which have gone silent, at all instances at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_to_the_store_delay_a_configuration_only_shortly() {
+    let mut site = Site::start().await.expect("ports for the site");
+    let proxy = Proxy::start(site.store_address).await.expect("a port");
+    site.store_address = proxy.address;
+    let fixture = Fixture::start_at(site, NODES).await;
+    for version in 2..5 {
+        proxy.silence_open_connections();
+        configure(&fixture.site, version);
+        for node in &fixture.nodes {
+            let timeout = CONTACT_TIME + CONFIG_TIMEOUT;
+            eventually("the configuration", timeout, || serves(node, version)).await;
+        }
+    }
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use platform_standin::proxy;
 use platform_standin::store;
 use platform_standin::upstream;
 use rand::Rng;
@@ -9,8 +10,6 @@
 use rand::seq::IteratorRandom;
 use strum::IntoEnumIterator;
 
-use crate::proxy;
-
 /// A fault that is started and, after its duration, ended. Nodes and upstreams are given by index.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Fault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,6 @@
 mod fault;
 mod limit;
 mod poison;
-mod proxy;
 mod run;
 mod versions;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,8 @@
 
 use eyre::WrapErr;
 use platform_standin::client;
+use platform_standin::proxy;
+use platform_standin::proxy::Proxy;
 use platform_standin::site;
 use platform_standin::site::API_KEY;
 use platform_standin::site::RetryLimit;
@@ -35,8 +37,6 @@
 use crate::fault::Fault;
 use crate::limit::Limit;
 use crate::poison;
-use crate::proxy;
-use crate::proxy::Proxy;
 use crate::versions;
 use crate::versions::Engines;
 
