Judge a request in a stop by when it has been read

A request whose head came early in a planned stop and whose body came late was passed on though it may end only after the exit; it was then cut off, also if it may not be repeated. Cause: the time at which the head came counted as now. The request's deadline is compared with the answer deadline when it has been read; what may end too late gets 503 with Retry-After and is not passed on.

The existing checks of accepts are as strict: the deadline is the limit from the same moment.

--- a/crates/forwarding/src/stop.rs
+++ b/crates/forwarding/src/stop.rs
@@ -28,11 +28,11 @@
         Shutdown { since: now, grace }
     }
 
-    /// Whether a request that arrives now, and ends within `limit`, is still accepted.
+    /// Whether a request that has been read by `now`, and ends by `deadline`, is still accepted.
     #[must_use]
-    pub fn accepts(&self, limit: Duration, now: Instant) -> bool {
+    pub fn accepts(&self, deadline: Instant, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.since);
-        age < ACCEPT_WINDOW.min(self.grace / 2) || now + limit <= self.answer_deadline()
+        age < ACCEPT_WINDOW.min(self.grace / 2) || deadline <= self.answer_deadline()
     }
 
     /// Deadline for answering the requests in flight.
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -309,6 +309,11 @@
     assert_eq!(next.expect("an engine").engine, engines[0]);
 }
 
+/// Whether a request that has been read at `now` and has `limit` left is accepted.
+fn accepts(shutdown: &Shutdown, now: Instant, limit: Duration) -> bool {
+    shutdown.accepts(now + limit, now)
+}
+
 /// Guards against accepting a long request late in the shutdown: one accepted 6 s after SIGTERM was
 /// cut off when the process had to exit (run 56a4 of the site ccfao-fees, seed 817977185716).
 #[test]
@@ -316,8 +321,8 @@
     let now = Instant::now();
     let shutdown = Shutdown::begin(Duration::from_secs(8), now);
     let long = Duration::from_secs(15);
-    assert!(shutdown.accepts(long, now + ms(2_000)));
-    assert!(!shutdown.accepts(long, now + ms(6_000)));
+    assert!(accepts(&shutdown, now + ms(2_000), long));
+    assert!(!accepts(&shutdown, now + ms(6_000), long));
     assert!(shutdown.answer_deadline() < shutdown.exit_deadline());
     assert!(shutdown.exit_deadline() < now + Duration::from_secs(8));
 }
@@ -330,8 +335,8 @@
     let now = Instant::now();
     let shutdown = Shutdown::begin(Duration::from_secs(8), now);
     let plain = Duration::from_secs(1);
-    assert!(shutdown.accepts(plain, now + ms(6_000)));
-    assert!(!shutdown.accepts(plain, now + ms(6_500)));
+    assert!(accepts(&shutdown, now + ms(6_000), plain));
+    assert!(!accepts(&shutdown, now + ms(6_500), plain));
     assert!(now + ms(6_000) + plain <= shutdown.answer_deadline());
 }
 
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -101,7 +101,8 @@
         return Err(pending.into_failure(Cause::NoUpstream, DEFAULT_RETRY_AFTER));
     };
     let shutdown = request.shutdown.get();
-    if shutdown.is_some_and(|it| !it.accepts(request.time_limit(), request.received_at)) {
+    let ends_by = request.received_at + request.time_limit();
+    if shutdown.is_some_and(|it| !it.accepts(ends_by, Instant::now())) {
         return Err(pending.into_failure(Cause::Stopping, STOPPING_RETRY_AFTER));
     }
     node.limits().record_request(service, Instant::now());
