Exit in time when a stop is shorter than the load balancer's

A process whose grace is below 2.8 s waited 2.6 s for the load balancer, past its own exit deadline, and was killed with what it had not answered. The wait ends at the exit deadline. a_process_with_a_short_time_for_a_stop_exits_by_itself (2 s) failed before: no exit within it.

--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -28,7 +28,8 @@
             slog::info!(node.logger(), "deregister_failed"; "reason" => %err);
         }
     };
-    tokio::join!(deregister, tokio::time::sleep(BALANCER_DRAIN_TIME));
+    let drained_at = exit_deadline.min(Instant::now() + BALANCER_DRAIN_TIME);
+    tokio::join!(deregister, tokio::time::sleep_until(drained_at));
     while node.in_flight() > 0 && Instant::now() < exit_deadline {
         tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
     }
--- a/crates/node/tests/processes/stop.rs
+++ b/crates/node/tests/processes/stop.rs
@@ -161,6 +161,22 @@
     }
 }
 
+/// Guards against a process that is killed, as its time for a stop is shorter than that in which the
+/// load balancer moves its clients elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_with_a_short_time_for_a_stop_exits_by_itself() {
+    let mut deployment = Deployment::start("short-stop").await;
+    deployment.add("n0", &programs::current()).await;
+    let instance = &mut deployment.instances[0];
+    let settings = std::fs::read_to_string(&instance.settings).expect("settings");
+    let settings = settings.replace("grace_s: 8", "grace_s: 2");
+    std::fs::write(&instance.settings, settings).expect("a file");
+    instance.daemon.signal(Signal::TERM).expect("a process");
+    let exit = instance.daemon.wait(Duration::from_secs(2));
+    let exit = exit.expect("a process");
+    assert!(exit.is_some(), "no exit within the time for a stop");
+}
+
 /// Guards against a request whose body arrives late in a stop and that is judged by when it began: it
 /// was passed on though it may end only after the exit, and was cut off.
 #[tokio::test(flavor = "multi_thread")]
