Use no lower number within an era of the store

beliefs::a_change_takes_effect_in_time failed since: the store's order within an era put an older configuration into force that was written later. Numbers rise within an era, as the store accepts only valid configurations, so the number decides there, and the store's order only across returns.

--- a/crates/mirror/src/succession.rs
+++ b/crates/mirror/src/succession.rs
@@ -1,7 +1,7 @@
 //! Which of the values that the store held under one key is the newest.
 //!
-//! Within an era, the order of the store decides. The writer numbers the values as well, but after a
-//! return from an older copy it may give out lost numbers again. A value that the store sends after
+//! The writer numbers the values, and within an era of the store the numbers rise. After a return from
+//! an older copy it may give out lost numbers again. A value that the store sends after
 //! a return was either in the copy, or is a lost one that is written again, or is new. The first two
 //! must not undo a newer one, the last must take effect whatever its number.
 
@@ -134,8 +134,8 @@
                 false => Verdict::Ignore(Reason::UnknownEra),
             };
         };
-        if let Some(current) = current.revision.filter(|it| it.era == revision.era) {
-            return match current <= revision {
+        if current.revision.is_some_and(|it| it.era == revision.era) {
+            return match candidate.number > current.number {
                 true => Verdict::Use,
                 false => Verdict::Ignore(Reason::Superseded),
             };
