Keep as many sends as a cold limit counts

The window of sends to an upstream kept the last 64, so that a share above 64 requests a second was never used up and the limit did not hold. The window keeps what is recent. a_large_cold_limit_holds failed before (500 of 500 sent, 200 allowed).

--- a/crates/forwarding/src/cold.rs
+++ b/crates/forwarding/src/cold.rs
@@ -21,8 +21,6 @@
 const OWNER_FRACTION: f64 = 0.4;
 /// Fraction of the limit for members that send without the owner, one request per second each.
 const FALLBACK_FRACTION: f64 = 0.2;
-/// Maximum number of sends that are kept for one upstream.
-const SENDS_MAX: usize = 64;
 
 /// Requests per second that all instances together may send to one upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,17 +65,19 @@
     /// Whether the share allows a send now.
     #[must_use]
     pub fn allows(&self, share: Share, now: Instant) -> bool {
-        let window = WINDOW + JITTER_MAX;
         let recent = self.sends.iter().rev();
-        let recent = recent.take_while(|it| now.saturating_duration_since(**it) < window);
-        recent.count() < share.0
+        recent.take_while(|it| is_recent(**it, now)).count() < share.0
     }
 
     /// Records a send.
     pub fn record(&mut self, now: Instant) {
-        self.sends.push_back(now);
-        if self.sends.len() > SENDS_MAX {
+        while self.sends.front().is_some_and(|it| !is_recent(*it, now)) {
             self.sends.pop_front();
         }
+        self.sends.push_back(now);
     }
 }
+
+fn is_recent(send: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(send) < WINDOW + JITTER_MAX
+}
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -128,6 +128,24 @@
     assert_eq!(sent.count(), 22);
 }
 
+/// Guards against a window that keeps fewer sends than the limit allows, so that a limit above 64
+/// requests a second was none.
+#[test]
+fn a_large_cold_limit_holds() {
+    let limit = cold::RateLimit(200.0);
+    let mut window = cold::SendWindow::default();
+    let now = Instant::now();
+    let sent = (0..500).filter(|_| {
+        let share = limit.per_member(1).expect("one member");
+        let is_allowed = window.allows(share, now);
+        if is_allowed {
+            window.record(now);
+        }
+        is_allowed
+    });
+    assert!(sent.count() <= 200);
+}
+
 #[test]
 fn an_unsent_request_is_refused_as_not_run() {
     let pending = Pending::default();
