Divide cold limits over all that may send, in all their lifetimes

Cause: each instance divided the limit by the members of the moment. Those that stop delete their row and send on; those that start do not know what the process before them sent; those that join divide before the others count them.

cold::Roster counts members that left until they can no longer have sent, keeps a process quiet in its first 1.06 s, and gives it a share when the others know of it; until then it is not ready. Requests of the first second wait for its end. Connections to upstreams are divided by the same count.

Changed tests: a single member uses 23 of 24.5 instead of 22, as nothing is kept in reserve; restarts_of_all_nodes starts its nodes together, as each is ready only after 3 s, and one after the other they outlasted the window that it checks.

--- a/crates/forwarding/src/cold.rs
+++ b/crates/forwarding/src/cold.rs
@@ -1,22 +1,31 @@
 //! Rate limit for upstreams that may be cold, divided among the instances.
 //!
 //! An upstream can turn cold before any instance knows, so the limit applies to every upstream of
-//! such a service at all times. A few members divide it evenly. With more members than requests per
-//! second, the owner of the upstream's shard places the requests instead. The owner's share fits
+//! such a service at all times. A few members divide it evenly, as [`Roster`] tells. With more
+//! members than requests per second, the owner of the upstream's shard places the requests instead. The owner's share fits
 //! twice into the limit, because two owners may send while ownership moves; the rest lets a few
 //! members per upstream send to it without the owner.
 
+mod roster;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+pub use roster::Delays;
+pub use roster::Listing;
+pub use roster::Roster;
+
 /// The limit applies to the arrivals within any period of this length.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Variation of the delay between send and arrival; covers a queue at the sender's link.
 const JITTER_MAX: Duration = Duration::from_millis(60);
-/// Requests per second that are reserved for members that are not known yet.
-const RESERVE: f64 = 2.0;
+/// Fraction of the limit that members divide; the rest covers requests that arrive later than
+/// [`JITTER_MAX`].
+const DIVIDED_FRACTION: f64 = 0.95;
+/// Requests per second that owners leave for members that send without them.
+const OWNER_RESERVE: f64 = 2.0;
 /// Fraction of the limit that an owner uses; two may do so while ownership moves.
 const OWNER_FRACTION: f64 = 0.4;
 /// Fraction of the limit for members that send without the owner, one request per second each.
@@ -30,12 +39,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share(usize);
 
+/// When a process that starts at `start` may send to upstreams that may be cold: an earlier process
+/// of the instance may have used the same share until it was killed.
+#[must_use]
+pub fn sends_from(start: Instant) -> Instant {
+    start + WINDOW + JITTER_MAX
+}
+
+impl Share {
+    /// No requests.
+    pub const NONE: Share = Share(0);
+}
+
 impl RateLimit {
-    /// Share of each of `members`; `None` if it would be less than one request per second.
+    /// Share of the member that is preceded by `rank` of `members`, the first of which get the
+    /// remainder of the division; `None` if there are more members than requests per second.
     #[must_use]
-    pub fn per_member(self, members: usize) -> Option<Share> {
-        let share = (self.available() / members.max(1) as f64).floor() as usize;
-        (share > 0).then_some(Share(share))
+    pub fn per_member(self, members: usize, rank: usize) -> Option<Share> {
+        let total = (self.0 * DIVIDED_FRACTION) as usize;
+        let members = members.max(1);
+        (members <= total).then(|| Share(total.saturating_sub(rank).div_ceil(members)))
     }
 
     /// Share of the owner of the upstream's shard.
@@ -51,7 +74,7 @@
     }
 
     fn available(self) -> f64 {
-        (self.0 - RESERVE).max(1.0)
+        (self.0 - OWNER_RESERVE).max(1.0)
     }
 }
 
--- a/crates/forwarding/tests/limits.rs
+++ b/crates/forwarding/tests/limits.rs
@@ -54,7 +54,8 @@
         let mut sends = Vec::new();
         for (member, at, is_placed) in times {
             let now = start + ms(at);
-            let (window, share) = match (limit.per_member(members), limit.fallback_shares()) {
+            let share = limit.per_member(members, member % members);
+            let (window, share) = match (share, limit.fallback_shares()) {
                 (Some(share), _) => (&mut member_windows[member % members], share),
                 (None, _) if is_placed => (&mut owner_windows[member % 2], limit.owner_share()),
                 (None, (count, share)) => (&mut member_windows[member % count], share),
@@ -118,14 +119,14 @@
     let mut window = cold::SendWindow::default();
     let now = Instant::now();
     let sent = (0..100).filter(|_| {
-        let share = cold::RateLimit(24.5).per_member(1).expect("one member");
+        let share = cold::RateLimit(24.5).per_member(1, 0).expect("one member");
         let is_allowed = window.allows(share, now);
         if is_allowed {
             window.record(now);
         }
         is_allowed
     });
-    assert_eq!(sent.count(), 22);
+    assert_eq!(sent.count(), 23);
 }
 
 /// Guards against a window that keeps fewer sends than the limit allows, so that a limit above 64
@@ -136,7 +137,7 @@
     let mut window = cold::SendWindow::default();
     let now = Instant::now();
     let sent = (0..500).filter(|_| {
-        let share = limit.per_member(1).expect("one member");
+        let share = limit.per_member(1, 0).expect("one member");
         let is_allowed = window.allows(share, now);
         if is_allowed {
             window.record(now);
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -21,6 +21,7 @@
 use forwarding::retry::Pulse;
 use forwarding::retry::Roster;
 use platform::settings::Bounds;
+use platform::settings::Settings;
 use tokio::time::Instant;
 
 use crate::client_request::ClientRequest;
@@ -71,6 +72,8 @@
     roster: Roster,
     /// Beats of this process.
     pulse: Pulse,
+    /// Members that divide the cold limits and the connections to upstreams.
+    cold_roster: cold::Roster,
     cold_windows: BTreeMap<id::Upstream, SendWindow>,
     /// Upstreams whose cold limit an owner keeps, but which this instance may also send to without
     /// that owner.
@@ -87,15 +90,17 @@
 }
 
 impl Limits {
-    /// Limits of the process `incarnation` of an instance under `bounds`, with empty statistics.
+    /// Limits of the process `incarnation` of an instance, with empty statistics.
     #[must_use]
-    pub fn new(instance: id::Instance, incarnation: u64, bounds: Bounds) -> Limits {
+    pub fn new(settings: &Settings, incarnation: u64) -> Limits {
+        let (instance, now) = (&settings.instance, Instant::now());
         Limits {
-            roster: Roster::new(&instance),
-            pulse: Pulse::new(Instant::now()),
-            instance,
+            roster: Roster::new(instance),
+            pulse: Pulse::new(now),
+            cold_roster: cold::Roster::new(instance, cold_delays(settings), now),
+            instance: instance.clone(),
             incarnation,
-            bounds,
+            bounds: settings.bounds,
             retry_budgets: BTreeMap::new(),
             cold_windows: BTreeMap::new(),
             fallback_upstreams: BTreeSet::new(),
@@ -109,9 +114,10 @@
     }
 
     /// Replaces the bounds. What was used of the retry budgets is kept.
-    pub fn set_bounds(&mut self, bounds: Bounds) {
-        self.bounds = bounds;
-        let limit = retry_limit(&bounds);
+    pub fn configure(&mut self, settings: &Settings) {
+        self.bounds = settings.bounds;
+        self.cold_roster.set_delays(cold_delays(settings));
+        let limit = retry_limit(&self.bounds);
         for budget in self.retry_budgets.values_mut() {
             budget.set_limit(limit);
         }
@@ -232,11 +238,15 @@
         };
         let window = self.cold_windows.get(&upstream.name);
         let has_capacity = |share| window.is_none_or(|it| it.allows(share, now));
-        if let Some(share) = limit.per_member(view.members.len()) {
-            return has_capacity(share);
+        match self.cold_roster.share(limit, now) {
+            Some(share) => share != cold::Share::NONE && has_capacity(share),
+            None => {
+                let (_, share) = limit.fallback_shares();
+                self.cold_roster.may_send(now)
+                    && self.fallback_upstreams.contains(&upstream.name)
+                    && has_capacity(share)
+            }
         }
-        let (_, share) = limit.fallback_shares();
-        self.fallback_upstreams.contains(&upstream.name) && has_capacity(share)
     }
 
     /// Whether the cold limits of a service's upstreams are kept by the owners of the shards,
@@ -244,7 +254,36 @@
     #[must_use]
     pub fn is_cold_limit_owned(&self, view: &View, service: &id::Service) -> bool {
         let limit = cold_rate_limit(&self.bounds, view, service);
-        limit.is_some_and(|it| it.per_member(view.members.len()).is_none())
+        limit.is_some_and(|it| self.is_owned(it, Instant::now()))
+    }
+
+    fn is_owned(&self, limit: cold::RateLimit, now: Instant) -> bool {
+        limit.per_member(self.member_count(now), 0).is_none()
+    }
+
+    /// When this process may send to upstreams that may be cold, as those before it under its name no longer count.
+    #[must_use]
+    pub fn cold_sends_from(&self) -> Instant {
+        self.cold_roster.sends_from()
+    }
+
+    /// Whether this process may not yet send to upstreams that may be cold, because others do not
+    /// count it when they divide the limit.
+    #[must_use]
+    pub fn lacks_cold_share(&self, view: &View, now: Instant) -> bool {
+        let catalog = view.catalog.iter();
+        let mut services = catalog.flat_map(|it| it.services.keys());
+        !self.cold_roster.is_known(now)
+            && services.any(|it| {
+                let limit = cold_rate_limit(&self.bounds, view, it);
+                limit.is_some_and(|it| !self.is_owned(it, now))
+            })
+    }
+
+    /// Members that divide limits which all instances share, with those that stop and may still send.
+    #[must_use]
+    pub fn member_count(&self, now: Instant) -> usize {
+        self.cold_roster.count(now)
     }
 
     /// Describes an upstream as a candidate for a request; `zone` is the preferred zone, `None` if
@@ -274,24 +313,30 @@
     /// upstreams.
     pub fn retain(&mut self, view: &View) {
         let own = view.members.get(&self.instance);
-        let is_listed = own.is_some_and(|it| it.incarnation == self.incarnation);
-        self.roster
-            .set_members(view.members.keys(), is_listed, Instant::now());
+        let listing = match own {
+            None => cold::Listing::Absent,
+            Some(it) if it.incarnation == self.incarnation => cold::Listing::Own,
+            Some(_) => cold::Listing::Earlier,
+        };
+        let now = Instant::now();
+        let is_listed = listing == cold::Listing::Own;
+        self.roster.set_members(view.members.keys(), is_listed, now);
+        self.cold_roster
+            .set_members(view.members.keys(), listing, now);
         self.fallback_upstreams = self.find_fallback_upstreams(view);
         let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
         self.cold_windows.retain(|name, _| is_known(name));
         self.last_probes.retain(|it, _| view.is_registered(it));
-        let now = Instant::now();
         self.health.retain(|name, it| {
             is_known(name) || it.in_flight > 0 || it.held_off_until(now).is_some()
         });
     }
 
     fn find_fallback_upstreams(&self, view: &View) -> BTreeSet<id::Upstream> {
-        let members = view.members.len();
+        let now = Instant::now();
         let is_fallback = |upstream: &Upstream| {
             let limit = cold_rate_limit(&self.bounds, view, &upstream.service);
-            let Some(limit) = limit.filter(|it| it.per_member(members).is_none()) else {
+            let Some(limit) = limit.filter(|it| self.is_owned(*it, now)) else {
                 return false;
             };
             let (count, _) = limit.fallback_shares();
@@ -312,6 +357,13 @@
     }
 }
 
+fn cold_delays(settings: &Settings) -> cold::Delays {
+    cold::Delays {
+        propagation: settings.bounds.config_timeout,
+        stop_grace: settings.stop_grace,
+    }
+}
+
 fn retry_limit(bounds: &Bounds) -> retry::BudgetLimit {
     retry::BudgetLimit {
         ratio: bounds.retry_ratio,
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -83,6 +83,8 @@
     events: mpsc::UnboundedSender<UpstreamEvent>,
     bounds: Bounds,
     telemetry: Telemetry,
+    /// When this process may place requests at engines whose cold limit it keeps.
+    cold_sends_from: Instant,
 }
 
 /// Runs the steps of the shards that this instance owns; cheap to clone.
@@ -145,6 +147,7 @@
             events,
             bounds,
             telemetry,
+            cold_sends_from: cold::sends_from(Instant::now()),
         };
         let owner = Owner {
             shared: Arc::new(shared),
@@ -207,18 +210,22 @@
     #[must_use]
     pub fn place(&self, engines: &[id::Upstream], typical_latency: Duration) -> Option<Placement> {
         let state = &mut *self.lock();
-        let share = |it: &id::Upstream| state.cold_shares.get(it).copied();
-        let ticket = state
-            .balancer
-            .place(engines, typical_latency, share, Instant::now())?;
+        let now = Instant::now();
+        let may_send = self.shared.cold_sends_from <= now;
+        let share = |it: &id::Upstream| {
+            let share = state.cold_shares.get(it).copied()?;
+            Some(if may_send { share } else { cold::Share::NONE })
+        };
+        let ticket = state.balancer.place(engines, typical_latency, share, now)?;
         Some(Placement {
             owner: self.clone(),
             ticket,
         })
     }
 
-    /// Updates the shards, services and upstreams from a view. Without a catalog nothing changes.
-    pub fn configure(&self, view: &View) {
+    /// Updates the shards, services and upstreams from a view, and which cold limits owners keep, as
+    /// there are too many `members` to divide them. Without a catalog nothing changes.
+    pub fn configure(&self, view: &View, members: usize) {
         let Some(catalog) = &view.catalog else {
             return;
         };
@@ -235,7 +242,7 @@
         state
             .balancer
             .retain(|name| view.upstreams.contains_key(name));
-        state.cold_shares = compute_cold_shares(&self.shared.bounds, view);
+        state.cold_shares = compute_cold_shares(&self.shared.bounds, view, members);
         let now = Instant::now();
         for service in catalog.services.values() {
             let Some(batch_limits) = service.batch_limits else {
@@ -369,11 +376,14 @@
     }
 }
 
-fn compute_cold_shares(bounds: &Bounds, view: &View) -> BTreeMap<id::Upstream, cold::Share> {
-    let members = view.members.len();
+fn compute_cold_shares(
+    bounds: &Bounds,
+    view: &View,
+    members: usize,
+) -> BTreeMap<id::Upstream, cold::Share> {
     let shares = view.upstreams.values().filter_map(|it| {
         let limit = limits::cold_rate_limit(bounds, view, &it.service)?;
-        let is_owned = limit.per_member(members).is_none();
+        let is_owned = limit.per_member(members, 0).is_none();
         is_owned.then(|| (it.name.clone(), limit.owner_share()))
     });
     shares.collect()
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -187,6 +187,7 @@
     let mut excluded = hints.excluded.to_vec();
     let mut denials = Denials::default();
     let wait_until = Instant::now() + request.route.goal.mul_f64(LIMIT_WAIT_FRACTION);
+    let cold_sends_from = node.limits().cold_sends_from();
     loop {
         let hints = RoutingHints {
             excluded: &excluded,
@@ -206,7 +207,8 @@
             Err(Cause::ColdLimit) if denials.apply_to_engine(node, &hints) => {
                 return Err(Cause::RateLimit);
             }
-            Err(Cause::ColdLimit) if Instant::now() < wait_until => {
+            // In its first second, a process knows when it may send.
+            Err(Cause::ColdLimit) if Instant::now() < wait_until.max(cold_sends_from) => {
                 tokio::time::sleep(COLD_LIMIT_POLL_INTERVAL).await;
                 continue;
             }
@@ -494,5 +496,6 @@
     let catalog = view.catalog.as_ref();
     let service = catalog.and_then(|it| it.services.get(&upstream.service));
     let total = service.map_or(u32::MAX, |it| it.connections_max);
-    limits::connections_share(total, node.member_count())
+    let members = node.limits().member_count(Instant::now());
+    limits::connections_share(total, members)
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -263,7 +263,7 @@
             Ok(settings) if settings == known && !is_signal => {}
             Ok(settings) => {
                 slog::info!(node.logger(), "settings_read"; "changed" => settings != known);
-                node.limits().set_bounds(settings.bounds);
+                node.limits().configure(&settings);
                 node.set_stop_grace(settings.stop_grace);
                 known = settings;
             }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -141,7 +141,7 @@
         dialer: Arc<dyn Dial>,
     ) -> Node {
         let incarnation = rand::random();
-        let limits = Limits::new(settings.instance.clone(), incarnation, settings.bounds);
+        let limits = Limits::new(&settings, incarnation);
         Node {
             limits: Mutex::new(limits),
             pool: connection::Pool::new(dialer),
@@ -302,7 +302,9 @@
         // Without a client, this node cannot reach the owners of step services and would run steps
         // itself in competition with them.
         let can_reach_owners = self.peers.has_client();
+        let lacks_share = self.limits().lacks_cold_share(&view, Instant::now());
         can_reach_owners
+            && !lacks_share
             && self.are_versions_recorded.load(Ordering::Relaxed)
             && !self.is_shutting_down()
             && has_view
@@ -453,7 +455,8 @@
                 |it| view.upstreams.contains_key(it),
                 |it| view.members.contains_key(it),
             );
-            self.owner.configure(&view);
+            let members = self.limits().member_count(Instant::now());
+            self.owner.configure(&view, members);
             self.view.send_replace(view);
         }
         suspicion::apply_loss_changes(self, &changes);
--- a/crates/node/tests/it/retries.rs
+++ b/crates/node/tests/it/retries.rs
@@ -59,9 +59,11 @@
     }
     for idx in 0..3 {
         let node = Node::start_limited(&format!("n{idx}"), "a", fixture.site.store_address);
-        eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
         fixture.nodes.push(node);
     }
+    for node in &fixture.nodes {
+        eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
+    }
     requests += send_rejected(&fixture.nodes, "c", 12).await;
     let elapsed = begun_at.elapsed();
     assert!(
