Handle SIGHUP before the settings are read

It is there before the settings are read; what such a signal tells is seen by the next periodic read. a_process_outlives_a_hangup_while_it_starts, with settings that are a pipe, failed before (ended by signal 1).

--- a/crates/node/src/bin/catkinvane-node.rs
+++ b/crates/node/src/bin/catkinvane-node.rs
@@ -7,6 +7,7 @@
 use platform::settings;
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
+use tokio::signal::unix;
 
 fn main() -> eyre::Result<()> {
     let mut args = pico_args::Arguments::from_env();
@@ -20,13 +21,18 @@
         Some(path) => path,
         None => settings::path()?,
     };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    // Until there is a handler, SIGHUP ends the process.
+    let _hangup = {
+        let _context = runtime.enter();
+        unix::signal(unix::SignalKind::hangup())?
+    };
     let settings = settings::read(&path)?;
     if is_check {
         return Ok(());
     }
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
     runtime.block_on(async {
         let signals = supervisor::shutdown_signal()?;
         let registry = Registry::default();
--- a/crates/node/tests/processes/stop.rs
+++ b/crates/node/tests/processes/stop.rs
@@ -8,8 +8,11 @@
 use platform_standin::client::Response;
 use platform_standin::site::API_KEY;
 use platform_standin::upstream::Fault;
+use rustix::fs::FileType;
+use rustix::fs::Mode;
 use rustix::process::Signal;
 use serde_json::json;
+use testbed::process::Daemon;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -275,3 +278,22 @@
     }
     responses
 }
+
+/// Guards against a process that a change of its settings ends, as it has no handler for SIGHUP before
+/// it has read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_outlives_a_hangup_while_it_starts() {
+    let deployment = Deployment::start("early-hangup").await;
+    let settings = deployment.dir.join(format!("{}.fifo", std::process::id()));
+    let (kind, mode) = (FileType::Fifo, Mode::RUSR | Mode::WUSR);
+    rustix::fs::mknodat(rustix::fs::CWD, &settings, kind, mode, 0).expect("a pipe");
+    let program = programs::current();
+    let mut daemon =
+        Daemon::start("early", &program, &settings, &deployment.dir).expect("a process");
+    // The process opens the pipe and waits for a writer.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    daemon.signal(Signal::HUP).expect("a process");
+    let exit = daemon.wait(Duration::from_millis(500)).expect("a process");
+    assert_eq!(exit, None);
+    std::fs::remove_file(&settings).expect("a pipe");
+}
