Read the members before a process registers over its predecessor

A process that was killed and started again registered within milliseconds, at times before it had read the members. It then did not see the row of the process before it, took itself for a new member and had no share of the cold limits for 3 s instead of 1 s. Registration waits for the first read of the table.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -48,6 +48,8 @@
 /// A row that the store has accepted is written again if it does not appear in the view within this
 /// time.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which the first read of the members' table is waited for.
+const READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Key whose preference order of the members determines which of them read the store.
 const READER_KEY: &str = "store";
 /// Interval at which an instance that follows others checks that its rows are still fresh.
@@ -448,6 +450,18 @@
     }
 }
 
+/// Waits until the members' table was read, so that the row of an earlier process is seen before it is
+/// replaced.
+async fn wait_until_members_read(node: &Node) {
+    let is_read = || {
+        let copy = node.store_copy();
+        copy.mirror.complete_version(Table::Members).is_some()
+    };
+    while !is_read() {
+        tokio::time::sleep(READ_POLL_INTERVAL).await;
+    }
+}
+
 /// Writes this instance's row whenever it is missing or differs, as after a restart, until the
 /// shutdown begins.
 pub async fn register(node: Arc<Node>, client: store::Client) {
@@ -463,6 +477,7 @@
     };
     let row = [(rows::member_key(&own.instance), value)];
     let [(key, value)] = &row;
+    wait_until_members_read(&node).await;
     let mut view = node.watch_view();
     let mut backoff = Backoff::new();
     loop {
