Let operators go on from the older copy in the soak

Half of the returns of the store in the soak are followed by an operator that writes nothing again and gives out the numbers of lost configurations anew; a configuration is written between copy and return. The load begins when the nodes are ready, as a load balancer's does.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -37,8 +37,9 @@
     Configure,
     /// Copies the store. Has no end.
     CopyStore,
-    /// Lets the store come back from its last copy. Has no end.
-    ReturnStore,
+    /// Lets the store come back from its last copy. Operators write again what it lost, or go on from
+    /// the copy and give out the numbers of lost configurations again. Has no end.
+    ReturnStore { operators_go_on: bool },
     /// Sends SIGKILL to all nodes; restarts them at the end.
     KillAll,
     /// Starts an engine with a software version under a new name. Has no end.
@@ -92,7 +93,9 @@
     let mut faults = Vec::new();
     let mut at = load_duration.mul_f64(rng.random_range(0.05..0.5));
     while rng.random_bool(0.5) && at < load_duration {
-        for fault in [Fault::CopyStore, Fault::ReturnStore] {
+        let operators_go_on = rng.random_bool(0.5);
+        let returned = Fault::ReturnStore { operators_go_on };
+        for fault in [Fault::CopyStore, Fault::Configure, returned] {
             faults.push(ScheduledFault {
                 at,
                 duration: Duration::ZERO,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -87,6 +87,7 @@
 struct NodeProcess {
     name: String,
     client_address: SocketAddr,
+    ready_address: SocketAddr,
     settings: PathBuf,
     /// The process; `None` while it is killed or restarting.
     daemon: Option<Daemon>,
@@ -102,7 +103,8 @@
     nodes: Vec<NodeProcess>,
     engines: Engines,
     config_version: u64,
-    store_copy: Option<Copy>,
+    /// Copy of the store, and the version of the configuration in it.
+    store_copy: Option<(Copy, u64)>,
     /// Runs of poison requests sent before this time are exempt from their bound, because nodes may
     /// have missed crash reports in the store.
     store_excused_until: Arc<Mutex<Instant>>,
@@ -210,10 +212,10 @@
             run.nodes.push(node);
         }
         for idx in 0..options.node_count {
-            let is_ready = run.wait_until_serving(idx, START_TIMEOUT).await;
+            let is_ready = run.wait_until_ready(idx, START_TIMEOUT).await;
             eyre::ensure!(
                 is_ready,
-                "node {idx} did not serve within {START_TIMEOUT:?}"
+                "node {idx} was not ready within {START_TIMEOUT:?}"
             );
         }
         Ok(run)
@@ -244,6 +246,7 @@
         Ok(NodeProcess {
             name,
             client_address: SocketAddr::from(([127, 0, 0, 1], ports[0])),
+            ready_address: SocketAddr::from(([127, 0, 0, 1], ports[1])),
             settings,
             daemon: Some(daemon),
             excused_until: Arc::new(Mutex::new(Instant::now())),
@@ -302,11 +305,16 @@
                 self.excuse_store();
                 self.site.store.compact();
             }
-            Fault::CopyStore => self.store_copy = Some(self.site.store.copy()),
-            Fault::ReturnStore => {
+            Fault::CopyStore => {
+                self.store_copy = Some((self.site.store.copy(), self.config_version));
+            }
+            Fault::ReturnStore { operators_go_on } => {
                 self.excuse_store();
-                if let Some(copy) = self.store_copy.take() {
-                    self.site.store.drill(copy);
+                if let Some((copy, version)) = self.store_copy.take() {
+                    self.site.store.drill(copy, *operators_go_on);
+                    if *operators_go_on {
+                        self.config_version = version;
+                    }
                 }
             }
             Fault::StorePath(mode) => {
@@ -373,7 +381,7 @@
             }
             Fault::Compact
             | Fault::CopyStore
-            | Fault::ReturnStore
+            | Fault::ReturnStore { .. }
             | Fault::Configure
             | Fault::Release(_)
             | Fault::Replace(_)
@@ -449,6 +457,20 @@
         Ok(())
     }
 
+    /// Polls the readiness of a node, as a load balancer does; `false` after `timeout`.
+    async fn wait_until_ready(&self, idx: usize, timeout: Duration) -> bool {
+        let deadline = Instant::now() + timeout;
+        let address = self.nodes[idx].ready_address;
+        while Instant::now() < deadline {
+            let response = client::send_request(address, "GET /api/readyz", &[], b"").await;
+            if response.status == 200 {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
     /// Sends probe requests to a node until it responds with 200; `false` after `timeout`.
     async fn wait_until_serving(&self, idx: usize, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
