Do not take a configuration for a lost one that an older build sent first

Found by reading: while instances of the previous release run beside this one, one that the store does not answer may get a configuration from them without its era. What is ignored for its unknown era is not remembered. a_value_of_unknown_era_is_not_remembered failed before.

--- a/crates/mirror/src/succession.rs
+++ b/crates/mirror/src/succession.rs
@@ -107,7 +107,10 @@
     /// [`Origin`].
     pub fn judge(&mut self, candidate: Candidate, era_start: u64) -> Verdict {
         let verdict = self.verdict(&candidate, era_start);
-        self.record(&candidate);
+        // The store may send it as a new one later.
+        if verdict != Verdict::Ignore(Reason::UnknownEra) {
+            self.record(&candidate);
+        }
         match verdict {
             Verdict::Use => self.current = Some(candidate),
             Verdict::Unchanged if candidate.revision.is_some() => self.current = Some(candidate),
--- a/crates/mirror/tests/succession.rs
+++ b/crates/mirror/tests/succession.rs
@@ -92,6 +92,21 @@
     assert_eq!(held, Verdict::Hold);
 }
 
+/// Guards against a new value that counts as a lost one, since a replica that knows no eras sent it
+/// first.
+#[test]
+fn a_value_of_unknown_era_is_not_remembered() {
+    let mut succession = after_two();
+    let unknown = Candidate {
+        revision: None,
+        ..candidate(2, 24, 8, 80)
+    };
+    let ignored = Verdict::Ignore(Reason::UnknownEra);
+    assert_eq!(succession.judge(unknown, 0), ignored);
+    let held = succession.judge(candidate(2, 24, 8, 80), 23);
+    assert_eq!(held, Verdict::Hold);
+}
+
 /// What happens to the row or to the replica.
 #[derive(Clone, Debug)]
 enum Event {
