Bound the bodies of requests by the memory of the instance

Callers: one request with a huge Content-Length ended the process while the configuration stated no limit, or a large one; the repeat would have ended the next one. Many clients with long bodies that stall took memory without bound.

Cause: the stated length was set aside before any byte had arrived, and only upstreams' answers had a shared budget.

Ruled out: that the HTTP library refuses such lengths (SIGABRT in the run).

Tests, both failed before: bodies::a_stated_length_beyond_memory_is_refused (SIGABRT, "memory allocation of bytes failed"), bodies::bodies_of_many_clients_stay_within_memory (64 of 64 bodies of 3.9 MB held at an instance of 160 MB).

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -1,8 +1,8 @@
-//! Memory limits for buffered upstream responses.
+//! Memory limits for buffered bodies: those of requests and of upstreams' responses.
 //!
-//! A faulty upstream may send an endless response. Each response has a limit of its own. What it
-//! buffers beyond a small allowance also counts against a budget that all responses share and that
-//! is proportional to the instance's memory.
+//! A faulty upstream may send an endless response, and many clients may send long requests at once.
+//! Each body has a limit of its own. What it buffers beyond a small allowance also counts against a
+//! budget that all bodies share and that is proportional to the instance's memory.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -13,12 +13,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Largest response body that is buffered whole, and largest event of a stream, in bytes.
-pub const RESPONSE_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Largest body that is buffered whole, and largest event of a stream, in bytes.
+pub const BODY_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Largest body of a refusal that is read to make its connection reusable, in bytes.
 pub const REFUSAL_BODY_BYTES_MAX: usize = 64 * 1024;
-/// Bytes of each response that don't count against the shared budget.
-const UNBUDGETED_RESPONSE_BYTES: usize = 64 * 1024;
+/// Bytes of each body that don't count against the shared budget.
+const UNBUDGETED_BYTES: usize = 64 * 1024;
 /// The shared budget is the instance's memory divided by this.
 const BUDGET_DIVISOR: usize = 8;
 
@@ -34,14 +34,14 @@
 
 impl std::error::Error for Error {}
 
-/// Memory budget that all buffered responses of an instance share.
+/// Memory budget that all buffered bodies of an instance share.
 #[derive(Debug)]
 pub struct MemoryBudget {
     reserved: AtomicUsize,
     max: usize,
 }
 
-/// The part of the budget that one response has reserved. Dropping it releases the bytes.
+/// The part of the budget that one body has reserved. Dropping it releases the bytes.
 #[derive(Debug)]
 pub struct Reservation {
     budget: Arc<MemoryBudget>,
@@ -58,7 +58,7 @@
         })
     }
 
-    /// A reservation of zero bytes for a new response.
+    /// A reservation of zero bytes for a new body.
     #[must_use]
     pub fn new_reservation(self: &Arc<MemoryBudget>) -> Reservation {
         Reservation {
@@ -69,17 +69,17 @@
 }
 
 impl Reservation {
-    /// Adjusts the reservation to a response that buffers `size` bytes.
+    /// Adjusts the reservation to a body that buffers `size` bytes.
     ///
     /// # Errors
     ///
-    /// [`Error::TooLarge`] if the response or the shared budget would exceed its limit.
+    /// [`Error::TooLarge`] if the body or the shared budget would exceed its limit.
     pub fn resize(&mut self, size: usize) -> Result<(), Error> {
-        if size > RESPONSE_BYTES_MAX {
+        if size > BODY_BYTES_MAX {
             return Err(Error::TooLarge);
         }
         self.shrink(size);
-        let budgeted = size.saturating_sub(UNBUDGETED_RESPONSE_BYTES);
+        let budgeted = size.saturating_sub(UNBUDGETED_BYTES);
         let additional = budgeted.saturating_sub(self.bytes);
         let reserved = &self.budget.reserved;
         if reserved.fetch_add(additional, Ordering::Relaxed) + additional > self.budget.max {
@@ -90,11 +90,9 @@
         Ok(())
     }
 
-    /// Releases what was reserved beyond a response that buffers `size` bytes.
+    /// Releases what was reserved beyond a body that buffers `size` bytes.
     pub fn shrink(&mut self, size: usize) {
-        let budgeted = size
-            .saturating_sub(UNBUDGETED_RESPONSE_BYTES)
-            .min(self.bytes);
+        let budgeted = size.saturating_sub(UNBUDGETED_BYTES).min(self.bytes);
         let reserved = &self.budget.reserved;
         reserved.fetch_sub(self.bytes - budgeted, Ordering::Relaxed);
         self.bytes = budgeted;
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -19,6 +19,7 @@
 use platform::request::RequestHead;
 use tokio::time::Instant;
 
+use crate::buffer::Reservation;
 use crate::clock;
 
 /// Longest idle time of a pooled connection that is reused for a request that can't be retried: a
@@ -66,6 +67,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// What the body takes of the instance's memory budget.
+    pub(crate) _body_memory: Reservation,
     /// Route that matched the host and path.
     pub route: Route,
     /// Workspace that the API key belongs to; `None` without a valid key on a public route, or if
--- a/crates/node/src/forward/response.rs
+++ b/crates/node/src/forward/response.rs
@@ -18,8 +18,8 @@
 use super::Body;
 use super::ClientResponse;
 use crate::buffer;
+use crate::buffer::BODY_BYTES_MAX;
 use crate::buffer::REFUSAL_BODY_BYTES_MAX;
-use crate::buffer::RESPONSE_BYTES_MAX;
 use crate::client_request::ClientRequest;
 use crate::client_request::RESPONSE_MARGIN;
 use crate::connection::PooledConnection;
@@ -120,7 +120,7 @@
 ) -> Result<Attempt, Failure> {
     let status = response.status();
     let headers = upstream::response_headers(response.headers());
-    let body = buffer::collect(response.into_body(), &node.memory, RESPONSE_BYTES_MAX);
+    let body = buffer::collect(response.into_body(), &node.memory, BODY_BYTES_MAX);
     let time_left = request.time_left().saturating_sub(RESPONSE_MARGIN);
     let bytes = match tokio::time::timeout(time_left, body).await {
         Ok(Ok(bytes)) => bytes,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -25,6 +25,8 @@
 use salvo::http::header;
 use tokio::time::Instant;
 
+use crate::buffer::BODY_BYTES_MAX;
+use crate::buffer::Reservation;
 use crate::client_request;
 use crate::client_request::ClientRequest;
 use crate::clock;
@@ -57,6 +59,8 @@
     HeaderTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
+    /// The bodies of all requests together are larger than the memory allows.
+    OutOfMemory,
     /// The body did not arrive in time.
     BodyTimeout,
     /// The connection broke while the body was read.
@@ -66,7 +70,9 @@
 impl Rejection {
     fn status(self) -> StatusCode {
         match self {
-            Rejection::NotReady | Rejection::Outdated => StatusCode::SERVICE_UNAVAILABLE,
+            Rejection::NotReady | Rejection::Outdated | Rejection::OutOfMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Rejection::NoRoute => StatusCode::NOT_FOUND,
             Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
             Rejection::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -180,7 +186,8 @@
     let path_and_query = path_and_query.map_or("/", |it| it.as_str()).to_owned();
     let timeout = head.deadline.unwrap_or(DEFAULT_BODY_TIMEOUT);
     let body_max = catalog.limits.map_or(usize::MAX, |it| it.body_bytes);
-    let body = tokio::time::timeout(timeout, read_body(request, body_max))
+    let reading = read_body(node, request, body_max.min(BODY_BYTES_MAX));
+    let (body, body_memory) = tokio::time::timeout(timeout, reading)
         .await
         .map_err(|_| Rejection::BodyTimeout)??;
     let workspace_name = workspace.as_ref().map_or("", |it| it.name.as_str());
@@ -196,6 +203,7 @@
         path_and_query,
         headers: request.headers().clone(),
         body,
+        _body_memory: body_memory,
         priority: priority.unwrap_or(route.priority),
         route: route.clone(),
         workspace,
@@ -236,26 +244,34 @@
     Ok(workspace.cloned())
 }
 
-async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, Rejection> {
+/// Reads a body of at most `limit` bytes to its end, within the memory budget of the instance.
+async fn read_body(
+    node: &Node,
+    request: &mut Request,
+    limit: usize,
+) -> Result<(Bytes, Reservation), Rejection> {
     let content_length = request.headers().get(header::CONTENT_LENGTH);
-    let content_length: Option<usize> =
-        content_length.and_then(|it| it.to_str().ok()?.parse().ok());
-    if content_length.is_some_and(|it| it > limit) {
+    let content_length: Option<u64> = content_length.and_then(|it| it.to_str().ok()?.parse().ok());
+    if content_length.is_some_and(|it| it > limit as u64) {
         return Err(Rejection::BodyTooLarge);
     }
+    let mut reservation = node.memory.new_reservation();
     let mut body = request.take_body();
-    let mut bytes = BytesMut::with_capacity(content_length.unwrap_or(0));
+    let mut bytes = BytesMut::new();
     while let Some(frame) = body.next().await {
         let frame = frame.map_err(|_| Rejection::BodyBroken)?;
         let Some(data) = frame.data_ref() else {
             continue;
         };
-        if bytes.len() + data.len() > limit {
+        let size = bytes.len() + data.len();
+        if size > limit {
             return Err(Rejection::BodyTooLarge);
         }
+        let reserved = reservation.resize(size);
+        reserved.map_err(|_| Rejection::OutOfMemory)?;
         bytes.extend_from_slice(data);
     }
-    Ok(bytes.freeze())
+    Ok((bytes.freeze(), reservation))
 }
 
 fn write_response(
@@ -328,12 +344,15 @@
     node.telemetry
         .count_tagged("rejections", rejection.into(), 1);
     response.status_code(status);
-    if matches!(rejection, Rejection::NotReady | Rejection::Outdated) {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         set_retry_after(response, NOT_READY_RETRY_AFTER);
     }
     let is_body_unread = matches!(
         rejection,
-        Rejection::BodyTooLarge | Rejection::BodyTimeout | Rejection::BodyBroken
+        Rejection::BodyTooLarge
+            | Rejection::OutOfMemory
+            | Rejection::BodyTimeout
+            | Rejection::BodyBroken
     );
     if is_body_unread || node.is_shutting_down() {
         set_connection_close(response);
--- a/crates/node/tests/it/buffer.rs
+++ b/crates/node/tests/it/buffer.rs
@@ -1,8 +1,8 @@
 //! The memory budget for buffered responses.
 
+use node::buffer::BODY_BYTES_MAX;
 use node::buffer::Error;
 use node::buffer::MemoryBudget;
-use node::buffer::RESPONSE_BYTES_MAX;
 use node::buffer::Reservation;
 
 /// Memory of the users' smallest instances, in bytes.
@@ -19,7 +19,7 @@
     for _ in 0..count {
         let mut reservation = budget.new_reservation();
         let mut size = 0;
-        while size < RESPONSE_BYTES_MAX && reservation.resize(size + 16 * 1024).is_ok() {
+        while size < BODY_BYTES_MAX && reservation.resize(size + 16 * 1024).is_ok() {
             size += 16 * 1024;
         }
         reserved_bytes += size;
@@ -52,12 +52,9 @@
 fn one_response_is_bounded() {
     let budget = MemoryBudget::for_instance(INSTANCE_BYTES);
     let (_reservations, reserved_bytes) = fill(&budget, 1);
-    assert!(
-        reserved_bytes <= RESPONSE_BYTES_MAX,
-        "{reserved_bytes} bytes"
-    );
+    assert!(reserved_bytes <= BODY_BYTES_MAX, "{reserved_bytes} bytes");
     assert_eq!(
-        budget.new_reservation().resize(RESPONSE_BYTES_MAX + 1),
+        budget.new_reservation().resize(BODY_BYTES_MAX + 1),
         Err(Error::TooLarge)
     );
 }
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod bad_input;
 mod beliefs;
+mod bodies;
 mod breaks;
 mod buffer;
 mod connections;
