Bound what other instances state where it is decoded

Callers: nothing was seen; the messages come from instances of the deployment. A time beyond the clock in a request for steps, a denial or a stamp ended the task that computed an instant from it, a rate could be NaN or negative, and a plan whose steps do not follow each other ended the owner's task with an index out of bounds.

Cause: only the numbers of pieces were bounded. The encoding is the same.

Ruled out: panics and allocations by the lengths that a frame states (4,000 random frames).

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod id;
 pub mod invariant;
 pub mod rate;
+pub mod time;
 
 pub use executed::Executed;
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -9,6 +9,7 @@
 
 /// Events per second; finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64")]
 pub struct Rate(f64);
 
 /// Why a text is not a rate: a finite, non-negative number with an optional `/s`.
@@ -32,16 +33,24 @@
     }
 }
 
+impl TryFrom<f64> for Rate {
+    type Error = ParseError;
+
+    fn try_from(value: f64) -> Result<Rate, ParseError> {
+        if !value.is_finite() || value < 0.0 {
+            return Err(ParseError::OutOfRange);
+        }
+        Ok(Rate(value))
+    }
+}
+
 impl FromStr for Rate {
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Rate, ParseError> {
         let digits = text.strip_suffix("/s").unwrap_or(text);
         let value: f64 = digits.parse().map_err(|_| ParseError::NotANumber)?;
-        if !value.is_finite() || value < 0.0 {
-            return Err(ParseError::OutOfRange);
-        }
-        Ok(Rate(value))
+        Rate::try_from(value)
     }
 }
 
--- a/crates/forwarding/src/poison/loss.rs
+++ b/crates/forwarding/src/poison/loss.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use base::id;
+use base::time::Bounded;
 use catalog::View;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use tokio::time::Instant;
 
 use super::part::PartLoss;
@@ -51,6 +53,7 @@
 }
 
 /// The loss of an upstream while it ran a request.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
     /// Fingerprint of the request.
@@ -66,6 +69,7 @@
     /// Shared prompt parts of the request, unless its answer had proved sound.
     pub parts: Vec<PartLoss>,
     /// Time since the send.
+    #[serde_as(as = "Bounded")]
     pub age: Duration,
 }
 
--- a/crates/forwarding/src/quota/belief.rs
+++ b/crates/forwarding/src/quota/belief.rs
@@ -7,8 +7,10 @@
 
 use base::id;
 use base::rate::Rate;
+use base::time::Bounded;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use tokio::time::Instant;
 
 /// Time for which the end of a limit is remembered, so that older news of the limit are recognised,
@@ -45,6 +47,7 @@
 }
 
 /// Limits of one run of an upstream, as passed between instances.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Observation {
     /// The upstream.
@@ -54,6 +57,7 @@
     /// The limits, which may have ended.
     pub limits: Limits,
     /// Time since the answer that showed them.
+    #[serde_as(as = "Bounded")]
     pub age: Duration,
     /// Random number that identifies that answer.
     pub answer: u64,
--- a/crates/forwarding/src/quota/loan.rs
+++ b/crates/forwarding/src/quota/loan.rs
@@ -34,7 +34,8 @@
     /// `epoch`; `None` if another process issued it.
     #[must_use]
     pub fn loan_end(&self, process: u64, epoch: Instant) -> Option<Instant> {
-        (self.process == process).then_some(epoch + self.issued + LOAN_TIME)
+        let own = (self.process == process).then_some(self.issued)?;
+        epoch.checked_add(own)?.checked_add(LOAN_TIME)
     }
 }
 
--- a/crates/forwarding/src/quota/pool.rs
+++ b/crates/forwarding/src/quota/pool.rs
@@ -7,6 +7,8 @@
 use base::hash;
 use base::id;
 use base::rate::Rate;
+use base::time::Bounded;
+use serde_with::serde_as;
 use tokio::time::Instant;
 
 use super::Urgency;
@@ -45,12 +47,13 @@
 }
 
 /// Answer of the coordinator to a request for a permit.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Decision {
     /// The request may be sent.
     Granted,
     /// It may not; holds the time after which another one may.
-    Denied(Duration),
+    Denied(#[serde_as(as = "Bounded")] Duration),
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/forwarding/tests/quota_units.rs
+++ b/crates/forwarding/tests/quota_units.rs
@@ -10,6 +10,7 @@
 use forwarding::quota::belief::Limits;
 use forwarding::quota::belief::Observation;
 use forwarding::quota::gate::Gate;
+use forwarding::quota::loan::Stamp;
 use tokio::time::Instant;
 
 fn upstream() -> id::Incarnation {
@@ -226,3 +227,13 @@
         }
     }
 }
+
+/// Guards against a stamp of another instance that ends the task that reads it.
+#[test]
+fn a_stamp_beyond_the_clock_ends_no_loan() {
+    let stamp = Stamp {
+        process: 1,
+        issued: Duration::MAX,
+    };
+    assert_eq!(stamp.loan_end(1, Instant::now()), None);
+}
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -126,11 +126,16 @@
     /// # Errors
     ///
     /// Fails if a service has no usable upstream, if the plan is not expected to end before its
-    /// deadline or if it has too many pieces.
+    /// deadline, if it has too many pieces or if a step reads the results of one that does not
+    /// precede it.
     pub fn submit(&mut self, plan: Plan, now: Instant) -> Result<PlanId, Refusal> {
         if plan::has_too_many_pieces(plan.steps.iter().map(|it| it.pieces)) {
             return Err(Refusal::Failed);
         }
+        let mut steps = plan.steps.iter().enumerate();
+        if steps.any(|(idx, it)| it.after.iter().any(|after| *after >= idx)) {
+            return Err(Refusal::Failed);
+        }
         for step in &plan.steps {
             let fleet = self.fleets.get(&step.service);
             if fleet.is_none_or(|it| it.usable_count() == 0) {
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -103,6 +103,18 @@
     submit(planner, plan(request, steps, now), now)
 }
 
+/// Guards against a plan of another instance that ends the task of the owner: its steps read the
+/// results of steps that do not exist, of themselves or of later ones.
+#[test]
+fn a_plan_whose_steps_do_not_follow_each_other_is_refused() {
+    for after in [0, 1, 7, usize::MAX] {
+        let now = Instant::now();
+        let steps = vec![step("first", 0, &[after], 1, 10)];
+        let refusal = planner(now).submit(plan("r", steps, now), now);
+        assert_eq!(refusal, Err(Refusal::Failed), "after {after}");
+    }
+}
+
 /// Guards against a request whose pieces no memory holds, and that ends the process of its owner, then
 /// that of the next owner.
 #[test]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::id;
+use base::time::Bounded;
 use config::Document;
 use forwarding::origin;
 use forwarding::poison::Loss;
@@ -12,6 +13,7 @@
 use forwarding::quota::pool::Decision;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use telemetry::timeline;
 
 use crate::dispatch;
@@ -107,6 +109,7 @@
 }
 
 /// Where a stream began, for the instance that saves it.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
     /// Hash of the id of the request that began the stream.
@@ -114,6 +117,7 @@
     /// Where it began.
     pub origin: origin::Origin,
     /// Time from the send of the message for which the client waits for the stream.
+    #[serde_as(as = "Bounded")]
     pub remaining: Duration,
 }
 
@@ -137,14 +141,17 @@
 
 /// What an instance tells those that follow it, beside the rows of the store. Encoded as part of
 /// [`RowsUpdate`], of which earlier builds know every field.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// Time since the sender's copy was known to be complete; `None` if it never was, or if it is of
     /// an earlier era than the requester's.
+    #[serde_as(as = "Option<Bounded>")]
     pub age: Option<Duration>,
     /// Recent losses of upstreams while they ran a request.
     pub losses: Vec<Loss>,
     /// Requests suspected of crashing upstreams and answered since, with the time since the answer.
+    #[serde_as(as = "Vec<(_, Bounded)>")]
     pub cleared: Vec<(id::Fingerprint, Duration)>,
     /// Rate limits of upstreams that have changed recently.
     pub rate_limits: Vec<Observation>,
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use base::id;
+use base::time::Bounded;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 use stages::Handle;
 use stages::Shard;
 use stages::Step;
 
 /// Request to run the steps of a client request. Durations count from the send of this message.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Prepare {
     /// Shard whose upstreams run the steps.
@@ -25,10 +28,13 @@
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Time after which the response loses value.
+    #[serde_as(as = "Bounded")]
     pub aim: Duration,
     /// Time after which the client gives up.
+    #[serde_as(as = "Bounded")]
     pub deadline: Duration,
     /// Expected time from the end of the last step to the response.
+    #[serde_as(as = "Bounded")]
     pub tail: Duration,
     /// Steps in topological order: each one follows those whose results it reads.
     pub steps: Vec<Step>,
@@ -37,6 +43,7 @@
 }
 
 /// Model engines that may run a request, a few of each zone, ordered by preference.
+#[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Engines {
     /// Whether the prompt has a long prefix that the first engine probably keeps, so that the zone
@@ -45,6 +52,7 @@
     /// Engines with their zones.
     pub choices: Vec<(id::Upstream, id::Zone)>,
     /// Typical time from sending such a request to its first event.
+    #[serde_as(as = "Bounded")]
     pub usual: Duration,
 }
 
@@ -67,10 +75,11 @@
 }
 
 /// Reply of the owner that runs the steps. All but `Accepted` are the last one.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Progress {
     /// The steps are queued; holds the time until the queue ahead of them has drained.
-    Accepted(Duration),
+    Accepted(#[serde_as(as = "Bounded")] Duration),
     /// All steps are done.
     Prepared {
         /// Results of the steps that no other step reads.
@@ -81,7 +90,7 @@
         engine: Option<id::Upstream>,
     },
     /// The steps cannot end before the deadline; holds the time until the queue has drained.
-    TooLate(Duration),
+    TooLate(#[serde_as(as = "Bounded")] Duration),
     /// A step service has no usable upstream.
     NoUpstream,
     /// Too many pieces failed, or the request was aborted.
