Try slow clients, misdirected entries, pages that change and starts beside instances that are behind

Not shown: slow clients that delay others (210 beside 20 requests), bodies that outlast the deadline, streams that nobody reads, entries with the address of another upstream (4 arrivals of 360 requests at three nodes), rows that change between two pages (8 reads of 1,203 rows), more nodes (8) than a cold engine bears (5.75 a second) while all are killed in turn.

--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -13,12 +13,14 @@
 #[expect(dead_code, reason = "shared with the other test programs")]
 mod fixture;
 mod lapse;
+mod misdirected;
 mod odd_rows;
 mod parts;
 mod peers;
 mod poison;
 mod retries;
 mod returns;
+mod slow;
 mod stop;
 mod store_paths;
 mod streams;
--- a/crates/node/tests/it/store_paths.rs
+++ b/crates/node/tests/it/store_paths.rs
@@ -99,3 +99,37 @@
         }
     }
 }
+
+/// Starts an instance that reaches the store while all others do not, after a configuration that
+/// only the store has.
+async fn start_beside_others_that_are_behind() -> Fixture {
+    let (mut fixture, gates) = start_gated().await;
+    gates.iter().for_each(|it| it.close());
+    configure(&fixture.site, 2);
+    let newcomer = Node::start("n9", "a", fixture.site.store_address);
+    eventually("ready", Duration::from_secs(20), || newcomer.is_ready()).await;
+    fixture.nodes.push(newcomer);
+    fixture
+}
+
+/// Guards against an instance that starts and takes the older configuration of the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_does_not_go_back_to_what_others_have() {
+    let fixture = start_beside_others_that_are_behind().await;
+    let newcomer = fixture.nodes.last().expect("a node");
+    for _ in 0..60 {
+        assert!(serves(newcomer, 2).await);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against instances that lack the store and do not learn from one that has just started, as
+/// they cannot read its registration.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_brings_news_to_others_that_are_behind() {
+    let fixture = start_beside_others_that_are_behind().await;
+    for node in &fixture.nodes {
+        let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
+        eventually("configuration 2", timeout, || serves(node, 2)).await;
+    }
+}
--- a/crates/node/tests/limits/main.rs
+++ b/crates/node/tests/limits/main.rs
@@ -29,6 +29,8 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time from the first announcement until every node keeps the limit.
 const NOTICE_TIME: Duration = Duration::from_secs(1);
+/// Number of nodes that share the limit of a cold engine.
+const COLD_NODES: usize = 8;
 /// Interval of the requests at each node.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -126,11 +128,16 @@
 
 /// Most arrivals in any window that begins after `since`.
 fn most_in_window(upstream: &Upstream, since: Instant) -> usize {
+    most_within(upstream, since, WINDOW)
+}
+
+/// Most arrivals in any time of length `window` that begins after `since`.
+fn most_within(upstream: &Upstream, since: Instant, window: Duration) -> usize {
     let times = upstream.arrival_times();
     let times: Vec<Instant> = times.into_iter().filter(|it| *it >= since).collect();
     let counts = times.iter().map(|start| {
         let in_window = times.iter().filter(|it| **it >= *start);
-        in_window.filter(|it| **it < *start + WINDOW).count()
+        in_window.filter(|it| **it < *start + window).count()
     });
     counts.max().unwrap_or_default()
 }
@@ -288,3 +295,47 @@
     }
     assert!(engines().all(|it| it.0.arrivals() > 0));
 }
+
+/// Plays load on cold engines whose limit is smaller than the number of nodes, and checks it. Nodes
+/// that are to be killed start again at once under their names.
+async fn check_cold_limit(killed: &[usize]) {
+    let mut fixture = Fixture::start(COLD_NODES).await;
+    fixture.site.engine_cold_per_second = 0.5;
+    fixture.site.configure(2, serde_json::json!([]));
+    tokio::time::sleep(NOTICE_TIME).await;
+    let since = Instant::now();
+    let mut load = Load::start(STREAM, &fixture.nodes);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for idx in killed {
+        drop(load);
+        fixture.nodes.remove(*idx).kill();
+        let zone = if idx % 2 == 0 { "a" } else { "b" };
+        let node = Node::start(&format!("n{idx}"), zone, fixture.site.store_address);
+        fixture.nodes.insert(*idx, node);
+        load = Load::start(STREAM, &fixture.nodes);
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    drop(load);
+    let engines = fixture.site.upstreams.iter().filter(|it| it.1 == "engine");
+    for (engine, ..) in engines {
+        let most = most_within(engine, since, Duration::from_secs(1));
+        // The limit is 0.5 times 1.5, plus 5.
+        assert!(most <= 5, "{most} requests in a second");
+        assert!(arrivals_since(engine, since) > 0);
+    }
+}
+
+/// Guards against a cold limit that is divided into parts below one request, of which each of many
+/// nodes takes a whole one.
+#[tokio::test]
+async fn more_nodes_than_a_cold_engine_bears_keep_its_limit() {
+    check_cold_limit(&[]).await;
+}
+
+/// Guards against the same while nodes are killed and start again, among them the owners that place
+/// the requests.
+#[tokio::test]
+async fn more_nodes_than_a_cold_engine_bears_keep_its_limit_over_restarts() {
+    check_cold_limit(&[0, 1, 2, 3, 4, 5, 6, 7]).await;
+}
