--- a/crates/forwarding/tests/quota_units.rs
+++ b/crates/forwarding/tests/quota_units.rs
@@ -1,6 +1,7 @@
 //! What answers and other instances say of rate limits, and the admission under them.
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use base::id;
@@ -13,6 +14,9 @@
 use forwarding::quota::loan::Stamp;
 use tokio::time::Instant;
 
+/// Requests a second that reach the gate in its schedules.
+const DEMAND: u32 = 20;
+
 fn upstream() -> id::Incarnation {
     "up@1".parse().expect("an incarnation")
 }
@@ -195,8 +199,23 @@
 /// real nodes `steps_are_not_run_for_what_the_engines_deny`.
 #[test]
 fn the_gate_closes_within_the_first_window() {
-    let (demand, window) = (20, 4);
-    for allowed in 1..=demand {
+    check_gate(2..=DEMAND);
+}
+
+/// Guards against the same at a limit of which one instance gets a request a second: the gate hardly
+/// finds the few sends that it could have.
+#[test]
+fn the_gate_closes_at_one_request_a_second() {
+    check_gate(1..=1);
+}
+
+/// Plays a demand of [`DEMAND`] requests a second on limits that allow these numbers of them, with
+/// steps of 50 ms to 1 s.
+fn check_gate(limits: RangeInclusive<u32>) {
+    let (demand, window) = (DEMAND, 4);
+    for allowed in limits {
+        // As `forwarding::quota::pool` has it.
+        let burst = 1.0 + f64::from(allowed) * 0.05;
         for ticks_of_steps in 1..=demand {
             let mut gate = Gate::default();
             let mut now = Instant::now();
@@ -210,7 +229,7 @@
                     in_steps.push_back(tick + ticks_of_steps);
                     accepted += in_second_window;
                 }
-                capacity = f64::min(capacity + f64::from(allowed) / f64::from(demand), 2.0);
+                capacity = f64::min(capacity + f64::from(allowed) / f64::from(demand), burst);
                 while in_steps.pop_front_if(|it| *it <= tick).is_some() {
                     if capacity >= 1.0 {
                         capacity -= 1.0;
