--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -250,8 +250,7 @@
             let now = Instant::now();
             for complete_at in [copy.complete_at, now.checked_sub(age)] {
                 copy.complete_at = copy.complete_at.max(complete_at);
-                let age = copy.age(now);
-                copy.tracker.set_age(age, now);
+                self.update_age(&mut copy, now);
             }
             copy.suspended_before = clock::time_suspended();
             copy.complete_at
@@ -434,19 +433,20 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut StoreCopy, Instant) -> Vec<Change>) {
+        let age;
         let (changes, view) = {
             let mut copy = self.store_copy();
             let now = Instant::now();
-            let age = copy.age(now);
-            copy.tracker.set_age(age, now);
+            self.update_age(&mut copy, now);
             let changes = change(&mut copy, now);
             if changes.is_empty() {
                 return;
             }
+            age = copy.age(now);
             (changes, copy.tracker.view())
         };
         for change in &changes {
-            self.log_change(change, view.version);
+            self.log_change(change, &view, age);
         }
         if changes.iter().any(Change::affects_view) {
             self.limits().retain(&view);
@@ -465,12 +465,20 @@
     /// Since when registrations have been watched without a gap; `None` during a store outage.
     pub(crate) fn watched_since(&self, now: Instant) -> Option<Instant> {
         let mut copy = self.store_copy();
-        let age = copy.age(now);
-        copy.tracker.set_age(age, now);
+        self.update_age(&mut copy, now);
         copy.tracker.complete_since()
     }
 
-    fn log_change(&self, change: &Change, version: u64) {
+    /// Updates the age of the rows, and logs the beginning and the end of a gap.
+    fn update_age(&self, copy: &mut StoreCopy, now: Instant) {
+        let age = copy.age(now);
+        if let Some(state) = copy.tracker.set_age(age, now) {
+            slog::info!(self.logger(), "{}", state; "age_ms" => age.map(|it| it.as_millis() as u64),
+                "is_store_failing" => copy.is_store_failing, "lapsed" => copy.tracker.lapsed_count());
+        }
+    }
+
+    fn log_change(&self, change: &Change, view: &View, age: Option<Duration>) {
         let what = match change {
             Change::Configured(version) => version.to_string(),
             Change::ConfigurationHeld(comparison) => comparison.to_string(),
@@ -492,7 +500,16 @@
                 format!("{fingerprint} {incarnation}")
             }
         };
-        slog::info!(self.logger(), "{}", change; "what" => what, "store_version" => version);
+        let upstream = match change {
+            Change::Upstream(name)
+            | Change::UpstreamLeaving(name)
+            | Change::UpstreamLapsed(name) => view.upstreams.get(name),
+            _ => None,
+        };
+        slog::info!(self.logger(), "{}", change; "what" => what, "store_version" => view.version,
+            "phase" => upstream.map(|it| it.phase.to_string()),
+            "started_ms" => upstream.map(|it| it.started_ms),
+            "age_ms" => age.map(|it| it.as_millis() as u64));
     }
 
     /// Number of members in the view, at least 1 for this instance.
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -48,6 +48,17 @@
 /// Most characters of the reason why a row cannot be decoded.
 const REASON_CHARS_MAX: usize = 400;
 
+/// What the age of the rows says of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+pub enum Availability {
+    /// No instance seems to reach the store.
+    #[strum(to_string = "rows_outdated")]
+    Outdated,
+    /// The rows are complete again.
+    #[strum(to_string = "rows_complete")]
+    Complete,
+}
+
 /// Effect of one row on the view or on the recorded losses.
 #[derive(Clone, Debug, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -127,9 +138,11 @@
     }
 
     /// Updates the outage state from the age of the rows: the time since the store or another
-    /// instance last confirmed that they are complete; `None` if that has never happened.
-    pub fn set_age(&mut self, age: Option<Duration>, now: Instant) {
+    /// instance last confirmed that they are complete; `None` if that has never happened. Returns
+    /// the new state if it differs.
+    pub fn set_age(&mut self, age: Option<Duration>, now: Instant) -> Option<Availability> {
         let is_outage = age.is_some_and(|it| it >= OUTAGE_MIN);
+        let is_change = self.is_outage != is_outage;
         if self.is_outage && !is_outage {
             self.recovered_at = Some(now);
             // The hold time starts at the recovery, not when the deletion was observed.
@@ -142,6 +155,17 @@
             Some(_) if !is_outage => self.complete_since.or(Some(now)),
             _ => None,
         };
+        let state = match is_outage {
+            true => Availability::Outdated,
+            false => Availability::Complete,
+        };
+        is_change.then_some(state)
+    }
+
+    /// Number of upstreams that stay in use for now though their registrations were deleted.
+    #[must_use]
+    pub fn lapsed_count(&self) -> usize {
+        self.lapsed.len()
     }
 
     /// Since when the rows have been complete without a gap; `None` during an outage.
--- /dev/null
+++ b/crates/node/tests/it/leaving.rs
@@ -0,0 +1,90 @@
+//! Registrations of upstreams that leave, in whatever order the store accepted their writes.
+
+use std::time::Duration;
+
+use mirror::Row;
+use mirror::Table;
+use mirror::succession::Origin;
+use node::view_tracker::ViewTracker;
+use tokio::time::Instant;
+
+/// Time after the recovery of the store within which a live upstream is registered again.
+const REGISTERED_AGAIN: Duration = Duration::from_secs(2);
+/// Time from the recovery to the end of the hold: that bound and the time to read the rows.
+const HOLD_MAX: Duration = Duration::from_millis(2_500);
+
+fn registration(phase: &str, started_ms: u64, order_count: u64) -> Vec<u8> {
+    format!(
+        r#"{{"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,"phase":"{phase}",
+        "born":{started_ms},"version":"v1","cold_left_ms":0,"call_seq":{order_count}}}"#
+    )
+    .into_bytes()
+}
+
+/// Rows of one upstream, as the store accepts them.
+struct Rows {
+    tracker: ViewTracker,
+    version: u64,
+}
+
+impl Rows {
+    fn new(now: Instant) -> Rows {
+        let mut tracker = ViewTracker::default();
+        tracker.set_age(Some(Duration::ZERO), now);
+        let version = 0;
+        Rows { tracker, version }
+    }
+
+    fn write(&mut self, value: Option<Vec<u8>>, now: Instant) {
+        self.version += 1;
+        let row = Row {
+            table: Table::Upstreams,
+            key: "u".to_owned(),
+            version: self.version,
+            value,
+        };
+        self.tracker.apply(&[row], Origin::default(), now);
+    }
+
+    fn is_usable(&self) -> bool {
+        let view = self.tracker.view();
+        let mut upstreams = view.upstreams.values();
+        upstreams.any(|it| view.is_usable(it))
+    }
+}
+
+/// Guards against requests to an upstream that has reported its stop: the store may accept an
+/// earlier heartbeat after the report, and no process goes back to accepting requests.
+#[test]
+fn a_late_heartbeat_does_not_take_back_the_stop_of_an_upstream() {
+    let now = Instant::now();
+    let mut rows = Rows::new(now);
+    rows.write(Some(registration("ready", 1, 1)), now);
+    rows.write(Some(registration("draining", 1, 1)), now);
+    rows.write(Some(registration("ready", 1, 1)), now);
+    assert!(!rows.is_usable());
+    rows.write(Some(registration("ready", 2, 0)), now);
+    assert!(rows.is_usable(), "a new process under the name");
+}
+
+/// Guards against holding an upstream whose row was removed for as long as the rows have gaps: each
+/// gap began the time anew.
+#[test]
+fn further_gaps_do_not_prolong_the_hold_of_a_removed_upstream() {
+    let start = Instant::now();
+    let mut rows = Rows::new(start);
+    rows.write(Some(registration("ready", 1, 1)), start);
+    rows.tracker.set_age(Some(Duration::from_secs(4)), start);
+    rows.write(None, start);
+    rows.tracker.set_age(Some(Duration::ZERO), start);
+    let mut now = start;
+    for _ in 0..4 {
+        now += REGISTERED_AGAIN;
+        rows.tracker
+            .set_age(Some(Duration::from_millis(2_600)), now);
+        rows.tracker.set_age(Some(Duration::ZERO), now);
+        rows.tracker.expire(now);
+    }
+    assert!(now - start > HOLD_MAX);
+    assert!(!rows.is_usable());
+}
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -13,6 +13,7 @@
 #[expect(dead_code, reason = "shared with the other test programs")]
 mod fixture;
 mod lapse;
+mod leaving;
 mod misdirected;
 mod odd_rows;
 mod parts;
