Show that lost responses of the registrations' feed hide upstreams that leave

Callers of one and of six nodes were still sent to an upstream 4.0 s after its report, as long as the test sent; 2 s are allowed. The age of the rows is that of the operators' table, so the rows counted as fresh. The stand-in's store can lose the responses to the long polls of one table.

--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -198,11 +198,22 @@
 
     /// Sends a request to the first node, with the site's API key and a deadline of 3 s.
     pub(crate) async fn send(&self, target: &str, id: &str, extra_headers: &[&str]) -> Response {
+        self.send_to(0, target, id, extra_headers).await
+    }
+
+    /// Sends a request to a node, with the site's API key and a deadline of 3 s.
+    pub(crate) async fn send_to(
+        &self,
+        node: usize,
+        target: &str,
+        id: &str,
+        extra_headers: &[&str],
+    ) -> Response {
         let key = format!("authorization: Bearer {API_KEY}");
         let id = format!("x-request-id: {id}");
         let mut headers = vec![key.as_str(), id.as_str(), "x-deadline-ms: 3000"];
         headers.extend(extra_headers);
-        client::send_request(self.nodes[0].client_address, target, &headers, b"").await
+        client::send_request(self.nodes[node].client_address, target, &headers, b"").await
     }
 
     /// Makes the next `count` requests, or all, meet a fault at each upstream of a service.
--- a/crates/node/tests/it/leaving.rs
+++ b/crates/node/tests/it/leaving.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
+use futures_util::future;
 use mirror::Row;
 use mirror::Table;
 use mirror::succession::Origin;
 use node::view_tracker::ViewTracker;
 use tokio::time::Instant;
 
+use crate::fixture::Fixture;
+use crate::fixture::eventually;
+
 /// Time after the recovery of the store within which a live upstream is registered again.
 const REGISTERED_AGAIN: Duration = Duration::from_secs(2);
 /// Time from the recovery to the end of the hold: that bound and the time to read the rows.
@@ -88,3 +92,81 @@
     assert!(now - start > HOLD_MAX);
     assert!(!rows.is_usable());
 }
+
+/// The users' bound on the time from the store's acceptance of a report to the last request.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between the requests of one client.
+const CLIENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How an upstream leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leave {
+    /// Its registration says `draining`.
+    Reports,
+    /// Its registration is removed.
+    Deregisters,
+}
+
+/// Sends requests to all nodes for `time`.
+async fn send_for(fixture: &Fixture, time: Duration) {
+    let clients = (0..fixture.nodes.len()).map(|node| async move {
+        let start = Instant::now();
+        let mut number = 0;
+        while start.elapsed() < time {
+            number += 1;
+            let id = format!("{node}-{number}");
+            fixture.send_to(node, "GET /read/1", &id, &[]).await;
+            tokio::time::sleep(CLIENT_PAUSE).await;
+        }
+    });
+    future::join_all(clients).await;
+}
+
+/// Lets an upstream leave while the responses to all waiting long polls for registrations are lost,
+/// and checks when the last request arrives there.
+async fn check_lost_feeds(nodes: usize, leave: Leave) {
+    let fixture = Fixture::start(nodes).await;
+    let site = &fixture.site;
+    let leaving = &site.upstreams[0].0;
+    let is_used = || async {
+        send_for(&fixture, CLIENT_PAUSE).await;
+        leaving.arrivals() > 0
+    };
+    eventually("an arrival", Duration::from_secs(8), is_used).await;
+    site.store.lose_feeds("servers");
+    match leave {
+        Leave::Reports => site.register(0, "draining"),
+        Leave::Deregisters => site.deregister(0),
+    }
+    let accepted_at = Instant::now().into_std();
+    send_for(&fixture, DRAIN_TIMEOUT * 2).await;
+    let arrivals = leaving.arrival_times().into_iter();
+    let late = arrivals.filter(|it| *it > accepted_at + DRAIN_TIMEOUT);
+    let late: Vec<Duration> = late.map(|it| it - accepted_at).collect();
+    assert!(
+        late.is_empty(),
+        "{} late arrivals, the last {:?}",
+        late.len(),
+        late.last()
+    );
+}
+
+macro_rules! lost_feeds {
+    ($($name:ident: $nodes:literal, $leave:expr;)*) => {
+        $(
+            /// Guards against taking rows for complete that a long poll was to bring whose response
+            /// is lost: only the operators' table was known to be complete, and the instances went on
+            /// sending until the long poll for registrations ended.
+            #[tokio::test]
+            async fn $name() {
+                check_lost_feeds($nodes, $leave).await;
+            }
+        )*
+    };
+}
+
+lost_feeds! {
+    a_lost_feed_hides_no_draining_upstream_from_one_node: 1, Leave::Reports;
+    a_lost_feed_hides_no_draining_upstream_from_six_nodes: 6, Leave::Reports;
+    a_lost_feed_hides_no_removed_upstream_from_six_nodes: 6, Leave::Deregisters;
+}
