Keep the age of each table, and confirm registrations as often as configurations

Callers: requests went on to an upstream that had reported its stop or was removed for as long as the long poll of the registrations lasted whose response was lost, up to 8.5 s, at all instances that poll or follow them; 2 to 4 s are allowed.

Cause: the age of the rows was that of the operators' table alone, and that age decides who reads for itself, whom others follow and what is taken for an outage. The age is now that of the older of the two tables whose changes have a bound; a long poll of registrations ends after 0.7 s less the time for which changes are collected, and an instance whose copy of a table is old asks for it without waiting. Messages and rows are unchanged: the age that peers tell is that of both tables. For what configurations deny, only the age of the operators' table counts.

Before: the three tests leaving::a_lost_feed_* failed, 63 to 160 late arrivals, the last 4.0 s after the report. Now all three pass, with beliefs, lapse, returns and the two of store_paths run beside them. Ruled out: the other readers (their polls are lost alike).

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -26,12 +26,12 @@
 use crate::state::Node;
 use crate::suspicion;
 
-/// Longest wait of one long poll of a table's feed.
+/// Longest wait of one long poll of the members' feed.
 const FEED_WAIT: Duration = Duration::from_secs(8);
-/// The same for the operators' table. Each answer confirms that the rows are complete, so this
-/// bounds how long an unresponsive store goes unnoticed: a change must take effect within 2 s after
-/// the store accepted it.
-const OPERATORS_FEED_WAIT: Duration = Duration::from_millis(700);
+/// The same for the tables whose changes must take effect within 2 s after the store accepted them.
+/// Each answer confirms that the rows of its table are complete, so this bounds how long an
+/// unresponsive store, or a response that was lost, goes unnoticed.
+const BOUNDED_FEED_WAIT: Duration = Duration::from_millis(700);
 /// First pause after a failed call; doubled after each further failure.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Longest pause of an instance that reads the store for others, so that a recovery of the store is
@@ -151,15 +151,18 @@
         return read_table(node, client, table).await;
     };
     let wait = match table {
-        Table::Operators => OPERATORS_FEED_WAIT,
-        Table::Upstreams | Table::Members => FEED_WAIT,
+        // The answer confirms at once that the rows are complete, or brings what they lack.
+        Table::Operators | Table::Upstreams if !node.is_table_fresh(table) => Duration::ZERO,
+        Table::Operators => BOUNDED_FEED_WAIT,
+        Table::Upstreams => BOUNDED_FEED_WAIT.saturating_sub(batch_delay(node)),
+        Table::Members => FEED_WAIT,
     };
     let batch = client.feed(table, position, wait).await?;
     let has_news = !batch.rows.is_empty();
     if !node.apply_table_changes(table, batch) {
         return check_era(node, client, table);
     }
-    record_complete(node, table);
+    node.record_table_complete(table);
     if has_news && table != Table::Operators {
         tokio::time::sleep(batch_delay(node)).await;
     }
@@ -190,17 +193,10 @@
     if !node.apply_table_snapshot(table, batch) {
         return check_era(node, client, table);
     }
-    record_complete(node, table);
+    node.record_table_complete(table);
     Ok(())
 }
 
-/// Records that the rows are complete. The operators' table, polled most often, stands for all.
-fn record_complete(node: &Node, table: Table) {
-    if table == Table::Operators {
-        node.record_complete(Duration::ZERO);
-    }
-}
-
 /// Logs each return of the store from an older copy of its rows; never returns.
 pub async fn watch_era(node: Arc<Node>, client: store::Client) {
     let mut eras = client.watch_era();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -35,6 +35,7 @@
 
 use crate::detour;
 use crate::quota;
+use crate::state::BOUNDED_TABLES;
 use crate::state::Node;
 use crate::suspicion;
 
@@ -384,11 +385,12 @@
     };
     let tables = {
         let mirror = &node.store_copy().mirror;
-        // The age tells how long ago the operators' rows were complete, in their era.
-        let table = mirror::Table::Operators;
-        let mut known = positions.iter().filter(|it| it.table == table);
-        let is_behind = known.any(|it| it.era > mirror.era(table));
-        if is_behind || mirror.is_unverified(table) {
+        // The age tells how long ago the rows were complete, in their era.
+        let bounded = positions
+            .iter()
+            .filter(|it| BOUNDED_TABLES.contains(&it.table));
+        let mut bounded = bounded.map(|it| (it.table, it.era));
+        if bounded.any(|(table, era)| era > mirror.era(table) || mirror.is_unverified(table)) {
             news.age = None;
         }
         mirror.updates_since(positions)
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -47,11 +47,15 @@
 use crate::view_tracker::ViewTracker;
 
 /// Time that an instance needs to read the store directly. A change must take effect within
-/// `bounds.config_timeout`; rows count as fresh for that time less this reserve. With 2 s, the
+/// `bounds.config_timeout`, and that an upstream leaves within `bounds.drain_timeout`; rows count as fresh for that time less this reserve. With 2 s, the
 /// remainder covers one feed request without changes and one instance that relays its answer; with
 /// 3 s or more, two relaying instances.
 const STORE_READ_TIME: Duration = Duration::from_millis(700);
 
+/// Tables whose changes have to be known within a bound: configurations and evacuations, and
+/// upstreams that leave.
+pub(crate) const BOUNDED_TABLES: [Table; 2] = [Table::Operators, Table::Upstreams];
+
 /// Local copy of the store's rows, and the view that is built from them.
 #[derive(Debug, Default)]
 pub struct StoreCopy {
@@ -59,9 +63,9 @@
     pub mirror: Mirror,
     /// Builds the view from the rows.
     pub tracker: ViewTracker,
-    /// When the rows were last known to be complete.
-    complete_at: Option<Instant>,
-    /// Time for which the machine had been suspended until then.
+    /// When the rows of each table were last known to be complete.
+    complete_at: BTreeMap<Table, Instant>,
+    /// Time for which the machine had been suspended when the operators' rows were last confirmed.
     suspended_before: Duration,
     /// Whether this instance's latest call to the store failed.
     is_store_failing: bool,
@@ -74,8 +78,15 @@
         self.is_store_failing
     }
 
+    /// When the rows of all [`BOUNDED_TABLES`] were last known to be complete.
+    fn complete_at(&self) -> Option<Instant> {
+        let tables = BOUNDED_TABLES.iter().map(|it| self.complete_at.get(it));
+        tables.min().flatten().copied()
+    }
+
     fn age(&self, now: Instant) -> Option<Duration> {
-        self.complete_at.map(|it| now.saturating_duration_since(it))
+        let complete_at = self.complete_at();
+        complete_at.map(|it| now.saturating_duration_since(it))
     }
 }
 
@@ -212,13 +223,19 @@
         self.rows_age().is_some_and(|it| it < self.fresh_age_max())
     }
 
+    /// Whether the age of the rows of a table is below [`Node::fresh_age_max`], or not bounded.
+    pub(crate) fn is_table_fresh(&self, table: Table) -> bool {
+        let complete_at = self.store_copy().complete_at.get(&table).copied();
+        !BOUNDED_TABLES.contains(&table)
+            || complete_at.is_some_and(|it| it.elapsed() < self.fresh_age_max())
+    }
+
     /// Age below which rows count as fresh.
     #[must_use]
     pub fn fresh_age_max(&self) -> Duration {
-        self.settings
-            .bounds
-            .config_timeout
-            .saturating_sub(STORE_READ_TIME)
+        let bounds = &self.settings.bounds;
+        let bound = bounds.config_timeout.min(bounds.drain_timeout);
+        bound.saturating_sub(STORE_READ_TIME)
     }
 
     /// Whether a configuration may be in force that this instance does not use: its rows were last
@@ -229,7 +246,8 @@
         if copy.tracker.is_configuration_uncertain() {
             return true;
         }
-        let age = copy.age(Instant::now());
+        let complete_at = copy.complete_at.get(&Table::Operators);
+        let age = complete_at.map(Instant::elapsed);
         let suspended = clock::time_suspended().saturating_sub(copy.suspended_before);
         age.is_none_or(|it| it + suspended >= self.settings.bounds.config_timeout)
     }
@@ -243,17 +261,35 @@
         is_change
     }
 
-    /// Records that the rows were complete `age` ago.
+    /// Records that the rows of all tables were complete `age` ago, as another instance tells.
     pub fn record_complete(&self, age: Duration) {
+        self.record_tables_complete(&BOUNDED_TABLES, age);
+    }
+
+    /// Records that the store has confirmed the rows of a table.
+    pub(crate) fn record_table_complete(&self, table: Table) {
+        if BOUNDED_TABLES.contains(&table) {
+            self.record_tables_complete(&[table], Duration::ZERO);
+        }
+    }
+
+    fn record_tables_complete(&self, tables: &[Table], age: Duration) {
         let complete_at = {
             let mut copy = self.store_copy();
             let now = Instant::now();
-            for complete_at in [copy.complete_at, now.checked_sub(age)] {
-                copy.complete_at = copy.complete_at.max(complete_at);
-                self.update_age(&mut copy, now);
+            // A gap that ends now may not have been noticed.
+            self.update_age(&mut copy, now);
+            if let Some(complete_at) = now.checked_sub(age) {
+                for table in tables {
+                    let known = copy.complete_at.entry(*table).or_insert(complete_at);
+                    *known = complete_at.max(*known);
+                }
+            }
+            self.update_age(&mut copy, now);
+            if tables.contains(&Table::Operators) {
+                copy.suspended_before = clock::time_suspended();
             }
-            copy.suspended_before = clock::time_suspended();
-            copy.complete_at
+            copy.complete_at()
         };
         if let Some(complete_at) = complete_at {
             self.limits().confirm_members(complete_at);
