Keep an upstream out of use that has reported its stop, whatever later rows say

Callers could be sent to an upstream that had reported its stop: the store may perform a heartbeat seconds after it was sent, so that a row that says ready follows the one that says draining, or the removal. The latest row decided, and only what an answer had announced was kept.

A process does not go back to accepting requests, so the start of an upstream that was seen draining stays marked in the view, also after its removal (the last 1,000), until a row names another start. A return of the store needs no case of its own for this any more.

--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -428,7 +428,7 @@
             match &effect {
                 Effect::Merged(news) => copy.tracker.apply(news, origin, now),
                 Effect::Replaced(replacement) => {
-                    let mut changes = copy.tracker.begin_era(table, &replacement.lost, now);
+                    let mut changes = copy.tracker.begin_era(&replacement.lost, now);
                     changes.extend(copy.tracker.apply(&replacement.changed, origin, now));
                     changes
                 }
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -45,6 +45,10 @@
 /// Registrations lapse after three missed heartbeats (3.6 s), so none lapses in a shorter outage.
 const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
 
+/// Upstreams that are remembered as leaving. They stay so after their removal, since the store may
+/// accept a heartbeat after it.
+const LEAVING_MAX: usize = 1_000;
+
 /// Most characters of the reason why a row cannot be decoded.
 const REASON_CHARS_MAX: usize = 400;
 
@@ -119,7 +123,7 @@
     /// Evacuations and instances whose rows the store has lost, and until when they stay in force.
     lost_evacuations: BTreeMap<id::Zone, Instant>,
     lost_members: BTreeMap<id::Instance, Instant>,
-    /// Start times, in ms, of upstreams that announced that they are about to stop.
+    /// Start times, in ms, of upstreams whose row or answer said that they are about to stop.
     leaving: BTreeMap<id::Upstream, u64>,
     /// When the rows were first complete again after the latest outage.
     recovered_at: Option<Instant>,
@@ -188,17 +192,10 @@
         changes.collect()
     }
 
-    /// Records that the store came back from an older copy of `table`, without the rows `lost`. To be
+    /// Records that the store came back from an older copy of a table, without the rows `lost`. To be
     /// called before the changed rows are applied.
-    pub fn begin_era(&mut self, table: Table, lost: &[Row], now: Instant) -> Vec<Change> {
+    pub fn begin_era(&mut self, lost: &[Row], now: Instant) -> Vec<Change> {
         self.view.version = 0;
-        if table == Table::Upstreams {
-            // Their rows may say again that they are ready.
-            let draining = self.view.upstreams.values();
-            let draining = draining.filter(|it| it.phase == Phase::Draining);
-            self.leaving
-                .extend(draining.map(|it| (it.name.clone(), it.started_ms)));
-        }
         let changes = lost.iter().filter_map(|it| self.hold_lost(it, now));
         changes.collect()
     }
@@ -240,10 +237,25 @@
         }
         Arc::make_mut(known).phase = Phase::Draining;
         let name = incarnation.upstream.clone();
-        self.leaving.insert(name.clone(), incarnation.started_ms);
+        self.record_leaving(name.clone(), incarnation.started_ms);
         Some(Change::UpstreamLeaving(name))
     }
 
+    /// Records that an upstream is about to stop, and forgets removed ones beyond [`LEAVING_MAX`],
+    /// those that started first.
+    fn record_leaving(&mut self, name: id::Upstream, started_ms: u64) {
+        self.leaving.insert(name, started_ms);
+        if self.leaving.len() <= LEAVING_MAX {
+            return;
+        }
+        let removed = self.leaving.iter();
+        let removed = removed.filter(|it| !self.view.upstreams.contains_key(it.0));
+        let oldest = removed.min_by_key(|it| it.1).map(|it| it.0.clone());
+        if let Some(oldest) = oldest {
+            self.leaving.remove(&oldest);
+        }
+    }
+
     /// When the next lapsed upstream, or another lost row, is due for removal.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
@@ -272,7 +284,6 @@
         for name in &expired {
             self.lapsed.remove(name);
             self.view.upstreams.remove(name);
-            self.leaving.remove(name);
         }
         let mut changes: Vec<Change> = expired.into_iter().map(Change::UpstreamGone).collect();
         for zone in take_expired(&mut self.lost_evacuations, now) {
@@ -356,10 +367,15 @@
             }
         };
         self.lapsed.remove(&name);
-        // The row may still say that the upstream is ready after it announced its stop.
-        match self.leaving.get(&name) {
-            Some(started) if *started == upstream.started_ms => upstream.phase = Phase::Draining,
-            _ => {
+        // No process goes back to accepting requests, but a row may say so: the store may accept an
+        // earlier heartbeat late, and an upstream may announce its stop before its row does.
+        let known = self.leaving.get(&name).copied();
+        if known == Some(upstream.started_ms) {
+            upstream.phase = Phase::Draining;
+        }
+        match upstream.phase {
+            Phase::Draining => self.record_leaving(name.clone(), upstream.started_ms),
+            Phase::Ready => {
                 self.leaving.remove(&name);
             }
         }
@@ -375,7 +391,6 @@
         let held_until = held_until.filter(|it| *it > now);
         if !self.is_outage && held_until.is_none() {
             self.view.upstreams.remove(&name);
-            self.leaving.remove(&name);
             return Some(Change::UpstreamGone(name));
         }
         let until = held_until.unwrap_or(now + LAPSE_HOLD);
--- a/crates/node/tests/it/leaving.rs
+++ b/crates/node/tests/it/leaving.rs
@@ -67,6 +67,9 @@
     rows.write(Some(registration("draining", 1, 1)), now);
     rows.write(Some(registration("ready", 1, 1)), now);
     assert!(!rows.is_usable());
+    rows.write(None, now);
+    rows.write(Some(registration("ready", 1, 1)), now);
+    assert!(!rows.is_usable(), "after the removal");
     rows.write(Some(registration("ready", 2, 0)), now);
     assert!(rows.is_usable(), "a new process under the name");
 }
