--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -113,13 +113,30 @@
     }
 }
 
+/// Until when an upstream without a registration stays in use.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    until: Instant,
+    /// Whether the store has recovered since the deletion, so that `until` is final.
+    is_recovered: bool,
+}
+
+impl Hold {
+    fn from_recovery(recovered_at: Instant) -> Hold {
+        Hold {
+            until: recovered_at + LAPSE_HOLD,
+            is_recovered: true,
+        }
+    }
+}
+
 /// Builds the view from rows, and keeps the state that decides when registrations expire.
 #[derive(Debug, Default)]
 pub struct ViewTracker {
     view: View,
     configuration: Configuration,
-    /// Upstreams deleted during an outage or shortly after it, and until when they stay in use.
-    lapsed: BTreeMap<id::Upstream, Instant>,
+    /// Upstreams deleted during an outage or shortly after it.
+    lapsed: BTreeMap<id::Upstream, Hold>,
     /// Evacuations and instances whose rows the store has lost, and until when they stay in force.
     lost_evacuations: BTreeMap<id::Zone, Instant>,
     lost_members: BTreeMap<id::Instance, Instant>,
@@ -149,9 +166,10 @@
         let is_change = self.is_outage != is_outage;
         if self.is_outage && !is_outage {
             self.recovered_at = Some(now);
-            // The hold time starts at the recovery, not when the deletion was observed.
-            for until in self.lapsed.values_mut() {
-                *until = now + LAPSE_HOLD;
+            // The hold time starts at the first recovery after the deletion, and a further gap does
+            // not prolong it: an upstream that has left would stay in use from gap to gap.
+            for hold in self.lapsed.values_mut().filter(|it| !it.is_recovered) {
+                *hold = Hold::from_recovery(now);
             }
         }
         self.is_outage = is_outage;
@@ -217,7 +235,7 @@
                 if !self.view.upstreams.contains_key(&name) {
                     return None;
                 }
-                self.lapsed.insert(name.clone(), now + LAPSE_HOLD);
+                self.lapsed.insert(name.clone(), Hold::from_recovery(now));
                 Some(Change::UpstreamLapsed(name))
             }
             Table::Members => {
@@ -259,8 +277,9 @@
     /// When the next lapsed upstream, or another lost row, is due for removal.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        let lapsed = self.lapsed.values().chain(self.lost_evacuations.values());
-        let rows = lapsed.chain(self.lost_members.values()).min().copied();
+        let lapsed = self.lapsed.values().map(|it| &it.until);
+        let rows = lapsed.chain(self.lost_evacuations.values());
+        let rows = rows.chain(self.lost_members.values()).min().copied();
         rows.into_iter()
             .chain(self.configuration.next_expiry())
             .min()
@@ -279,7 +298,7 @@
     }
 
     fn expire_rows(&mut self, now: Instant) -> Vec<Change> {
-        let expired = self.lapsed.iter().filter(|(_, until)| **until <= now);
+        let expired = self.lapsed.iter().filter(|it| it.1.until <= now);
         let expired: Vec<id::Upstream> = expired.map(|(name, _)| name.clone()).collect();
         for name in &expired {
             self.lapsed.remove(name);
@@ -387,14 +406,19 @@
         if !self.view.upstreams.contains_key(&name) {
             return None;
         }
-        let held_until = self.recovered_at.map(|it| it + LAPSE_HOLD);
-        let held_until = held_until.filter(|it| *it > now);
-        if !self.is_outage && held_until.is_none() {
+        let recovery = self.recovered_at.map(Hold::from_recovery);
+        let hold = match self.is_outage {
+            true => Some(Hold {
+                until: now + LAPSE_HOLD,
+                is_recovered: false,
+            }),
+            false => recovery.filter(|it| it.until > now),
+        };
+        let Some(hold) = hold else {
             self.view.upstreams.remove(&name);
             return Some(Change::UpstreamGone(name));
-        }
-        let until = held_until.unwrap_or(now + LAPSE_HOLD);
-        self.lapsed.insert(name.clone(), until);
+        };
+        self.lapsed.insert(name.clone(), hold);
         Some(Change::UpstreamLapsed(name))
     }
 
