Begin to read the store 0.8 s before it is taken to be away

Callers of instances that the store turned away could be sent to upstreams that had left without a report: on sites with bounds of 3 s and more an instance read for itself only once its rows were 2.3 s old, and takes the store to be away at 2.5 s. The readers, turned away, heard of it up to 0.4 s later, believed in an outage and kept what was removed for 2.1 s more, though others reached the store all the while.

Rows count as fresh for at most 1.7 s now, and for a second after a gap of its own an instance answers polls within 0.1 s, as the end of the gap is what others wait for.

--- a/crates/mirror/tests/tree.rs
+++ b/crates/mirror/tests/tree.rs
@@ -19,6 +19,9 @@
 const FEED_TIMEOUT_MS: u64 = 700;
 /// Time within which a source answers a poll, even without changes.
 const LONG_POLL_MS: u64 = 400;
+/// The same shortly after a gap of the source's own rows, and for how long after it.
+const LONG_POLL_AFTER_GAP_MS: u64 = 100;
+const GAP_NEWS_MS: u64 = 1_000;
 /// Time after which an unanswered poll is abandoned and its source suspected.
 const REQUEST_TIMEOUT_MS: u64 = 900;
 const SUSPICION_MS: u64 = 1_000;
@@ -27,6 +30,12 @@
 const FRESH_FRACTION: f64 = 0.7;
 /// Part of the propagation bound reserved for an instance that has to read the store itself.
 const READ_TIME_MS: u64 = 700;
+/// Age of the rows from which on an instance takes the store to be away.
+const OUTAGE_MS: u64 = 2_500;
+/// Time before that by which it begins to read for itself.
+const OUTAGE_RESERVE_MS: u64 = 800;
+/// Longest time until an instance notices that its rows are no longer fresh.
+const CHECK_MS: u64 = 250;
 
 fn order(count: usize) -> Vec<id::Instance> {
     let names = (0..count).map(|it| format!("n{it}"));
@@ -48,10 +57,20 @@
     }
 }
 
+/// Age below which the rows of an instance count as fresh.
+fn fresh_age_max_ms(members: usize) -> u64 {
+    let by_bound = propagation_bound_ms(members) - READ_TIME_MS;
+    by_bound.min(OUTAGE_MS - OUTAGE_RESERVE_MS)
+}
+
 /// State of a simulated instance; times in milliseconds.
 #[derive(Clone, Default)]
 struct Instance {
     is_lost: bool,
+    /// Whether the store turns it away.
+    is_refused: bool,
+    /// When its rows became fresh again.
+    fresh_since: u64,
     has_change: bool,
     /// When its rows were last known to be complete.
     complete_at: u64,
@@ -63,6 +82,17 @@
     suspected: Vec<(usize, u64)>,
 }
 
+impl Instance {
+    /// Records that the rows were complete `at`.
+    fn confirm(&mut self, at: u64, now: u64, fresh_age_max: u64) {
+        let was_fresh = now - self.complete_at < fresh_age_max;
+        self.complete_at = self.complete_at.max(at);
+        if !was_fresh && now - self.complete_at < fresh_age_max {
+            self.fresh_since = now;
+        }
+    }
+}
+
 /// A deployment in which the store takes a change at some time.
 struct Simulation {
     names: Vec<id::Instance>,
@@ -146,16 +176,17 @@
     fn follow_store(&mut self, idx: usize) {
         let role = self.role(idx);
         let age = self.now - self.instances[idx].complete_at;
-        let is_fresh = age < propagation_bound_ms(self.names.len()) - READ_TIME_MS;
-        if role != Role::Reader && is_fresh {
+        let is_fresh = age < fresh_age_max_ms(self.names.len());
+        if self.instances[idx].is_refused || role != Role::Reader && is_fresh {
             return;
         }
         let (now, is_changed) = (self.now, self.is_changed);
+        let fresh_age_max = fresh_age_max_ms(self.names.len());
         let instance = &mut self.instances[idx];
         let has_new_change = is_changed && !instance.has_change;
         if now >= instance.feed_ends_at || has_new_change {
             self.store_calls += 1;
-            instance.complete_at = now;
+            instance.confirm(now, now, fresh_age_max);
             instance.has_change = is_changed;
             instance.feed_ends_at = now + FEED_TIMEOUT_MS;
         }
@@ -163,7 +194,7 @@
 
     fn poll_source(&mut self, idx: usize, poll: usize) {
         let now = self.now;
-        let fresh_age_max = propagation_bound_ms(self.names.len()) - READ_TIME_MS;
+        let fresh_age_max = fresh_age_max_ms(self.names.len());
         let Some((source_idx, sent_at)) = self.instances[idx].pending[poll] else {
             let position = poll + self.instances[idx].source_offsets[poll];
             let Some(source_idx) = self.source(idx, position) else {
@@ -177,6 +208,7 @@
             let source = &self.instances[source_idx];
             (source.is_lost, source.has_change, source.complete_at)
         };
+        let fresh_since = self.instances[source_idx].fresh_since;
         let instance = &mut self.instances[idx];
         if is_lost {
             if now >= sent_at + REQUEST_TIMEOUT_MS {
@@ -186,9 +218,15 @@
             return;
         }
         let has_new_change = has_change && !instance.has_change;
-        if has_new_change || now >= sent_at + LONG_POLL_MS {
+        // A source answers at once when its own rows are no longer fresh.
+        let is_source_fresh = now - complete_at < fresh_age_max;
+        let long_poll = match now - fresh_since < GAP_NEWS_MS {
+            true => LONG_POLL_AFTER_GAP_MS,
+            false => LONG_POLL_MS,
+        };
+        if has_new_change || !is_source_fresh || now >= sent_at + long_poll {
             instance.has_change |= has_change;
-            instance.complete_at = instance.complete_at.max(complete_at);
+            instance.confirm(complete_at, now, fresh_age_max);
             instance.pending[poll] = None;
             let is_stale = (now - complete_at) as f64 >= fresh_age_max as f64 * FRESH_FRACTION;
             instance.source_offsets[poll] = if is_stale {
@@ -241,6 +279,40 @@
     }
 }
 
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(47),
+        cases: 24,
+        ..proptest::test_runner::Config::default()
+    })]
+
+    /// Guards against instances that take the store to be away although others reach it, and keep
+    /// upstreams in use whose registrations were removed: the store turned the readers away, and
+    /// all others began to read for themselves too late.
+    #[test]
+    fn no_instance_takes_a_store_that_serves_others_to_be_away(
+        members in 8..=MEMBERS_MAX,
+        refused in vec(any::<proptest::sample::Index>(), 0..40),
+        above in 0..=4_usize,
+        gap in 0..1_500_u64,
+    ) {
+        let mut simulation = Simulation::new(members);
+        simulation.run(4_000 + gap / TICK_MS * TICK_MS);
+        // The readers, and up to a third of all.
+        let others = refused.iter().take(members / 3).map(|it| it.index(members));
+        for idx in others.chain(0..above) {
+            simulation.instances[idx].is_refused = true;
+        }
+        let until = simulation.now + 10_000;
+        while simulation.now < until {
+            simulation.tick();
+            let ages = simulation.instances.iter().map(|it| simulation.now - it.complete_at);
+            let oldest = ages.max().unwrap_or_default();
+            assert!(oldest + CHECK_MS < OUTAGE_MS, "{oldest} ms old, of {members} instances");
+        }
+    }
+}
+
 /// Guards against store calls that grow with the number of instances, and against too many requests
 /// to one instance.
 #[test]
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -53,6 +53,9 @@
 /// Longest wait of a long poll for newer rows. The answer then has no rows, but tells the
 /// requesting instance how old its rows are.
 const ROWS_POLL_MAX: Duration = Duration::from_millis(400);
+/// The same shortly after a gap of this instance's rows: others that the store turns away are about
+/// to take it to be unavailable, and wait for the age of the rows rather than for rows.
+const ROWS_POLL_AFTER_GAP_MAX: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Default)]
 struct PeerStatus {
@@ -323,7 +326,11 @@
     has_rows: impl Fn(&Mirror) -> bool,
     replies: &mpsc::Sender<Reply>,
 ) -> Option<News> {
-    let poll_deadline = Instant::now() + ROWS_POLL_MAX;
+    let poll_max = match node.has_gap_ended() {
+        true => ROWS_POLL_AFTER_GAP_MAX,
+        false => ROWS_POLL_MAX,
+    };
+    let poll_deadline = Instant::now() + poll_max;
     let mut view = node.watch_view();
     let mut limits = node.quota_wakers.subscribe();
     let first_change = *limits.borrow_and_update();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -44,6 +44,7 @@
 use crate::quota::Quotas;
 use crate::suspicion;
 use crate::view_tracker::Change;
+use crate::view_tracker::OUTAGE_MIN;
 use crate::view_tracker::ViewTracker;
 
 /// Time that an instance needs to read the store directly. A change must take effect within
@@ -52,6 +53,14 @@
 /// 3 s or more, two relaying instances.
 const STORE_READ_TIME: Duration = Duration::from_millis(700);
 
+/// An instance begins to read the store directly by this much before its rows are so old that it
+/// takes the store to be unavailable. In that time it reads them, and an instance that the store
+/// turns away hears of them.
+const OUTAGE_RESERVE: Duration = Duration::from_millis(800);
+
+/// Time for which the end of a gap of the rows is news to other instances.
+const GAP_NEWS_TIME: Duration = Duration::from_secs(1);
+
 /// Tables whose changes have to be known within a bound: configurations and evacuations, and
 /// upstreams that leave.
 pub(crate) const BOUNDED_TABLES: [Table; 2] = [Table::Operators, Table::Upstreams];
@@ -67,6 +76,8 @@
     complete_at: BTreeMap<Table, Instant>,
     /// Time for which the machine had been suspended when the operators' rows were last confirmed.
     suspended_before: Duration,
+    /// When the rows last became fresh again.
+    gap_ended_at: Option<Instant>,
     /// Whether this instance's latest call to the store failed.
     is_store_failing: bool,
 }
@@ -235,7 +246,14 @@
     pub fn fresh_age_max(&self) -> Duration {
         let bounds = &self.settings.bounds;
         let bound = bounds.config_timeout.min(bounds.drain_timeout);
-        bound.saturating_sub(STORE_READ_TIME)
+        let by_bound = bound.saturating_sub(STORE_READ_TIME);
+        by_bound.min(OUTAGE_MIN.saturating_sub(OUTAGE_RESERVE))
+    }
+
+    /// Whether the rows have become fresh a moment ago, after a gap.
+    pub(crate) fn has_gap_ended(&self) -> bool {
+        let ended_at = self.store_copy().gap_ended_at;
+        ended_at.is_some_and(|it| it.elapsed() < GAP_NEWS_TIME)
     }
 
     /// Whether a configuration may be in force that this instance does not use: its rows were last
@@ -279,6 +297,7 @@
             let now = Instant::now();
             // A gap that ends now may not have been noticed.
             self.update_age(&mut copy, now);
+            let was_stale = copy.age(now).is_some_and(|it| it >= self.fresh_age_max());
             if let Some(complete_at) = now.checked_sub(age) {
                 for table in tables {
                     let known = copy.complete_at.entry(*table).or_insert(complete_at);
@@ -286,6 +305,9 @@
                 }
             }
             self.update_age(&mut copy, now);
+            if was_stale && copy.age(now).is_some_and(|it| it < self.fresh_age_max()) {
+                copy.gap_ended_at = Some(now);
+            }
             if tables.contains(&Table::Operators) {
                 copy.suspended_before = clock::time_suspended();
             }
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -43,7 +43,7 @@
 
 /// The store counts as unavailable when no instance has received an answer for this long.
 /// Registrations lapse after three missed heartbeats (3.6 s), so none lapses in a shorter outage.
-const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
+pub(crate) const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
 
 /// Upstreams that are remembered as leaving. They stay so after their removal, since the store may
 /// accept a heartbeat after it.
