Ask once more whether an upstream has left before a call of steps is sent

A call of steps was sent to an upstream that had left while the call waited for a connection, a detour or its rate limit; requests of clients are checked after they have connected, calls were not, nor what frees results.

The wait is bounded by the time-outs to connect, 0.25 s and 0.45 s by a detour, so this alone does not break the users' bound of 2 s.

--- a/crates/node/src/owner/exchange.rs
+++ b/crates/node/src/owner/exchange.rs
@@ -199,6 +199,13 @@
         permit = admission.permit;
         renewed_lease = Some(admission.lease);
     }
+    // Connecting takes time, in which the upstream may have left.
+    if !node.view().is_still_usable(upstream) {
+        slog::info!(node.logger(), "call_not_sent"; "upstream" => upstream.name.as_str(),
+            "reason" => "left");
+        connection.return_to_pool(None).await;
+        return Err(connection::Error::Unsent);
+    }
     let response = connection.send(request, permit).await?;
     if !connection.is_detour {
         node.paths().record_answered(&upstream.name);
--- a/crates/node/tests/it/leaving.rs
+++ b/crates/node/tests/it/leaving.rs
@@ -7,6 +7,7 @@
 use mirror::Table;
 use mirror::succession::Origin;
 use node::view_tracker::ViewTracker;
+use platform_standin::link::Cut;
 use tokio::time::Instant;
 
 use crate::fixture::Fixture;
@@ -173,3 +174,44 @@
     a_lost_feed_hides_no_draining_upstream_from_six_nodes: 6, Leave::Reports;
     a_lost_feed_hides_no_removed_upstream_from_six_nodes: 6, Leave::Deregisters;
 }
+
+/// Guards against calls of steps to an upstream that left while the call waited for its connection:
+/// the planner chose it before, and nothing asked again.
+#[tokio::test]
+async fn a_call_that_waits_for_its_connection_reaches_no_upstream_that_has_left() {
+    let fixture = Fixture::start(1).await;
+    let site = &fixture.site;
+    let steps: Vec<usize> = (0..site.upstreams.len())
+        .filter(|it| site.upstreams[*it].1 == "steps")
+        .collect();
+    let (first, others) = steps.split_first().expect("an upstream that runs steps");
+    others.iter().for_each(|it| site.register(*it, "draining"));
+    let (upstream, _, address) = &site.upstreams[*first];
+    let headers = [
+        "x-model: m",
+        "x-token-count: 30,6",
+        "x-prompt-prefix: aa:10,bb:20",
+        "x-chunks: 2",
+        "x-chunk-key: k",
+    ];
+    let is_served = || async {
+        let response = fixture.send("POST /draft/1", "first", &headers).await;
+        response.status == 200 && upstream.arrivals() > 0
+    };
+    eventually("a call", Duration::from_secs(8), is_served).await;
+    // Until idle connections are closed.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let arrivals = upstream.arrivals();
+    let link = &fixture.nodes[0].link;
+    link.set_to(*address, Cut::Hang);
+    let request = fixture.send("POST /draft/1", "second", &headers);
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        site.register(*first, "draining");
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        link.set_to(*address, Cut::None);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(upstream.arrivals(), arrivals);
+    };
+    future::join(request, leave).await;
+}
