Count what buffers allocate for the bytes that upstreams send

A process over its memory is ended.

Cause: 64 KiB of each body did not count against the shared budget, a buffer that grows by doubling takes up to twice what it holds, and a connection read up to 64 KiB ahead. The reservation now counts what is allocated, beyond 16 KiB; connections read 32 KiB ahead, and 16 KiB of a refusal.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -16,9 +16,9 @@
 /// Largest body that is buffered whole, and largest event of a stream, in bytes.
 pub const BODY_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Largest body of a refusal that is read to make its connection reusable, in bytes.
-pub const REFUSAL_BODY_BYTES_MAX: usize = 64 * 1024;
+pub const REFUSAL_BODY_BYTES_MAX: usize = 16 * 1024;
 /// Bytes of each body that don't count against the shared budget.
-const UNBUDGETED_BYTES: usize = 64 * 1024;
+const UNBUDGETED_BYTES: usize = 16 * 1024;
 /// The shared budget is the instance's memory divided by this.
 const BUDGET_DIVISOR: usize = 8;
 
@@ -90,6 +90,23 @@
         Ok(())
     }
 
+    /// Appends to a buffer that grows by doubling, and adjusts the reservation to what it allocates.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooLarge`] if the body or the shared budget would exceed its limit.
+    pub fn append(&mut self, buffer: &mut BytesMut, data: &[u8]) -> Result<(), Error> {
+        let size = buffer.len() + data.len();
+        let capacity = match size > buffer.capacity() {
+            true => size.checked_next_power_of_two().ok_or(Error::TooLarge)?,
+            false => buffer.capacity(),
+        };
+        self.resize(capacity)?;
+        buffer.reserve(capacity - buffer.len());
+        buffer.extend_from_slice(data);
+        Ok(())
+    }
+
     /// Releases what was reserved beyond a body that buffers `size` bytes.
     pub fn shrink(&mut self, size: usize) {
         let budgeted = size.saturating_sub(UNBUDGETED_BYTES).min(self.bytes);
@@ -128,8 +145,7 @@
         if size > max {
             return Err(Error::TooLarge);
         }
-        reservation.resize(size)?;
-        bytes.extend_from_slice(data);
+        reservation.append(&mut bytes, data)?;
     }
     Ok(bytes.freeze())
 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -53,7 +53,7 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.5;
 
 /// Read buffer of a connection, which bounds the head of a response, in bytes.
-const HEAD_BYTES_MAX: usize = 64 * 1024;
+const HEAD_BYTES_MAX: usize = 32 * 1024;
 /// Most interim (1xx) responses to one request. An upstream that sends more is considered faulty
 /// and its connection is aborted.
 const INTERIM_RESPONSES_MAX: usize = 16;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -268,14 +268,13 @@
 
     fn append(&mut self, data: &[u8]) -> Result<(), Error> {
         let size = self.buffer.len() + data.len();
-        self.reservation.resize(size).map_err(|err| {
+        let appended = self.reservation.append(&mut self.buffer, data);
+        appended.map_err(|err| {
             slog::warn!(self.node.logger(), "event_too_large"; "request" => &self.request.id,
                 "upstream" => self.send_guard.upstream.name.as_str(), "reason" => %err,
                 "bytes" => size);
             Error::Broken
-        })?;
-        self.buffer.extend_from_slice(data);
-        Ok(())
+        })
     }
 
     async fn resume(&mut self) -> Result<Chunk, Error> {
--- a/crates/node/tests/it/endless.rs
+++ b/crates/node/tests/it/endless.rs
@@ -103,6 +103,20 @@
     /// Guards against buffering a body without a length until memory runs out.
     a_payment_with_an_unframed_endless_body_fails:
         "ledger" "POST /post/1" &[], EndlessUnframed x 2 => 502, 1;
+    /// Guards against collecting trailers without a limit.
+    a_payment_with_endless_trailers_fails:
+        "ledger" "POST /post/1" &[], EndlessTrailers x 2 => 502, 1;
+    /// Guards against reading the extension of a chunk without a limit.
+    a_payment_with_an_endless_chunk_extension_fails:
+        "ledger" "POST /post/1" &[], EndlessExtension x 2 => 502, 1;
+    /// Guards against reading trailers or the extension of a chunk of a stream without a limit.
+    a_stream_with_endless_trailers_fails:
+        "engine" "POST /draft/1" &DRAFT_HEADERS, EndlessTrailers x 2 => 502, 1;
+    a_stream_with_an_endless_chunk_extension_fails:
+        "engine" "POST /draft/1" &DRAFT_HEADERS, EndlessExtension x 2 => 502, 1;
+    /// Guards against reading trailers of a step call without a limit.
+    a_step_call_with_endless_trailers_does_not_fail_the_request:
+        "steps" "POST /draft/1" &DRAFT_HEADERS, EndlessTrailers x 1 => 200, 1;
     /// Guards against reading the body of a refusal until the deadline before another upstream is
     /// tried.
     a_payment_with_an_endless_refusal_runs_elsewhere:
--- a/crates/node/tests/processes/deployment.rs
+++ b/crates/node/tests/processes/deployment.rs
@@ -16,6 +16,8 @@
 
 use crate::programs;
 
+/// Memory of an instance in MB; one that exceeds it is ended.
+pub(crate) const MEMORY_MB: u32 = 160;
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A running process of one of the builds.
@@ -51,8 +53,10 @@
     pub(crate) async fn run(&self, name: &str, program: &Path, store: SocketAddr) -> Instance {
         let ports = site::reserve_ports().expect("ports");
         let settings = site::settings(name, "a", store, ports, RetryLimit::AMPLE);
-        // The users' time for a stop, in which every stream can end.
+        // The users' time for a stop, in which every stream can end, and their smallest instances.
         let settings = settings.replace("grace_s: 4", "grace_s: 8");
+        let memory = format!("limits:\n  ram_mb: {MEMORY_MB}\n");
+        let settings = settings.replace("limits:\n", &memory);
         let path = self.dir.join(format!("{name}-{}.yaml", ports[0]));
         std::fs::write(&path, settings).expect("a file");
         let daemon = Daemon::start(&format!("{name}-{}", ports[0]), program, &path, &self.dir);
