Let the soak's upstreams come back from draining as new processes

The soak registered an upstream as draining and later as ready with the same start. No upstream of the users does that: a process reports its stop, serves on and exits, and each start is a new lifetime. Since a stop is kept for good such an upstream would stay out of use in the rest of a run. It comes back with a new start, which checks as much as before, and also that a new start is used.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -368,7 +368,7 @@
                 upstream.set_fault(upstream::Fault::None, None);
             }
             Fault::UpstreamPath(idx, _) => self.upstream_proxies[*idx].set_mode(proxy::Mode::Pass),
-            Fault::Drain(idx) => self.site.register(*idx, "ready"),
+            Fault::Drain(idx) => self.site.start_again(*idx),
             Fault::Evacuate(zone) => {
                 self.site.store.delete("op", &format!("evacuate/{zone}"));
             }
@@ -435,7 +435,10 @@
         for idx in 0..self.site.upstreams.len() {
             let upstream = &self.site.upstreams[idx].0;
             upstream.set_fault(upstream::Fault::None, None);
-            self.site.register(idx, "ready");
+            match self.site.is_draining(idx) {
+                true => self.site.start_again(idx),
+                false => self.site.register(idx, "ready"),
+            }
         }
         for zone in ["a", "b"] {
             self.site.store.delete("op", &format!("evacuate/{zone}"));
