--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -318,9 +318,9 @@
     send_reply(&replies, Reply::Steps(progress)).await;
 }
 
-/// Waits until the rows differ from those that `has_rows` was told of, for at most [`ROWS_POLL_MAX`]
-/// or until the rows of this instance are no longer fresh; then returns everything else to tell.
-/// `None` if the requester has gone.
+/// Waits until the rows differ from those that `has_rows` was told of, for at most [`ROWS_POLL_MAX`],
+/// less shortly after a gap, or until the rows of this instance are no longer fresh; then returns
+/// everything else to tell. `None` if the requester has gone.
 async fn wait_for_news(
     node: &Arc<Node>,
     has_rows: impl Fn(&Mirror) -> bool,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -48,9 +48,10 @@
 use crate::view_tracker::ViewTracker;
 
 /// Time that an instance needs to read the store directly. A change must take effect within
-/// `bounds.config_timeout`, and that an upstream leaves within `bounds.drain_timeout`; rows count as fresh for that time less this reserve. With 2 s, the
-/// remainder covers one feed request without changes and one instance that relays its answer; with
-/// 3 s or more, two relaying instances.
+/// `bounds.config_timeout`, and that an upstream leaves within `bounds.drain_timeout`; rows count as
+/// fresh for the shorter of them less this reserve. With 2 s, the remainder covers one feed request
+/// without changes and one instance that relays its answer; with 3 s or more, [`OUTAGE_RESERVE`]
+/// limits it.
 const STORE_READ_TIME: Duration = Duration::from_millis(700);
 
 /// An instance begins to read the store directly by this much before its rows are so old that it
@@ -279,7 +280,8 @@
         is_change
     }
 
-    /// Records that the rows of all tables were complete `age` ago, as another instance tells.
+    /// Records that the rows of all [`BOUNDED_TABLES`] were complete `age` ago, as another instance
+    /// tells.
     pub fn record_complete(&self, age: Duration) {
         self.record_tables_complete(&BOUNDED_TABLES, age);
     }
