Remember the stop of each process of an upstream, not of the latest one

Callers could be sent to a process that had reported its stop if its late heartbeat is accepted after another process has registered under the name: one start of each name was remembered, and the new one replaced it. The processes are remembered themselves now, the last 1,000.

--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -45,7 +45,7 @@
 /// Registrations lapse after three missed heartbeats (3.6 s), so none lapses in a shorter outage.
 pub(crate) const OUTAGE_MIN: Duration = Duration::from_millis(2_500);
 
-/// Upstreams that are remembered as leaving. They stay so after their removal, since the store may
+/// Processes of upstreams that are remembered as leaving. They stay so after their removal, since the store may
 /// accept a heartbeat after it.
 const LEAVING_MAX: usize = 1_000;
 
@@ -140,8 +140,8 @@
     /// Evacuations and instances whose rows the store has lost, and until when they stay in force.
     lost_evacuations: BTreeMap<id::Zone, Instant>,
     lost_members: BTreeMap<id::Instance, Instant>,
-    /// Start times, in ms, of upstreams whose row or answer said that they are about to stop.
-    leaving: BTreeMap<id::Upstream, u64>,
+    /// Processes of upstreams whose row or answer said that they are about to stop.
+    leaving: BTreeSet<id::Incarnation>,
     /// When the rows were first complete again after the latest outage.
     recovered_at: Option<Instant>,
     /// Since when the rows have been complete without a gap.
@@ -254,21 +254,24 @@
             return None;
         }
         Arc::make_mut(known).phase = Phase::Draining;
-        let name = incarnation.upstream.clone();
-        self.record_leaving(name.clone(), incarnation.started_ms);
-        Some(Change::UpstreamLeaving(name))
+        self.record_leaving(incarnation.clone());
+        Some(Change::UpstreamLeaving(incarnation.upstream.clone()))
     }
 
-    /// Records that an upstream is about to stop, and forgets removed ones beyond [`LEAVING_MAX`],
-    /// those that started first.
-    fn record_leaving(&mut self, name: id::Upstream, started_ms: u64) {
-        self.leaving.insert(name, started_ms);
+    /// Records that a process is about to stop, and forgets one beyond [`LEAVING_MAX`] that is not in
+    /// the view, the one that started first.
+    fn record_leaving(&mut self, incarnation: id::Incarnation) {
+        self.leaving.insert(incarnation);
         if self.leaving.len() <= LEAVING_MAX {
             return;
         }
-        let removed = self.leaving.iter();
-        let removed = removed.filter(|it| !self.view.upstreams.contains_key(it.0));
-        let oldest = removed.min_by_key(|it| it.1).map(|it| it.0.clone());
+        let upstreams = &self.view.upstreams;
+        let is_registered = |it: &id::Incarnation| {
+            let known = upstreams.get(&it.upstream);
+            known.is_some_and(|known| known.started_ms == it.started_ms)
+        };
+        let removed = self.leaving.iter().filter(|it| !is_registered(it));
+        let oldest = removed.min_by_key(|it| it.started_ms).cloned();
         if let Some(oldest) = oldest {
             self.leaving.remove(&oldest);
         }
@@ -388,15 +391,12 @@
         self.lapsed.remove(&name);
         // No process goes back to accepting requests, but a row may say so: the store may accept an
         // earlier heartbeat late, and an upstream may announce its stop before its row does.
-        let known = self.leaving.get(&name).copied();
-        if known == Some(upstream.started_ms) {
+        let incarnation = upstream.incarnation();
+        if self.leaving.contains(&incarnation) {
             upstream.phase = Phase::Draining;
         }
-        match upstream.phase {
-            Phase::Draining => self.record_leaving(name.clone(), upstream.started_ms),
-            Phase::Ready => {
-                self.leaving.remove(&name);
-            }
+        if upstream.phase == Phase::Draining {
+            self.record_leaving(incarnation);
         }
         self.view.upstreams.insert(name.clone(), Arc::new(upstream));
         Some(Change::Upstream(name))
--- a/crates/node/tests/it/leaving.rs
+++ b/crates/node/tests/it/leaving.rs
@@ -1,5 +1,6 @@
 //! Registrations of upstreams that leave, in whatever order the store accepted their writes.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures_util::future;
@@ -8,6 +9,11 @@
 use mirror::succession::Origin;
 use node::view_tracker::ViewTracker;
 use platform_standin::link::Cut;
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+use proptest::proptest;
 use tokio::time::Instant;
 
 use crate::fixture::Fixture;
@@ -75,6 +81,18 @@
     assert!(rows.is_usable(), "a new process under the name");
 }
 
+/// Guards against taking a process for a live one again that has reported its stop, once another one
+/// has registered under the name: one stop of each name is remembered.
+#[test]
+fn a_late_heartbeat_after_the_next_start_does_not_take_back_a_stop() {
+    let now = Instant::now();
+    let mut rows = Rows::new(now);
+    rows.write(Some(registration("draining", 1, 1)), now);
+    rows.write(Some(registration("ready", 2, 0)), now);
+    rows.write(Some(registration("ready", 1, 1)), now);
+    assert!(!rows.is_usable());
+}
+
 /// Guards against holding an upstream whose row was removed for as long as the rows have gaps: each
 /// gap began the time anew.
 #[test]
@@ -215,3 +233,104 @@
     };
     future::join(request, leave).await;
 }
+
+/// One step of the life of an upstream, or of the way of its rows.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The store accepts a heartbeat of the process with this start, perhaps late.
+    Heartbeat(u64),
+    /// The store accepts the report of its stop.
+    Report(u64),
+    /// The row is removed.
+    Removal,
+    /// Time passes in which the rows are confirmed.
+    Confirmed(u64),
+    /// Time passes in which they are not.
+    Gap(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        3 => (1..4_u64).prop_map(Event::Heartbeat),
+        2 => (1..4_u64).prop_map(Event::Report),
+        2 => Just(Event::Removal),
+        4 => (100..3_000_u64).prop_map(Event::Confirmed),
+        2 => (500..6_000_u64).prop_map(Event::Gap),
+    ];
+    vec(event, 1..40)
+}
+
+/// What the store has accepted of the upstream.
+#[derive(Default)]
+struct Held {
+    /// Starts of the processes that have reported their stop.
+    stopped: BTreeSet<u64>,
+    has_row: bool,
+    /// Time for which the rows have been confirmed since the removal of the row.
+    confirmed: Duration,
+}
+
+fn play(events: &[Event]) {
+    const STEP: Duration = Duration::from_millis(100);
+    let mut now = Instant::now();
+    let mut rows = Rows::new(now);
+    let mut held = Held::default();
+    let mut complete_at = now;
+    for event in events {
+        let (time, is_confirmed) = match event {
+            Event::Confirmed(ms) => (Duration::from_millis(*ms), true),
+            Event::Gap(ms) => (Duration::from_millis(*ms), false),
+            Event::Heartbeat(started_ms) => {
+                rows.write(Some(registration("ready", *started_ms, 1)), now);
+                held.has_row = true;
+                (Duration::ZERO, false)
+            }
+            Event::Report(started_ms) => {
+                rows.write(Some(registration("draining", *started_ms, 1)), now);
+                held.stopped.insert(*started_ms);
+                held.has_row = true;
+                (Duration::ZERO, false)
+            }
+            Event::Removal => {
+                rows.write(None, now);
+                if held.has_row {
+                    held.confirmed = Duration::ZERO;
+                }
+                held.has_row = false;
+                (Duration::ZERO, false)
+            }
+        };
+        let until = now + time;
+        while now < until {
+            now += STEP;
+            if is_confirmed {
+                complete_at = now;
+                held.confirmed += STEP;
+            }
+            rows.tracker.set_age(Some(now - complete_at), now);
+            rows.tracker.expire(now);
+        }
+        let view = rows.tracker.view();
+        let used = view.upstreams.values().find(|it| view.is_usable(it));
+        let Some(used) = used else {
+            continue;
+        };
+        assert!(!held.stopped.contains(&used.started_ms), "{event:?}");
+        assert!(held.has_row || held.confirmed <= HOLD_MAX, "{event:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(47),
+        cases: 2_000,
+        ..proptest::test_runner::Config::default()
+    })]
+
+    /// Guards against requests to an upstream that has reported its stop, or was removed and not
+    /// registered again, in whatever order rows and gaps follow each other.
+    #[test]
+    fn an_upstream_that_has_left_is_not_used(events in events()) {
+        play(&events);
+    }
+}
