Carry the terms of a request to the owner of its steps

Owners know neither the workspace of a request nor the tokens that it may take up at an engine, so that they cannot share their room among workspaces or place requests by memory. Request::Schedule carries both. It is sent only to instances that agreed on catkinvane/3; those of the previous release get Request::Prepare as before.

No decision reads the terms yet.

--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -332,7 +332,8 @@
                 | Request::RateLimits(_)
                 | Request::Origins(_)
                 | Request::Tunnel(_)
-                | Request::Updates(_) => return,
+                | Request::Updates(_)
+                | Request::Schedule(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -310,6 +310,7 @@
         key: "key".to_owned(),
         zone: None,
         priority: kind.priority,
+        workspace: None,
         soft_deadline: now + kind.soft_deadline,
         deadline: now + kind.deadline,
         time_after_steps: site.time_after_steps,
--- a/crates/node/src/client_request.rs
+++ b/crates/node/src/client_request.rs
@@ -157,6 +157,13 @@
         PromptSize::from_tokens(token_count(&self.head.prompt))
     }
 
+    /// Name of the client's workspace; `None` if the deployment has none, or if the name is not one
+    /// that messages may carry.
+    #[must_use]
+    pub(crate) fn workspace_id(&self) -> Option<id::Workspace> {
+        self.workspace.as_ref()?.name.parse().ok()
+    }
+
     /// Whether the prompt's shared prefix is long enough to prefer the engine that caches it even
     /// in another zone.
     #[must_use]
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -275,7 +275,7 @@
     let reply = async {
         let request = |protocol| match protocol {
             Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
-            Protocol::V2 => Request::Updates(node.store_copy().mirror.positions()),
+            Protocol::V2 | Protocol::V3 => Request::Updates(node.store_copy().mirror.positions()),
         };
         let mut replies = node.peers.open_with(member, request).await.ok()?;
         replies.next().await
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -30,6 +30,7 @@
 use wire::peer;
 use wire::steps::Prepare;
 use wire::steps::Progress;
+use wire::steps::Terms;
 use wire::tunnel;
 use wire::tunnel::Tunnel;
 
@@ -226,7 +227,13 @@
                 return;
             };
             match request {
-                Request::Prepare(prepare) => serve_prepare(&node, *prepare, replies).await,
+                Request::Prepare(prepare) => {
+                    let terms = Terms::default();
+                    serve_prepare(&node, *prepare, &terms, replies).await;
+                }
+                Request::Schedule(schedule) => {
+                    serve_prepare(&node, schedule.prepare, &schedule.terms, replies).await;
+                }
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
                 Request::Updates(positions) => serve_updates(&node, &positions, replies).await,
                 Request::Losses(losses) => suspicion::merge_losses(&node, &losses, Source::Peer),
@@ -267,7 +274,12 @@
 
 /// Runs the steps of a request and places it at an engine. Keeps the results and the placement
 /// until the requesting instance closes the stream.
-async fn serve_prepare(node: &Arc<Node>, prepare: Prepare, replies: mpsc::Sender<Reply>) {
+async fn serve_prepare(
+    node: &Arc<Node>,
+    prepare: Prepare,
+    terms: &Terms,
+    replies: mpsc::Sender<Reply>,
+) {
     let request = prepare.request.clone();
     if suspicion::is_suspect_refused(node, &request, prepare.fingerprint) {
         return send_refusal(node, &request, &Refusal::Failed, replies).await;
@@ -277,7 +289,7 @@
     let mut plan_guard = None;
     let mut prepared = Prepared::default();
     if !prepare.steps.is_empty() {
-        let mut guard = match node.owner.submit(shard.clone(), plan_from(prepare)) {
+        let mut guard = match node.owner.submit(shard.clone(), plan_from(prepare, terms)) {
             Ok(guard) => guard,
             Err(refusal) => return send_refusal(node, &request, &refusal, replies).await,
         };
@@ -427,7 +439,7 @@
 
 /// Converts a message that has just arrived, whose times are relative, into a plan.
 #[must_use]
-pub fn plan_from(prepare: Prepare) -> Plan {
+pub fn plan_from(prepare: Prepare, terms: &Terms) -> Plan {
     let now = Instant::now();
     Plan {
         request: prepare.request,
@@ -435,6 +447,7 @@
         key: prepare.key,
         zone: prepare.zone,
         priority: prepare.priority,
+        workspace: terms.workspace.clone(),
         soft_deadline: now + prepare.aim,
         deadline: now + prepare.deadline,
         time_after_steps: prepare.tail,
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -14,11 +14,14 @@
 use stages::shard;
 use stages::shard::PrefixCache;
 use tokio::time::Instant;
+use wire::Protocol;
 use wire::Reply;
 use wire::Request;
 use wire::peer::Replies;
 use wire::steps::Prepare;
 use wire::steps::Progress;
+use wire::steps::Schedule;
+use wire::steps::Terms;
 
 use crate::owner;
 use crate::peers;
@@ -80,6 +83,8 @@
     /// Message to the owner. Its shard is set once one is chosen, and its relative times when it is
     /// sent.
     pub prepare: Prepare,
+    /// What the owner schedules and places by.
+    pub terms: Terms,
     /// Zone whose engine caches the prompt's prefix, and the cost of recomputing it elsewhere.
     pub prefix_cache: Option<PrefixCache>,
     /// Instant until which the response is of full use.
@@ -148,7 +153,7 @@
     let mut plan_guard = None;
     let mut prepared = Prepared::default();
     if !prepare_request.prepare.steps.is_empty() {
-        let plan = peers::plan_from(prepare_request.to_message());
+        let plan = peers::plan_from(prepare_request.to_message(), &prepare_request.terms);
         let mut guard = node.owner.submit(shard.clone(), plan)?;
         let wait = (guard.queue_wait, Instant::now());
         node.shard_waits().insert(shard.clone(), wait);
@@ -217,9 +222,18 @@
     member: &Member,
     prepare_request: &PrepareRequest,
 ) -> Option<Result<Preparation, Refusal>> {
-    let request = Request::Prepare(Box::new(prepare_request.to_message()));
+    let request = |protocol| {
+        let prepare = prepare_request.to_message();
+        match protocol {
+            Protocol::V1 | Protocol::V2 => Request::Prepare(Box::new(prepare)),
+            Protocol::V3 => Request::Schedule(Box::new(Schedule {
+                prepare,
+                terms: prepare_request.terms.clone(),
+            })),
+        }
+    };
     let first = async {
-        let mut replies = node.peers.open(member, request).await.ok()?;
+        let mut replies = node.peers.open_with(member, request).await.ok()?;
         let reply = replies.next().await?;
         Some((replies, reply))
     };
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 use wire::steps::Engines;
 use wire::steps::Prepare;
+use wire::steps::Terms;
 
 use crate::client_request::ClientRequest;
 use crate::client_request::RESPONSE_MARGIN;
@@ -89,6 +90,11 @@
             steps,
             engines,
         },
+        terms: Terms {
+            workspace: request.workspace_id(),
+            prompt_tokens: request.head.prompt_tokens,
+            output_tokens_max: request.head.output_tokens_max,
+        },
         prefix_cache: cache_zone.map(|zone| PrefixCache {
             zone,
             recompute_cost,
--- a/crates/stages/src/plan.rs
+++ b/crates/stages/src/plan.rs
@@ -57,6 +57,8 @@
     pub zone: Option<id::Zone>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// Workspace of the client; `None` if it is not known.
+    pub workspace: Option<id::Workspace>,
     /// The response loses value if it arrives after this time.
     pub soft_deadline: Instant,
     /// The client gives up at this time.
--- a/crates/stages/tests/planner.rs
+++ b/crates/stages/tests/planner.rs
@@ -70,6 +70,7 @@
         key: "key".to_owned(),
         zone: None,
         priority: 1,
+        workspace: None,
         soft_deadline: now + ms(2_000),
         deadline: now + ms(6_000),
         time_after_steps: ms(100),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -68,6 +68,9 @@
     Tunnel(tunnel::Open),
     /// Like [`Request::Rows`], with the eras of the store; since [`crate::Protocol::V2`].
     Updates(Vec<mirror::Position>),
+    /// Like [`Request::Prepare`], with what the owner schedules and places by; since
+    /// [`crate::Protocol::V3`].
+    Schedule(Box<steps::Schedule>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -14,6 +14,9 @@
     /// Adds [`crate::Request::Updates`].
     #[strum(serialize = "catkinvane/2")]
     V2,
+    /// Adds [`crate::Request::Schedule`].
+    #[strum(serialize = "catkinvane/3")]
+    V3,
 }
 
 impl Protocol {
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -42,6 +42,26 @@
     pub engines: Engines,
 }
 
+/// What the owner schedules a request and places it at an engine by.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Workspace of the client; `None` if the deployment has none.
+    pub workspace: Option<id::Workspace>,
+    /// Length of the prompt in tokens; 0 if the client does not state it.
+    pub prompt_tokens: u64,
+    /// Most tokens that the engine generates; 0 if the client does not state it.
+    pub output_tokens_max: u64,
+}
+
+/// [`Prepare`] with its [`Terms`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// The request.
+    pub prepare: Prepare,
+    /// Its terms.
+    pub terms: Terms,
+}
+
 /// Model engines that may run a request, a few of each zone, ordered by preference.
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wire/tests/extremes.rs
+++ b/crates/wire/tests/extremes.rs
@@ -121,6 +121,10 @@
 
 bounded_times! {
     times_of_a_request_for_steps: Request::Prepare(Box::new(prepare()));
+    times_of_a_request_with_terms: Request::Schedule(Box::new(steps::Schedule {
+        prepare: prepare(),
+        terms: steps::Terms::default(),
+    }));
     age_of_a_loss: Request::Losses(vec![loss()]);
     remaining_time_of_an_origin: Request::Origins(vec![origin()]);
     ages_of_news: Reply::Updates(Box::new(message::TablesUpdate {
