Let the most capable instances own the steps

What callers saw: in a burst, thousands of requests were refused as too late in seconds in which no instance had failed. The steps of a zone were owned by an instance of 0.12 of a core, which fell behind, was taken for lost, and was replaced by another one of that size without its state. The weight of the rendezvous hash is the share of a core, but small instances are so many that one of them came first three times in four.

Owners are now ordered by size, in powers of two, before the hash. Readers, custodians and fallback instances are chosen as before. With instances of one size nothing changes.

--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -202,12 +202,13 @@
     )
 }
 
-/// Members that aren't suspected of having failed, in preference order, the shard's zone first.
+/// Members that aren't suspected of having failed, the most capable ones first, those of the shard's
+/// zone before all others.
 pub(crate) fn owners_by_preference(node: &Node, shard: &Shard) -> Vec<Arc<Member>> {
     let view = node.view();
     let members = view.members.values().map(Arc::as_ref);
     let key = format!("{OWNERSHIP_KEY_PREFIX}{shard}");
-    let mut order = ownership::preference_order(&key, members);
+    let mut order = ownership::capable_order(&key, members);
     order.retain(|it| !node.peers.is_suspected(&it.instance));
     order.sort_by_key(|it| !shard.contains(&it.zone));
     let ordered_members = order
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -48,6 +48,25 @@
     scored.into_iter().map(|it| it.1).collect()
 }
 
+/// [`preference_order`] with the members of larger CPU quotas first, by powers of two.
+///
+/// A weight alone does not keep heavy work off small members: where these are the many, one of them is
+/// first most of the time.
+#[must_use]
+pub fn capable_order<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a catalog::Member>,
+) -> Vec<&'a catalog::Member> {
+    let mut order = preference_order(key, members);
+    order.sort_by_key(|it| std::cmp::Reverse(size_class(it)));
+    order
+}
+
+/// Power of two that is nearest to the member's share of a CPU core.
+fn size_class(member: &catalog::Member) -> i32 {
+    member.cpu_share.max(f64::MIN_POSITIVE).log2().round() as i32
+}
+
 /// Score in weighted rendezvous hashing: the logarithm of a uniform hash, divided by the weight.
 fn score(key: &str, member: &catalog::Member) -> f64 {
     let hash = hash::hash_strs([key, member.instance.as_str()]);
