Keep counts of the waiting work instead of walking all plans

In a burst an owner of a tenth of a core fell behind: each submission walked all plans, also those whose results were only still being read, each dispatch walked them four times, and refusing walked them for each step. So a backlog slowed the owner that should clear it.

Counts of waiting pieces by service and priority now change with the pieces. Expected ends are computed for the plans that are ready at a service with a free upstream; all waiting plans are scanned for being overdue at most once in 30 ms, and one that is about to be sent is checked before. Inputs are checked for the plans that changed or whose calls have just read them. The owner drives its planners once for all submissions and outcomes that are due.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::JoinError;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -287,14 +288,15 @@
             let until = until.unwrap_or(now + IDLE_WAIT).max(now);
             tokio::select! {
                 biased;
-                Some(ended) = tasks.join_next() => {
-                    if let Ok(TaskResult::Call(shard, id, outcome)) = ended {
-                        self.finish_call(&shard, id, outcome);
-                    }
-                }
+                Some(ended) = tasks.join_next() => self.finish_task(ended),
                 () = self.shared.changed.notified() => {}
                 () = tokio::time::sleep_until(until) => {}
             }
+            // Submissions and outcomes that are due are driven together: a drive costs more than one.
+            tokio::task::yield_now().await;
+            while let Some(ended) = tasks.try_join_next() {
+                self.finish_task(ended);
+            }
         }
     }
 
@@ -335,6 +337,12 @@
         wake_times.into_iter().min()
     }
 
+    fn finish_task(&self, ended: Result<TaskResult, JoinError>) {
+        if let Ok(TaskResult::Call(shard, id, outcome)) = ended {
+            self.finish_call(&shard, id, outcome);
+        }
+    }
+
     fn finish_call(&self, shard: &Shard, call: u64, outcome: Outcome) {
         let mut state = self.lock();
         if let Some(planner) = state.planners.get_mut(shard) {
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -27,6 +27,8 @@
 pub use plan::Refusal;
 pub use plan::Step;
 pub use plan::has_too_many_pieces;
+pub use planner::Count;
+pub use planner::Counts;
 pub use planner::PlanId;
 pub use planner::Planner;
 pub use rank::SchedulingPolicy;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -1,6 +1,7 @@
 //! The planner: keeps the plans in progress and batches their waiting pieces into calls.
 
 mod active;
+mod backlog;
 mod forecast;
 mod form;
 mod outcome;
@@ -27,8 +28,12 @@
 use active::ActivePlan;
 use active::PieceState;
 use active::StepProgress;
+use backlog::Backlog;
 use forecast::refusal_time;
 
+pub use backlog::Count;
+pub use backlog::Counts;
+
 /// Interval at which the queue is scanned while pieces wait: pieces may become eligible for
 /// upstreams in other zones, or unable to end in time.
 const QUEUE_SCAN_INTERVAL: Duration = Duration::from_millis(30);
@@ -57,6 +62,10 @@
     ended: Vec<(PlanId, Result<Prepared, Refusal>)>,
     policy: SchedulingPolicy,
     last_id: u64,
+    backlog: Backlog,
+    /// When all waiting plans are checked for being overdue next.
+    scan_at: Option<Instant>,
+    visits: u64,
 }
 
 impl Planner {
@@ -89,6 +98,7 @@
             .entry(service.clone())
             .or_insert_with(|| Fleet::new(limits));
         fleet.limits = limits;
+        self.backlog.slot(service);
         for upstream in fleet.update(replicas) {
             self.discard_results_of(&upstream, now);
         }
@@ -111,8 +121,38 @@
     /// Number of pieces that wait for a call, over all services.
     #[must_use]
     pub fn waiting_pieces(&self) -> usize {
-        let steps = self.plans.values().flat_map(|it| &it.steps);
-        steps.map(StepProgress::waiting_count).sum()
+        self.backlog.waiting_pieces()
+    }
+
+    /// Waiting pieces by service and priority, as counted with each change.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.backlog.counts()
+    }
+
+    /// The same as [`Planner::counts`] after a dispatch at `now`, computed from all pieces of all plans.
+    /// A difference is a fault.
+    #[must_use]
+    pub fn recount_all(&self, now: Instant) -> Counts {
+        let mut counts = Counts::new();
+        for active in self.plans.values() {
+            for (step, progress) in active.plan.steps.iter().zip(&active.steps) {
+                let counted = progress.recount(active.plan.soft_deadline <= now).count;
+                if counted.waiting > 0 {
+                    let key = (step.service.clone(), active.plan.priority);
+                    let count = counts.entry(key).or_default();
+                    count.waiting += counted.waiting;
+                    count.in_time += counted.in_time;
+                }
+            }
+        }
+        counts
+    }
+
+    /// Number of plans that were looked at so far, for any reason.
+    #[must_use]
+    pub fn visits(&self) -> u64 {
+        self.visits
     }
 
     /// Number of plans that are in progress or not yet released.
@@ -142,29 +182,28 @@
                 return Err(Refusal::NoUpstream);
             }
         }
-        let steps = plan.steps.iter().map(|step| StepProgress {
-            pieces: vec![PieceState::Waiting; step.pieces],
-            ready_since: step.after.is_empty().then_some(now),
-            last_call_end: None,
+        let steps = plan.steps.iter().map(|step| {
+            let ready_since = step.after.is_empty().then_some(now);
+            StepProgress::new(step.pieces, ready_since, self.backlog.slot(&step.service))
         });
-        let active = ActivePlan {
+        let mut active = ActivePlan {
             steps: steps.collect(),
             submitted_at: now,
             piece_failures: 0,
             is_delivered: false,
+            is_past_aim: false,
             plan,
         };
-        let first_steps = active.plan.steps.iter().filter(|it| it.after.is_empty());
-        let drain = first_steps
-            .map(|it| self.drain_time(&it.service, active.plan.priority, now))
-            .max()
-            .unwrap_or_default();
-        let end = self.expected_end(&active, &self.queue_times(now), now);
+        self.mark_past_aim(now);
+        self.visits += 1;
+        let drain = self.drain_time_of(&active.plan, |it| it.after.is_empty(), now);
+        let end = self.forecast(Some(&active.plan), now).expected_end(&active);
         if end > active.plan.deadline || now + drain > active.plan.deadline {
             return Err(Refusal::TooLate(drain));
         }
         self.last_id += 1;
         let id = PlanId(self.last_id);
+        self.backlog.insert(id, &mut active, now);
         self.plans.insert(id, active);
         Ok(id)
     }
@@ -175,8 +214,9 @@
         let Some(active) = self.plans.remove(&id) else {
             return;
         };
+        self.backlog.remove(id, &active);
         for (step, progress) in active.plan.steps.iter().zip(active.steps) {
-            for piece in progress.pieces {
+            for piece in progress.into_pieces() {
                 if let PieceState::Done(upstream, handle) = piece {
                     self.release_capacity(&upstream, step.result_bytes);
                     self.unused_results.push((upstream, handle));
@@ -202,11 +242,23 @@
 
     /// Refuses the plans that have waited too long and returns the calls to send now.
     pub fn dispatch(&mut self, now: Instant) -> Vec<Call> {
+        self.mark_past_aim(now);
         self.free_read_inputs(now);
-        let queues = self.queue_times(now);
-        let ends = self.expected_ends(&queues, now);
+        let services = self.fleets.iter();
+        let services = services.filter(|(service, fleet)| {
+            let queue = self.backlog.queue(service);
+            queue.is_some_and(|it| !it.ready.is_empty()) && !fleet.available(now).is_empty()
+        });
+        let services: Vec<id::Service> = services.map(|it| it.0.clone()).collect();
+        let is_scan_due = self.scan_at.is_none_or(|it| it <= now);
+        if services.is_empty() && !is_scan_due {
+            return Vec::new();
+        }
+        let ends = self.expected_ends(&services, is_scan_due, now);
         self.refuse_overdue(&ends, now);
-        let services: Vec<id::Service> = self.fleets.keys().cloned().collect();
+        if is_scan_due {
+            self.scan_at = Some(now + QUEUE_SCAN_INTERVAL);
+        }
         let mut calls = Vec::new();
         for service in services {
             let mut candidates = self.candidates(&service, &ends, now);
@@ -240,6 +292,30 @@
         unblocked_at.chain(scan).min()
     }
 
+    /// Expected times of the responses to the plans that are ready at one of `services`, or to all
+    /// plans that have waiting pieces; in the order of the plans.
+    fn expected_ends(
+        &mut self,
+        services: &[id::Service],
+        is_for_all: bool,
+        now: Instant,
+    ) -> Vec<(PlanId, Instant)> {
+        let forecast = self.forecast(None, now);
+        let end = |id: PlanId| Some((id, forecast.expected_end(self.plans.get(&id)?)));
+        let waiting = &self.backlog.waiting_plans;
+        let ends: Vec<(PlanId, Instant)> = if is_for_all {
+            waiting.iter().copied().filter_map(end).collect()
+        } else {
+            let queues = services.iter().filter_map(|it| self.backlog.queue(it));
+            let mut plans: Vec<PlanId> = queues.flat_map(|it| &it.ready).map(|it| it.0).collect();
+            plans.sort_unstable();
+            plans.dedup();
+            plans.into_iter().filter_map(end).collect()
+        };
+        self.visits += ends.len() as u64;
+        ends
+    }
+
     fn refuse_overdue(&mut self, ends: &[(PlanId, Instant)], now: Instant) {
         let overdue: Vec<PlanId> = ends
             .iter()
@@ -247,16 +323,29 @@
             .map(|(id, _)| *id)
             .collect();
         for id in overdue {
-            let active = &self.plans[&id];
-            let services = active.plan.steps.iter().map(|it| &it.service);
-            let drain = services
-                .map(|it| self.drain_time(it, active.plan.priority, now))
-                .max()
-                .unwrap_or_default();
+            let drain = self.drain_time_of(&self.plans[&id].plan, |_| true, now);
             self.refuse(id, Refusal::TooLate(drain));
         }
     }
 
+    /// Updates the counts after a change of a plan.
+    fn recount(&mut self, id: PlanId) {
+        if let Some(active) = self.plans.get_mut(&id) {
+            self.backlog.recount(id, active);
+        }
+    }
+
+    /// Takes the plans whose soft deadline has passed out of the queues of work in time.
+    fn mark_past_aim(&mut self, now: Instant) {
+        while let Some(id) = self.backlog.pop_past_aim(now) {
+            self.visits += 1;
+            if let Some(active) = self.plans.get_mut(&id) {
+                active.is_past_aim = true;
+            }
+            self.recount(id);
+        }
+    }
+
     fn refuse(&mut self, id: PlanId, refusal: Refusal) {
         self.release(id);
         self.ended.push((id, Err(refusal)));
@@ -270,9 +359,15 @@
 
     /// Frees results that all calls which read them have fetched.
     fn free_read_inputs(&mut self, now: Instant) {
-        let active = self.plans.values_mut().filter(|it| !it.is_delivered);
-        let freed: Vec<_> = active.flat_map(|it| it.take_read_results(now)).collect();
-        self.free_results(freed);
+        for id in self.backlog.take_unchecked(now) {
+            let active = self.plans.get_mut(&id).filter(|it| !it.is_delivered);
+            self.visits += 1;
+            if let Some(active) = active {
+                let freed = active.take_read_results(now);
+                self.backlog.recount_checked(id, active);
+                self.free_results(freed);
+            }
+        }
     }
 
     fn free_results(&mut self, results: Vec<(id::Upstream, Handle, u64)>) {
@@ -292,18 +387,20 @@
     /// Requeues the pieces whose results were kept by an upstream that has left or restarted.
     fn discard_results_of(&mut self, upstream: &id::Upstream, now: Instant) {
         self.unused_results.retain(|it| it.0 != *upstream);
-        for active in self.plans.values_mut().filter(|it| !it.is_delivered) {
+        for (id, active) in self.plans.iter_mut().filter(|it| !it.1.is_delivered) {
             let mut is_missing = false;
             for progress in &mut active.steps {
-                for piece in &mut progress.pieces {
-                    if matches!(piece, PieceState::Done(producer, _) if producer == upstream) {
-                        *piece = PieceState::Waiting;
+                for piece in 0..progress.pieces().len() {
+                    let state = &progress.pieces()[piece];
+                    if matches!(state, PieceState::Done(producer, _) if producer == upstream) {
+                        progress.set(piece, PieceState::Waiting);
                         is_missing = true;
                     }
                 }
             }
             if is_missing {
                 active.requeue_freed_inputs(now);
+                self.backlog.recount(*id, active);
             }
         }
     }
--- a/crates/stages/src/planner/active.rs
+++ b/crates/stages/src/planner/active.rs
@@ -3,6 +3,7 @@
 use base::id;
 use tokio::time::Instant;
 
+use super::backlog::Count;
 use crate::call::Input;
 use crate::plan::Handle;
 use crate::plan::Plan;
@@ -18,33 +19,103 @@
     Freed,
 }
 
+impl PieceState {
+    fn is_finished(&self) -> bool {
+        matches!(self, PieceState::Done(..) | PieceState::Freed)
+    }
+}
+
+/// What a step adds to the counts of its service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Counted {
+    pub(super) count: Count,
+    /// Whether pieces wait whose inputs exist.
+    pub(super) is_ready: bool,
+}
+
 #[derive(Debug)]
 pub(super) struct StepProgress {
-    pub(super) pieces: Vec<PieceState>,
+    /// Changed by [`StepProgress::set`] alone, which keeps the numbers below.
+    pieces: Vec<PieceState>,
+    waiting: usize,
+    unfinished: usize,
     /// Time since which all inputs have existed; `None` while one is missing.
     pub(super) ready_since: Option<Instant>,
     /// Expected end of the call that holds the pieces sent last.
     pub(super) last_call_end: Option<Instant>,
+    /// Queue of the step's service.
+    pub(super) slot: usize,
+    /// What the counts hold of this step.
+    pub(super) counted: Counted,
 }
 
 impl StepProgress {
+    pub(super) fn new(pieces: usize, ready_since: Option<Instant>, slot: usize) -> StepProgress {
+        StepProgress {
+            pieces: vec![PieceState::Waiting; pieces],
+            waiting: pieces,
+            unfinished: pieces,
+            ready_since,
+            last_call_end: None,
+            slot,
+            counted: Counted::default(),
+        }
+    }
+
+    pub(super) fn pieces(&self) -> &[PieceState] {
+        &self.pieces
+    }
+
+    pub(super) fn into_pieces(self) -> Vec<PieceState> {
+        self.pieces
+    }
+
+    /// Sets the state of a piece and returns the previous one.
+    pub(super) fn set(&mut self, piece: usize, state: PieceState) -> PieceState {
+        self.waiting += usize::from(state == PieceState::Waiting);
+        self.unfinished += usize::from(!state.is_finished());
+        let previous = std::mem::replace(&mut self.pieces[piece], state);
+        self.waiting -= usize::from(previous == PieceState::Waiting);
+        self.unfinished -= usize::from(!previous.is_finished());
+        previous
+    }
+
     pub(super) fn is_done(&self) -> bool {
-        let mut pieces = self.pieces.iter();
-        pieces.all(|it| matches!(it, PieceState::Done(..) | PieceState::Freed))
+        self.unfinished == 0
     }
 
     /// Whether every piece has read its inputs.
     fn has_read_inputs(&self, now: Instant) -> bool {
-        self.pieces.iter().all(|it| match it {
-            PieceState::Waiting => false,
-            PieceState::InCall(read) => read.is_some_and(|it| it <= now),
-            PieceState::Done(..) | PieceState::Freed => true,
-        })
+        self.waiting == 0
+            && self.pieces.iter().all(|it| match it {
+                PieceState::Waiting => false,
+                PieceState::InCall(read) => read.is_some_and(|it| it <= now),
+                PieceState::Done(..) | PieceState::Freed => true,
+            })
     }
 
     pub(super) fn waiting_count(&self) -> usize {
+        self.waiting
+    }
+
+    /// What the step adds to the counts, by the numbers that it keeps.
+    pub(super) fn count(&self, is_past_aim: bool) -> Counted {
+        self.counted_of(self.waiting, is_past_aim)
+    }
+
+    /// The same, computed from every piece.
+    pub(super) fn recount(&self, is_past_aim: bool) -> Counted {
         let waiting = self.pieces.iter().filter(|it| **it == PieceState::Waiting);
-        waiting.count()
+        self.counted_of(waiting.count(), is_past_aim)
+    }
+
+    fn counted_of(&self, waiting: usize, is_past_aim: bool) -> Counted {
+        let is_ready = waiting > 0 && self.ready_since.is_some();
+        let in_time = if is_ready && !is_past_aim { waiting } else { 0 };
+        Counted {
+            count: Count { waiting, in_time },
+            is_ready,
+        }
     }
 }
 
@@ -57,6 +128,8 @@
     pub(super) piece_failures: u32,
     /// Whether the final results have been reported; the plan remains until it is released.
     pub(super) is_delivered: bool,
+    /// Whether the soft deadline has passed.
+    pub(super) is_past_aim: bool,
 }
 
 impl ActivePlan {
@@ -68,9 +141,10 @@
                 continue;
             }
             for input in self.plan.steps[idx].after.clone() {
-                for piece in &mut self.steps[input].pieces {
-                    if *piece == PieceState::Freed {
-                        *piece = PieceState::Waiting;
+                let progress = &mut self.steps[input];
+                for piece in 0..progress.pieces.len() {
+                    if progress.pieces[piece] == PieceState::Freed {
+                        progress.set(piece, PieceState::Waiting);
                     }
                 }
             }
@@ -97,10 +171,9 @@
             if readers.peek().is_none() || !readers.all(|(_, it)| it.has_read_inputs(now)) {
                 continue;
             }
-            for piece in &mut self.steps[idx].pieces {
-                if let PieceState::Done(upstream, handle) =
-                    std::mem::replace(piece, PieceState::Freed)
-                {
+            let progress = &mut self.steps[idx];
+            for piece in 0..progress.pieces.len() {
+                if let PieceState::Done(upstream, handle) = progress.set(piece, PieceState::Freed) {
                     freed.push((upstream, handle, self.plan.steps[idx].result_bytes));
                 }
             }
@@ -115,7 +188,7 @@
     if after.is_empty() {
         return Input::Key(active.plan.key.clone());
     }
-    let pieces = after.iter().flat_map(|it| &active.steps[*it].pieces);
+    let pieces = after.iter().flat_map(|it| active.steps[*it].pieces());
     let handles = pieces.filter_map(|it| match it {
         PieceState::Done(_, handle) => Some(handle.clone()),
         _ => None,
--- a/crates/stages/src/planner/forecast.rs
+++ b/crates/stages/src/planner/forecast.rs
@@ -1,15 +1,15 @@
 //! Estimates of response times and queue drain times, and the time at which late work is refused.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use base::id;
 use tokio::time::Instant;
 
-use super::PlanId;
 use super::Planner;
 use super::active::ActivePlan;
 use super::active::StepProgress;
+use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::plan::Step;
 
 /// Time that late work waits beyond its soft deadline before it is refused, so that the client
@@ -21,9 +21,30 @@
 /// work.
 const LATE_WAIT_MAX_STARTED: Duration = Duration::from_millis(2_500);
 
-/// Drain time, by service and priority, of the waiting work that is ready and whose soft deadline
-/// has not passed.
-pub(super) type QueueTimes = BTreeMap<id::Service, BTreeMap<u8, Duration>>;
+/// What the expected times at one service are computed from, at one point in time.
+struct ServiceTimes {
+    hold_off: Duration,
+    call_time: Duration,
+    wait: Duration,
+    /// Drain time of the waiting work that is ready and whose soft deadline has not passed, by
+    /// priority, each with that of all more urgent ones.
+    queues: Vec<(u8, Duration)>,
+}
+
+impl ServiceTimes {
+    /// Drain time of the work that precedes one of `priority`: that of the same or a more urgent one.
+    fn queue_ahead(&self, priority: u8) -> Duration {
+        let mut queues = self.queues.iter().rev();
+        let ahead = queues.find(|it| it.0 <= priority);
+        ahead.map_or(Duration::ZERO, |it| it.1)
+    }
+}
+
+/// [`ServiceTimes`] by queue; `None` for services that were not asked for.
+pub(super) struct Forecast {
+    times: Vec<Option<ServiceTimes>>,
+    now: Instant,
+}
 
 impl Planner {
     /// Time in which the queued work of this and more urgent priorities drains.
@@ -32,65 +53,67 @@
         let Some(fleet) = self.fleets.get(service) else {
             return Duration::ZERO;
         };
-        let plans = self
-            .plans
-            .values()
-            .filter(|it| it.plan.priority <= priority);
-        let pieces: usize = plans
-            .flat_map(|it| it.plan.steps.iter().zip(&it.steps))
-            .filter(|(step, _)| step.service == *service)
-            .map(|(_, progress)| progress.waiting_count())
-            .sum();
+        let queue = self.backlog.queue(service).into_iter();
+        let counts = queue.flat_map(|it| it.by_priority.range(..=priority));
+        let pieces: usize = counts.map(|(_, it)| it.waiting).sum();
         let calls = pieces.div_ceil(fleet.limits.batch_max.max(1));
         let call_rounds = calls.div_ceil(fleet.accepting_count(now).max(1));
         fleet.hold_off_time(now) + fleet.average_call_time() * call_rounds as u32
     }
 
-    /// Current drain times of the work that waits at each service.
-    pub(super) fn queue_times(&self, now: Instant) -> QueueTimes {
-        let mut queues = QueueTimes::new();
-        let in_time = self.plans.values().filter(|it| it.plan.soft_deadline > now);
-        for active in in_time.filter(|it| !it.is_delivered) {
-            for (step, progress) in active.plan.steps.iter().zip(&active.steps) {
-                if progress.ready_since.is_none() {
-                    continue;
-                }
-                let time =
-                    self.queue_time_per_piece(&step.service, now) * progress.waiting_count() as u32;
-                let queue = queues.entry(step.service.clone()).or_default();
-                *queue.entry(active.plan.priority).or_default() += time;
+    /// Drain time of the plan's steps that `is_counted` selects, the longest of them.
+    pub(super) fn drain_time_of(
+        &self,
+        plan: &Plan,
+        is_counted: impl Fn(&Step) -> bool,
+        now: Instant,
+    ) -> Duration {
+        let steps = plan.steps.iter().filter(|it| is_counted(it));
+        let times = steps.map(|it| self.drain_time(&it.service, plan.priority, now));
+        times.max().unwrap_or_default()
+    }
+
+    /// Current times of all services, or of those of `plan`. Plans whose soft deadline has passed must
+    /// have been taken out of the counts before.
+    pub(super) fn forecast(&self, plan: Option<&Plan>, now: Instant) -> Forecast {
+        let mut times = Vec::new();
+        for (service, slot) in self.backlog.services() {
+            if times.len() <= slot {
+                times.resize_with(slot + 1, || None);
             }
+            let is_asked = plan.is_none_or(|it| it.steps.iter().any(|it| it.service == *service));
+            let fleet = self.fleets.get(service).filter(|_| is_asked);
+            times[slot] = fleet.map(|it| self.service_times(it, slot, now));
         }
-        queues
+        Forecast { times, now }
     }
 
-    /// Time that each waiting piece adds to a service's queue.
-    fn queue_time_per_piece(&self, service: &id::Service, now: Instant) -> Duration {
-        let Some(fleet) = self.fleets.get(service) else {
-            return Duration::ZERO;
-        };
+    fn service_times(&self, fleet: &Fleet, slot: usize, now: Instant) -> ServiceTimes {
         let concurrent_pieces = fleet.limits.batch_max.max(1) * fleet.accepting_count(now).max(1);
-        fleet.full_call_time() / concurrent_pieces as u32
+        let time_per_piece = fleet.full_call_time() / concurrent_pieces as u32;
+        let mut total = Duration::ZERO;
+        let counts = self.backlog.queue_at(slot).by_priority.iter();
+        let queues = counts.map(|(priority, count)| {
+            total += time_per_piece * count.in_time as u32;
+            (*priority, total)
+        });
+        ServiceTimes {
+            hold_off: fleet.hold_off_time(now),
+            call_time: fleet.average_call_time().max(fleet.nominal_time(1)),
+            wait: fleet.average_wait_time(),
+            queues: queues.collect(),
+        }
     }
+}
 
+impl Forecast {
     /// Expected time of the response if everything that is ready is sent now.
-    pub(super) fn expected_end(
-        &self,
-        active: &ActivePlan,
-        queues: &QueueTimes,
-        now: Instant,
-    ) -> Instant {
+    pub(super) fn expected_end(&self, active: &ActivePlan) -> Instant {
         let mut ends: Vec<Instant> = Vec::with_capacity(active.steps.len());
-        let mut last = now;
+        let mut last = self.now;
         for (step, progress) in active.plan.steps.iter().zip(&active.steps) {
             let inputs_done_at = step.after.iter().map(|it| ends[*it]).max();
-            let end = self.expected_step_end(
-                step,
-                progress,
-                inputs_done_at,
-                queue_ahead(queues, active, step),
-                now,
-            );
+            let end = self.expected_step_end(progress, inputs_done_at, active.plan.priority);
             ends.push(end);
             last = last.max(end);
         }
@@ -99,52 +122,27 @@
 
     fn expected_step_end(
         &self,
-        step: &Step,
         progress: &StepProgress,
         inputs_done_at: Option<Instant>,
-        queue: Duration,
-        now: Instant,
+        priority: u8,
     ) -> Instant {
+        let now = self.now;
         if progress.is_done() {
             return now;
         }
         if progress.waiting_count() == 0 {
             return progress.last_call_end.unwrap_or(now).max(now);
         }
-        let Some(fleet) = self.fleets.get(&step.service) else {
+        let Some(times) = self.times.get(progress.slot).and_then(Option::as_ref) else {
             return now;
         };
-        let time = fleet
-            .average_call_time()
-            .max(fleet.nominal_time(step.pieces.min(1)));
         match inputs_done_at {
-            Some(at) if at > now => at + fleet.average_wait_time().max(queue) + time,
-            _ => now + fleet.hold_off_time(now) + time,
+            Some(at) if at > now => {
+                at + times.wait.max(times.queue_ahead(priority)) + times.call_time
+            }
+            _ => now + times.hold_off + times.call_time,
         }
     }
-
-    /// Expected times of the responses to all plans that have waiting pieces.
-    pub(super) fn expected_ends(
-        &self,
-        queues: &QueueTimes,
-        now: Instant,
-    ) -> Vec<(PlanId, Instant)> {
-        let waiting = self
-            .plans
-            .iter()
-            .filter(|(_, it)| !it.is_delivered)
-            .filter(|(_, it)| it.steps.iter().any(|step| step.waiting_count() > 0));
-        let ends = waiting.map(|(id, it)| (*id, self.expected_end(it, queues, now)));
-        ends.collect()
-    }
-}
-
-/// Drain time of the work at the step's service that precedes the plan: that of the same or a more
-/// urgent priority.
-fn queue_ahead(queues: &QueueTimes, active: &ActivePlan, step: &Step) -> Duration {
-    let queue = queues.get(&step.service).into_iter();
-    let ahead = queue.flat_map(|it| it.range(..=active.plan.priority));
-    ahead.map(|it| *it.1).sum()
 }
 
 /// Time at which a plan that still waits is refused.
@@ -153,7 +151,7 @@
     let deadline = active.plan.deadline;
     let latest_start = deadline.checked_sub(time_needed).unwrap_or(now);
     let mut steps = active.steps.iter();
-    let is_unstarted = steps.all(|it| it.waiting_count() == it.pieces.len());
+    let is_unstarted = steps.all(|it| it.waiting_count() == it.pieces().len());
     let late_wait = if is_unstarted {
         LATE_WAIT_MAX
     } else {
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -65,29 +65,27 @@
         now: Instant,
     ) -> Vec<Candidate> {
         let mut candidates = Vec::new();
-        for (id, end) in ends {
-            let Some(active) = self.plans.get(id) else {
+        let ready = self.backlog.queue(service).into_iter();
+        for (id, idx) in ready.flat_map(|it| &it.ready) {
+            let end = ends
+                .binary_search_by_key(id, |it| it.0)
+                .map(|it| ends[it].1);
+            let (Some(active), Ok(end)) = (self.plans.get(id), end) else {
                 continue;
             };
-            for (idx, step) in active.plan.steps.iter().enumerate() {
-                let progress = &active.steps[idx];
-                let waiting = progress.waiting_count();
-                let Some(ready_since) = progress.ready_since else {
-                    continue;
-                };
-                if step.service != *service || waiting == 0 {
-                    continue;
-                }
-                candidates.push(Candidate {
-                    plan: *id,
-                    step: idx,
-                    rank: self.rank(active, *end),
-                    waiting,
-                    result_bytes: step.result_bytes,
-                    preferred_zone: self.preferred_zone(active, idx, now),
-                    ready_since,
-                });
-            }
+            let progress = &active.steps[*idx];
+            let Some(ready_since) = progress.ready_since else {
+                continue;
+            };
+            candidates.push(Candidate {
+                plan: *id,
+                step: *idx,
+                rank: self.rank(active, end),
+                waiting: progress.waiting_count(),
+                result_bytes: active.plan.steps[*idx].result_bytes,
+                preferred_zone: self.preferred_zone(active, *idx, now),
+                ready_since,
+            });
         }
         candidates.sort_by_key(|it| (it.rank, it.plan, it.step));
         candidates
@@ -110,7 +108,7 @@
             .result_bytes
             .saturating_mul(steps[step].pieces as u64);
         let zone = if input_bytes >= ZONE_AFFINITY_BYTES_MIN {
-            let mut pieces = inputs.iter().flat_map(|it| &active.steps[*it].pieces);
+            let mut pieces = inputs.iter().flat_map(|it| active.steps[*it].pieces());
             let producer = pieces.find_map(|it| match it {
                 PieceState::Done(upstream, _) => Some(upstream),
                 _ => None,
@@ -254,13 +252,14 @@
         let remaining = active.plan.deadline.saturating_duration_since(now);
         let progress = &mut active.steps[step];
         progress.last_call_end = Some(expected_end);
-        let waiting = progress.pieces.iter_mut().enumerate();
+        let waiting = progress.pieces().iter().enumerate();
         let waiting = waiting
             .filter(|(_, it)| **it == PieceState::Waiting)
-            .take(count);
+            .map(|it| it.0);
+        let waiting: Vec<usize> = waiting.take(count).collect();
         let mut items = Vec::with_capacity(count);
-        for (piece, state) in waiting {
-            *state = PieceState::InCall(inputs_read_at);
+        for piece in waiting {
+            progress.set(piece, PieceState::InCall(inputs_read_at));
             items.push(Item {
                 plan: id,
                 step,
@@ -272,6 +271,10 @@
                 input: input.clone(),
             });
         }
+        if let Some(at) = inputs_read_at {
+            self.backlog.check_inputs_at(at, id);
+        }
+        self.recount(id);
         items
     }
 }
--- a/crates/stages/src/planner/outcome.rs
+++ b/crates/stages/src/planner/outcome.rs
@@ -115,15 +115,16 @@
         let Some(active) = self.plans.get_mut(&item.plan) else {
             return;
         };
-        active.steps[item.step].pieces[item.piece] =
-            PieceState::Done(call.upstream.clone(), handle);
+        let state = PieceState::Done(call.upstream.clone(), handle);
+        active.steps[item.step].set(item.piece, state);
         if !active.steps[item.step].is_done() {
-            return;
+            return self.recount(item.plan);
         }
         active.update_ready(now);
         let is_done = active.steps.iter().all(StepProgress::is_done);
         let freed = active.take_read_results(now);
         self.free_results(freed);
+        self.recount(item.plan);
         if !is_done {
             return;
         }
@@ -144,7 +145,7 @@
             if has_readers(idx) {
                 continue;
             }
-            for piece in &progress.pieces {
+            for piece in progress.pieces() {
                 let PieceState::Done(upstream, handle) = piece else {
                     continue;
                 };
@@ -164,9 +165,10 @@
 
     fn requeue(&mut self, item: &Item, now: Instant) {
         if let Some(active) = self.plans.get_mut(&item.plan) {
-            active.steps[item.step].pieces[item.piece] = PieceState::Waiting;
+            active.steps[item.step].set(item.piece, PieceState::Waiting);
             active.requeue_freed_inputs(now);
         }
+        self.recount(item.plan);
     }
 
     fn retry_or_refuse(&mut self, item: &Item, now: Instant) {
@@ -189,18 +191,19 @@
         let inputs = active.plan.steps[item.step].after.clone();
         let mut dropped = Vec::new();
         for idx in inputs {
-            for piece in &mut active.steps[idx].pieces {
-                if !matches!(piece, PieceState::Done(..)) {
+            let progress = &mut active.steps[idx];
+            for piece in 0..progress.pieces().len() {
+                if !matches!(progress.pieces()[piece], PieceState::Done(..)) {
                     continue;
                 }
-                if let PieceState::Done(upstream, handle) =
-                    std::mem::replace(piece, PieceState::Waiting)
+                if let PieceState::Done(upstream, handle) = progress.set(piece, PieceState::Waiting)
                 {
                     dropped.push((upstream, handle, active.plan.steps[idx].result_bytes));
                 }
             }
         }
         active.requeue_freed_inputs(now);
+        self.recount(item.plan);
         self.free_results(dropped);
     }
 }
