Tell a slow owner from a lost one

In a burst an owner that needed over 300 ms for its first answer was suspected, its connection was dropped with all that waited on it, and its shard moved to the next instance without state: pieces were made again, and the next owner drowned in turn.

The client for other instances moves from peers.rs to a leaf module, liveness.rs.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -301,7 +301,7 @@
             merge_news(node, update.news)
         }
         Err(_) => {
-            if node.peers.record_timeout(member).await {
+            if node.peers.record_silence(member).await {
                 slog::warn!(node.logger(), "reader_lost"; "instance" => %member.instance,
                     "waited_ms" => PEER_TIMEOUT.as_millis() as u64);
             }
--- a/crates/node/src/origin.rs
+++ b/crates/node/src/origin.rs
@@ -277,7 +277,7 @@
     if is_taken {
         node.peers.record_answer(&member.instance);
     }
-    if reply.is_err() && node.peers.record_timeout(member).await {
+    if reply.is_err() && node.peers.record_silence(member).await {
         slog::warn!(node.logger(), "custodian_lost"; "instance" => %member.instance);
     }
     is_taken
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,16 +1,9 @@
-//! Requests to other instances, detection of unresponsive ones, and the handler for their requests.
+//! The handler for the requests of other instances.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::OnceLock;
-use std::sync::PoisonError;
 use std::sync::Weak;
 use std::time::Duration;
 
-use base::id;
-use catalog::Member;
 use forwarding::origin::ORIGIN_TTL_MAX;
 use forwarding::origin::Record;
 use forwarding::poison::Source;
@@ -21,7 +14,6 @@
 use stages::Refusal;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use wire::Protocol;
 use wire::Reply;
 use wire::Request;
 use wire::message::News;
@@ -32,7 +24,6 @@
 use wire::steps::Progress;
 use wire::steps::Terms;
 use wire::tunnel;
-use wire::tunnel::Tunnel;
 
 use crate::detour;
 use crate::quota;
@@ -40,17 +31,10 @@
 use crate::state::Node;
 use crate::suspicion;
 
-/// Timeout after which a peer is skipped. An answer between zones takes 4 ms, and a peer that has
-/// used up its CPU quota stalls for up to 100 ms.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-/// A peer that answered within this time counts as alive without another ping.
-const ALIVE_CACHE_TIME: Duration = Duration::from_millis(300);
-/// Time for which a peer is suspected, that is skipped, after its first timeout; doubled after each
-/// further one. It is short because instances that start together are not all reachable at first:
-/// if they skipped each other for longer, each would run the same steps itself.
-const SUSPICION_MIN: Duration = Duration::from_millis(250);
-/// Longest time for which a peer is suspected; the row of a dead peer lapses soon after.
-const SUSPICION_MAX: Duration = Duration::from_secs(2);
+pub use crate::liveness::ANSWER_TIMEOUT;
+pub use crate::liveness::Answer;
+pub use crate::liveness::Peers;
+
 /// Longest wait of a long poll for newer rows. The answer then has no rows, but tells the
 /// requesting instance how old its rows are.
 const ROWS_POLL_MAX: Duration = Duration::from_millis(400);
@@ -58,165 +42,6 @@
 /// to take it to be unavailable, and wait for the age of the rows rather than for rows.
 const ROWS_POLL_AFTER_GAP_MAX: Duration = Duration::from_millis(100);
 
-#[derive(Debug, Default)]
-struct PeerStatus {
-    /// Incarnation that the connection belongs to; 0 before the first call.
-    incarnation: u64,
-    answered_at: Option<Instant>,
-    suspected_until: Option<Instant>,
-    /// Timeouts since the last answer; those during a suspicion are not counted.
-    timeouts: u32,
-}
-
-/// Client for the other instances, and the liveness of each.
-#[derive(Default)]
-pub struct Peers {
-    client: OnceLock<Arc<wire::quic::Client>>,
-    statuses: Mutex<BTreeMap<id::Instance, PeerStatus>>,
-}
-
-impl Peers {
-    /// Sets the client, once the certificates are known.
-    pub fn set_client(&self, client: Arc<wire::quic::Client>) {
-        // A second client would be the same: the certificates of a deployment never change.
-        let _ = self.client.set(client);
-    }
-
-    /// Whether the client is set, so that requests to other instances are possible.
-    #[must_use]
-    pub fn has_client(&self) -> bool {
-        self.client.get().is_some()
-    }
-
-    /// Whether a member is skipped at present because it did not answer in time.
-    #[must_use]
-    pub fn is_suspected(&self, instance: &id::Instance) -> bool {
-        let statuses = self.statuses();
-        let until = statuses.get(instance).and_then(|it| it.suspected_until);
-        until.is_some_and(|it| it > Instant::now())
-    }
-
-    /// Sends a request to a member and returns the stream of its replies.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the member cannot be reached or the client is not set yet.
-    pub async fn open(
-        &self,
-        member: &Member,
-        request: Request,
-    ) -> Result<peer::Replies, peer::Error> {
-        self.open_with(member, |_| request).await
-    }
-
-    /// Sends the request that `request` makes for the protocol that the member speaks, and returns the
-    /// stream of its replies.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the member cannot be reached or the client is not set yet.
-    pub async fn open_with(
-        &self,
-        member: &Member,
-        request: impl FnOnce(Protocol) -> Request,
-    ) -> Result<peer::Replies, peer::Error> {
-        let client = self.client.get().ok_or(peer::Error::Unreachable)?;
-        if self.update_incarnation(member) {
-            // A request on the connection to the former process would be lost.
-            client.disconnect(member.address).await;
-        }
-        let (_, replies) = client.open_with(member.address, request).await?;
-        Ok(replies)
-    }
-
-    /// Opens a tunnel through a member.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the member cannot be reached or the client is not set yet; its answer if it opened
-    /// no tunnel.
-    pub async fn open_tunnel(
-        &self,
-        member: &Member,
-        open: tunnel::Open,
-    ) -> Result<Result<Tunnel, tunnel::Answer>, peer::Error> {
-        let client = self.client.get().ok_or(peer::Error::Unreachable)?;
-        if self.update_incarnation(member) {
-            client.disconnect(member.address).await;
-        }
-        client.open_tunnel(member.address, open).await
-    }
-
-    /// Records the member's incarnation; returns whether it has restarted since the last call.
-    fn update_incarnation(&self, member: &Member) -> bool {
-        let mut statuses = self.statuses();
-        let status = statuses.entry(member.instance.clone()).or_default();
-        let previous = std::mem::replace(&mut status.incarnation, member.incarnation);
-        if previous != member.incarnation {
-            status.suspected_until = None;
-            status.timeouts = 0;
-        }
-        previous != 0 && previous != member.incarnation
-    }
-
-    /// Records an answer of a member, which ends its suspicion.
-    pub fn record_answer(&self, instance: &id::Instance) {
-        let mut statuses = self.statuses();
-        let status = statuses.entry(instance.clone()).or_default();
-        status.answered_at = Some(Instant::now());
-        status.suspected_until = None;
-        status.timeouts = 0;
-    }
-
-    /// Records that a member did not answer in time and drops its connection. Returns false if the
-    /// member was suspected already: concurrent requests count the same failure once.
-    pub async fn record_timeout(&self, member: &Member) -> bool {
-        let is_newly_suspected = {
-            let mut statuses = self.statuses();
-            let status = statuses.entry(member.instance.clone()).or_default();
-            let now = Instant::now();
-            let is_newly_suspected = status.suspected_until.is_none_or(|it| it <= now);
-            if is_newly_suspected {
-                let suspicion_time = SUSPICION_MIN * 2_u32.saturating_pow(status.timeouts);
-                status.timeouts += 1;
-                status.suspected_until = Some(now + suspicion_time.min(SUSPICION_MAX));
-            }
-            is_newly_suspected
-        };
-        if let Some(client) = self.client.get() {
-            client.disconnect(member.address).await;
-        }
-        is_newly_suspected
-    }
-
-    /// Whether a member answered a moment ago or answers a ping.
-    pub async fn is_alive(&self, member: &Member) -> bool {
-        let answered_at = {
-            let statuses = self.statuses();
-            statuses.get(&member.instance).and_then(|it| it.answered_at)
-        };
-        if answered_at.is_some_and(|it| it.elapsed() < ALIVE_CACHE_TIME) {
-            return true;
-        }
-        let ping = async {
-            let mut replies = self.open(member, Request::Ping).await.ok()?;
-            replies.next().await
-        };
-        let is_alive = matches!(
-            tokio::time::timeout(ANSWER_TIMEOUT, ping).await,
-            Ok(Some(_))
-        );
-        if is_alive {
-            self.record_answer(&member.instance);
-        }
-        is_alive
-    }
-
-    fn statuses(&self) -> MutexGuard<'_, BTreeMap<id::Instance, PeerStatus>> {
-        self.statuses.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Handles the requests of other instances.
 pub struct Handler(pub Weak<Node>);
 
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -25,7 +25,7 @@
 
 use crate::owner;
 use crate::peers;
-use crate::peers::ANSWER_TIMEOUT;
+use crate::peers::Answer;
 use crate::quota;
 use crate::state::Node;
 
@@ -238,7 +238,11 @@
         let reply = replies.next().await?;
         Some((replies, reply))
     };
-    let (mut replies, mut reply) = tokio::time::timeout(ANSWER_TIMEOUT, first).await.ok()??;
+    // An owner that is slow, but answers pings, keeps its work: another one would have nothing of it.
+    let Answer::Given((mut replies, mut reply)) = node.peers.wait_for(member, None, first).await
+    else {
+        return None;
+    };
     loop {
         node.peers.record_answer(&member.instance);
         match reply {
@@ -271,8 +275,13 @@
     loop {
         match tokio::time::timeout(OWNER_CHECK_INTERVAL, replies.next()).await {
             Ok(reply) => return reply,
-            Err(_) if node.peers.is_alive(member).await => {}
-            Err(_) => return None,
+            Err(_) => tokio::select! {
+                biased;
+                reply = replies.next() => return reply,
+                is_alive = node.peers.is_alive(member) => if !is_alive {
+                    return None;
+                }
+            },
         }
     }
 }
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -38,6 +38,7 @@
 
 use crate::clock;
 use crate::peers::ANSWER_TIMEOUT;
+use crate::peers::Answer;
 use crate::prepare;
 use crate::state::Node;
 
@@ -384,7 +385,7 @@
 /// Like [`call`]; also returns the stream of the replies.
 async fn open(node: &Node, member: &Member, request: Request) -> Option<(Reply, Replies)> {
     let opened = try_open(node, member, request).await;
-    if opened.is_none() && node.peers.record_timeout(member).await {
+    if opened.is_none() && node.peers.record_silence(member).await {
         slog::warn!(node.logger(), "coordinator_lost"; "instance" => %member.instance);
     }
     opened
@@ -401,7 +402,15 @@
         let reply = replies.next().await?;
         Some((reply, replies))
     };
-    let opened = tokio::time::timeout(ANSWER_TIMEOUT, opened).await.ok()??;
-    node.peers.record_answer(&member.instance);
-    Some(opened)
+    match node
+        .peers
+        .wait_for(member, Some(ANSWER_TIMEOUT), opened)
+        .await
+    {
+        Answer::Given(opened) => {
+            node.peers.record_answer(&member.instance);
+            Some(opened)
+        }
+        Answer::Slow | Answer::Lost => None,
+    }
 }
