Have an owner that doesn't keep up turn steps away

An owner that fell behind took all steps that came, answered late or never, and was taken for lost; most of its requests were refused as too late after they had waited.

Each instance measures its lag, the time between the moment at which a timer is due and its handling, each 25 ms. If the lag has exceeded a bound for three periods of a quota, it turns steps away at once, before its planner: 200 ms for the most urgent priority, 100 ms for the next, 50 ms for all others. A peer of protocol 3 gets the new answer Busy with the time to wait, an older one TooLate.

The asking instance holds back steps of this and less urgent priorities for that time, and asks one other instance if it has at least half of the owner's processor and the queue of the upstreams leaves time; else it refuses with the time to wait. It also refuses by itself, for 100 ms, what an owner has just refused as late, for the same steps and priority, if even a queue that nothing has joined since leaves no time.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -29,6 +29,7 @@
 use stages::Refusal;
 use stages::Replica;
 use stages::Shard;
+use stages::pressure::Pressure;
 use stages::shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
@@ -43,6 +44,10 @@
 
 /// Unneeded results are freed in batches, at most this long after they became unneeded.
 const FREE_DELAY: Duration = Duration::from_millis(25);
+/// Interval at which the lag of this process is measured.
+const LAG_PROBE_INTERVAL: Duration = Duration::from_millis(25);
+/// Lag from which it is reported as a metric.
+const LAG_REPORTED_MIN: Duration = Duration::from_millis(50);
 /// Longest sleep of [`Owner::run`] when no planner and no event wakes it earlier.
 const IDLE_WAIT: Duration = Duration::from_secs(5);
 
@@ -84,6 +89,7 @@
     events: mpsc::UnboundedSender<UpstreamEvent>,
     bounds: Bounds,
     telemetry: Telemetry,
+    pressure: Mutex<Pressure>,
     /// When this process may place requests at engines whose cold limit it keeps.
     cold_sends_from: Instant,
 }
@@ -148,6 +154,7 @@
             events,
             bounds,
             telemetry,
+            pressure: Mutex::default(),
             cold_sends_from: cold::sends_from(Instant::now()),
         };
         let owner = Owner {
@@ -269,8 +276,42 @@
         self.shared.changed.notify_one();
     }
 
+    /// Time for which this process can't serve steps of a priority in time, as it doesn't keep up with
+    /// its events; `None` if it can.
+    #[must_use]
+    pub fn busy_for(&self, priority: u8) -> Option<Duration> {
+        self.pressure().busy_for(priority, Instant::now())
+    }
+
+    fn pressure(&self) -> MutexGuard<'_, Pressure> {
+        let pressure = self.shared.pressure.lock();
+        pressure.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Measures how late this process handles its events; never returns.
+    async fn watch_pressure(&self) {
+        loop {
+            let due = Instant::now() + LAG_PROBE_INTERVAL;
+            tokio::time::sleep_until(due).await;
+            let now = Instant::now();
+            let lag = now.saturating_duration_since(due);
+            self.pressure().record(lag, now);
+            if lag >= LAG_REPORTED_MIN {
+                let millis = lag.as_millis() as u64;
+                self.shared.telemetry.time_ms("owner.lag", millis);
+            }
+        }
+    }
+
     /// Drives the planners until cancelled. `node` is the one that this owner belongs to.
     pub async fn run(self, node: Arc<Node>) {
+        tokio::select! {
+            () = self.drive(node) => {}
+            () = self.watch_pressure() => {}
+        }
+    }
+
+    async fn drive(&self, node: Arc<Node>) {
         let mut tasks = JoinSet::new();
         let mut unused: BTreeMap<id::Upstream, Vec<Handle>> = BTreeMap::new();
         let mut free_at: Option<Instant> = None;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -54,9 +54,17 @@
             match request {
                 Request::Prepare(prepare) => {
                     let terms = Terms::default();
+                    if let Some(wait) = busy_for(&node, &prepare) {
+                        let progress = Progress::TooLate(wait);
+                        return send_reply(&replies, Reply::Steps(progress)).await;
+                    }
                     serve_prepare(&node, *prepare, &terms, replies).await;
                 }
                 Request::Schedule(schedule) => {
+                    if let Some(wait) = busy_for(&node, &schedule.prepare) {
+                        let progress = Progress::Busy(wait);
+                        return send_reply(&replies, Reply::Steps(progress)).await;
+                    }
                     serve_prepare(&node, schedule.prepare, &schedule.terms, replies).await;
                 }
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
@@ -97,6 +105,18 @@
     }
 }
 
+/// Time for which this instance takes no steps of a request's priority; `None` if it does.
+fn busy_for(node: &Node, prepare: &Prepare) -> Option<Duration> {
+    let has_steps = !prepare.steps.is_empty();
+    let wait = node
+        .owner
+        .busy_for(prepare.priority)
+        .filter(|_| has_steps)?;
+    slog::info!(node.logger(), "steps_turned_away"; "request" => &prepare.request,
+        "priority" => prepare.priority, "wait_ms" => wait.as_millis() as u64);
+    Some(wait)
+}
+
 /// Runs the steps of a request and places it at an engine. Keeps the results and the placement
 /// until the requesting instance closes the stream.
 async fn serve_prepare(
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -11,6 +11,7 @@
 use stages::Prepared;
 use stages::Refusal;
 use stages::Shard;
+use stages::pressure::Class;
 use stages::shard;
 use stages::shard::PrefixCache;
 use tokio::time::Instant;
@@ -31,8 +32,6 @@
 
 /// Prefix of the keys by which the owners of shards are determined.
 const OWNERSHIP_KEY_PREFIX: &str = "steps/";
-/// Age up to which the queue wait that a shard reported is used.
-const SHARD_WAIT_AGE_MAX: Duration = Duration::from_millis(500);
 /// Interval of liveness checks of the owner while its results are awaited.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Members that are tried in each round before this instance runs the steps itself.
@@ -100,6 +99,15 @@
         prepare_request
     }
 
+    fn class(&self) -> Class {
+        let steps = self.prepare.steps.iter();
+        Class {
+            shard: self.prepare.shard.clone(),
+            services: steps.map(|it| it.service.clone()).collect(),
+            priority: self.prepare.priority,
+        }
+    }
+
     fn to_message(&self) -> Prepare {
         let now = Instant::now();
         Prepare {
@@ -121,6 +129,9 @@
 ) -> Result<Preparation, Refusal> {
     let shard = choose_shard(node, prepare_request).ok_or(Refusal::NoUpstream)?;
     let prepare_request = &prepare_request.for_shard(shard.clone());
+    refuse_known_late(node, prepare_request)?;
+    // The owner that turned the steps away, and after which time it may be asked again.
+    let mut busy: Option<(Arc<Member>, Duration)> = None;
     for round in 0..ROUNDS_MAX {
         if round > 0 {
             tokio::time::sleep(ROUND_PAUSE).await;
@@ -129,21 +140,92 @@
             .into_iter()
             .take(REMOTE_OWNERS_MAX)
         {
-            if member.instance == node.settings.instance {
-                return prepare_locally(node, prepare_request, shard).await;
-            }
-            if let Some(result) = prepare_remotely(node, &member, prepare_request).await {
-                return result;
+            if let Some((owner, _)) = &busy
+                && !may_help(node, owner, &member, prepare_request)
+            {
+                continue;
             }
-            if node.peers.record_timeout(&member).await {
-                slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
-                    "request" => &prepare_request.prepare.request);
+            match ask(node, &member, prepare_request).await {
+                Asked::Ended(result) => return result,
+                Asked::Busy(wait) => {
+                    if let Some((_, first_wait)) = busy {
+                        return Err(Refusal::TooLate(first_wait.min(wait)));
+                    }
+                    busy = Some((member, wait));
+                }
+                Asked::Lost => {
+                    if node.peers.record_timeout(&member).await {
+                        slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
+                            "request" => &prepare_request.prepare.request);
+                    }
+                }
             }
         }
+        if let Some((owner, wait)) = busy {
+            slog::info!(node.logger(), "owner_busy"; "instance" => %owner.instance,
+                "request" => &prepare_request.prepare.request,
+                "wait_ms" => wait.as_millis() as u64);
+            return Err(Refusal::TooLate(wait));
+        }
     }
     prepare_locally(node, prepare_request, shard).await
 }
 
+/// Refuses steps of which an owner has just said that their like can't end in time.
+fn refuse_known_late(node: &Node, prepare_request: &PrepareRequest) -> Result<(), Refusal> {
+    let now = Instant::now();
+    let class = prepare_request.class();
+    let time_left = prepare_request.deadline.saturating_duration_since(now);
+    let wait = node.shard_waits().too_late(&class, time_left, now);
+    let Some(wait) = wait.filter(|_| !prepare_request.prepare.steps.is_empty()) else {
+        return Ok(());
+    };
+    slog::info!(node.logger(), "steps_known_late"; "request" => &prepare_request.prepare.request,
+        "wait_ms" => wait.as_millis() as u64, "left_ms" => time_left.as_millis() as u64);
+    Err(Refusal::TooLate(wait))
+}
+
+/// Whether a member may run steps that the owner turned away: it has half of its processor or more,
+/// and the queue of the upstreams leaves time, so that the owner's processor is what they lack.
+fn may_help(
+    node: &Node,
+    owner: &Member,
+    member: &Member,
+    prepare_request: &PrepareRequest,
+) -> bool {
+    let now = Instant::now();
+    let shard = &prepare_request.prepare.shard;
+    let wait = node.shard_waits().of_shard(shard, now);
+    let time_left = prepare_request.soft_deadline.saturating_duration_since(now);
+    member.cpu_share * 2.0 >= owner.cpu_share && wait < time_left
+}
+
+/// What a member made of steps.
+enum Asked {
+    Ended(Result<Preparation, Refusal>),
+    /// It doesn't keep up, and may be asked again after this time.
+    Busy(Duration),
+    Lost,
+}
+
+/// Has a member, or this instance, run the steps, unless it is known to be busy.
+async fn ask(node: &Arc<Node>, member: &Member, prepare_request: &PrepareRequest) -> Asked {
+    let is_local = member.instance == node.settings.instance;
+    let (priority, now) = (prepare_request.prepare.priority, Instant::now());
+    let busy = match is_local {
+        true => node.owner.busy_for(priority),
+        false => node.owner_holds().held_for(&member.instance, priority, now),
+    };
+    if let Some(wait) = busy.filter(|_| !prepare_request.prepare.steps.is_empty()) {
+        return Asked::Busy(wait);
+    }
+    if is_local {
+        let shard = prepare_request.prepare.shard.clone();
+        return Asked::Ended(prepare_locally(node, prepare_request, shard).await);
+    }
+    prepare_remotely(node, member, prepare_request).await
+}
+
 /// Runs the steps with this instance's own planner.
 async fn prepare_locally(
     node: &Arc<Node>,
@@ -155,8 +237,9 @@
     if !prepare_request.prepare.steps.is_empty() {
         let plan = peers::plan_from(prepare_request.to_message(), &prepare_request.terms);
         let mut guard = node.owner.submit(shard.clone(), plan)?;
-        let wait = (guard.queue_wait, Instant::now());
-        node.shard_waits().insert(shard.clone(), wait);
+        let (class, now) = (prepare_request.class(), Instant::now());
+        node.shard_waits()
+            .record_accepted(&class, guard.queue_wait, now);
         prepared = guard.prepared().await?;
         plan_guard = Some(guard);
     }
@@ -181,13 +264,9 @@
     if shards.len() == 1 {
         return shards.pop();
     }
-    let waits = node.shard_waits().clone();
+    let waits = node.shard_waits();
     let now = Instant::now();
-    let wait = |shard: &Shard| {
-        let wait = waits.get(shard);
-        let wait = wait.filter(|it| now.saturating_duration_since(it.1) < SHARD_WAIT_AGE_MAX);
-        wait.map_or(Duration::ZERO, |it| it.0)
-    };
+    let wait = |shard: &Shard| waits.of_shard(shard, now);
     let has_steps = !prepare.steps.is_empty();
     let candidates = shards.into_iter().map(|it| shard::Candidate {
         capacity: shard::capacity(&view, &it, services()),
@@ -217,12 +296,12 @@
     ordered_members.cloned().collect()
 }
 
-/// Has one member run the steps; `None` if it doesn't answer.
+/// Has one member run the steps.
 async fn prepare_remotely(
     node: &Arc<Node>,
     member: &Member,
     prepare_request: &PrepareRequest,
-) -> Option<Result<Preparation, Refusal>> {
+) -> Asked {
     let request = |protocol| {
         let prepare = prepare_request.to_message();
         match protocol {
@@ -241,32 +320,46 @@
     // An owner that is slow, but answers pings, keeps its work: another one would have nothing of it.
     let Answer::Given((mut replies, mut reply)) = node.peers.wait_for(member, None, first).await
     else {
-        return None;
+        return Asked::Lost;
     };
     loop {
         node.peers.record_answer(&member.instance);
         match reply {
             Reply::Steps(Progress::Accepted(wait)) => {
-                let shard = prepare_request.prepare.shard.clone();
-                node.shard_waits().insert(shard, (wait, Instant::now()));
+                let (class, now) = (prepare_request.class(), Instant::now());
+                node.shard_waits().record_accepted(&class, wait, now);
             }
             Reply::Steps(Progress::Prepared {
                 handles,
                 zone,
                 engine,
             }) => {
-                return Some(Ok(Preparation {
+                return Asked::Ended(Ok(Preparation {
                     prepared: Prepared { handles, zone },
                     engine,
                     leases: vec![Lease::Remote(replies)],
                 }));
             }
-            Reply::Steps(Progress::TooLate(drain)) => return Some(Err(Refusal::TooLate(drain))),
-            Reply::Steps(Progress::NoUpstream) => return Some(Err(Refusal::NoUpstream)),
-            Reply::Steps(Progress::Failed) => return Some(Err(Refusal::Failed)),
-            _ => return None,
+            Reply::Steps(Progress::TooLate(drain)) => {
+                let (class, now) = (prepare_request.class(), Instant::now());
+                node.shard_waits().record_late(class, drain, now);
+                return Asked::Ended(Err(Refusal::TooLate(drain)));
+            }
+            Reply::Steps(Progress::NoUpstream) => return Asked::Ended(Err(Refusal::NoUpstream)),
+            Reply::Steps(Progress::Failed) => return Asked::Ended(Err(Refusal::Failed)),
+            Reply::Steps(Progress::Busy(wait)) => {
+                let priority = prepare_request.prepare.priority;
+                let now = Instant::now();
+                node.owner_holds()
+                    .record(&member.instance, priority, wait, now);
+                return Asked::Busy(wait);
+            }
+            _ => return Asked::Lost,
         }
-        reply = next_reply(node, member, &mut replies).await?;
+        reply = match next_reply(node, member, &mut replies).await {
+            Some(reply) => reply,
+            None => return Asked::Lost,
+        };
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,7 +25,8 @@
 use mirror::succession::Origin;
 use platform::settings::Settings;
 use platform::store;
-use stages::Shard;
+use stages::pressure::Holds;
+use stages::pressure::Waits;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -102,9 +103,6 @@
     }
 }
 
-/// Per shard, the last reported time until its queue drains, and when it was reported.
-pub type ShardWaits = BTreeMap<Shard, (Duration, Instant)>;
-
 /// Shared state of one node process.
 pub struct Node {
     /// Settings as read at the start; later changes only reach [`Limits`] and the shutdown.
@@ -129,7 +127,8 @@
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
     paths: Mutex<Paths>,
-    shard_waits: Mutex<ShardWaits>,
+    shard_waits: Mutex<Waits>,
+    owner_holds: Mutex<Holds>,
     shutdown: Arc<OnceLock<Shutdown>>,
     /// Time from the stop signal to the exit, from the newest settings.
     stop_grace: Mutex<Duration>,
@@ -178,6 +177,7 @@
             store_recoveries: watch::Sender::new(0),
             store_copy: Mutex::default(),
             shard_waits: Mutex::default(),
+            owner_holds: Mutex::default(),
             shutdown: Arc::default(),
             stop_grace: Mutex::new(settings.stop_grace),
             in_flight: AtomicUsize::new(0),
@@ -343,11 +343,17 @@
     }
 
     /// Locks the drain times of the shards. The guard must not be held across an await.
-    pub fn shard_waits(&self) -> MutexGuard<'_, ShardWaits> {
+    pub fn shard_waits(&self) -> MutexGuard<'_, Waits> {
         let waits = self.shard_waits.lock();
         waits.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the holds that busy owners asked for. The guard must not be held across an await.
+    pub(crate) fn owner_holds(&self) -> MutexGuard<'_, Holds> {
+        let holds = self.owner_holds.lock();
+        holds.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the readiness check passes, so that the load balancer sends clients here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/node/tests/it/main.rs
+++ b/crates/node/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod breaks;
 mod buffer;
+mod busy;
 mod connections;
 mod crashes;
 mod endless;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod plan;
 mod planner;
+pub mod pressure;
 mod rank;
 pub mod shard;
 
--- a/crates/wire/src/steps.rs
+++ b/crates/wire/src/steps.rs
@@ -115,4 +115,7 @@
     NoUpstream,
     /// Too many pieces failed, or the request was aborted.
     Failed,
+    /// The owner doesn't keep up and has not looked at the steps; holds the time after which it may be
+    /// asked again. Only to peers of [`crate::Protocol::V3`].
+    Busy(#[serde_as(as = "Bounded")] Duration),
 }
