--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,4 +21,5 @@
 pub use site::Site;
 pub use site::fee_office;
 pub use site::fee_office_zone;
+pub use site::sorting_office;
 pub use site::supplement_shop;
--- a/crates/model/src/site.rs
+++ b/crates/model/src/site.rs
@@ -236,6 +236,46 @@
     }
 }
 
+/// The sorting office: its most urgent kind has a chain of three steps, for which its aim leaves little
+/// time, and shares the service of the first one with a less urgent kind that has this step alone.
+///
+/// # Panics
+///
+/// Never: its names are valid.
+#[must_use]
+pub fn sorting_office() -> Site {
+    let zone = ["a"; 5];
+    Site {
+        services: vec![
+            service("scans", 12, 14.0, 27.0, &zone),
+            service("notices", 60, 2.9, 8.0, &zone),
+            service("routes", 84, 2.0, 1.1, &zone),
+        ],
+        kinds: vec![
+            kind(
+                "parcel-quote",
+                25.0,
+                0,
+                (1_500, 6_000),
+                (3.0, 0.45),
+                step_chain(0, 6.0).to_vec(),
+            ),
+            kind(
+                "label-check",
+                40.0,
+                1,
+                (1_500, 6_000),
+                (1.0, 0.15),
+                vec![RequestStep {
+                    pieces: 2.0,
+                    ..DEFAULT_STEP
+                }],
+            ),
+        ],
+        time_after_steps: Duration::from_millis(250),
+    }
+}
+
 /// One zone of the fee office after growth. The zone is a shard: the site has the upstreams of that
 /// zone alone and its share of the traffic.
 ///
--- a/crates/xtask/src/experiment.rs
+++ b/crates/xtask/src/experiment.rs
@@ -50,6 +50,7 @@
     let sites = [
         ("fee office", model::fee_office()),
         ("supplement shop", model::supplement_shop()),
+        ("sorting office", model::sorting_office()),
         (
             "fee office, one zone of the grown site",
             model::fee_office_zone(),
