Compute once which upstreams an instance may send to without their owner

The order depends on the members alone. ownership::Shortlist keeps the rank for each upstream until the members change; it decides the same (a property against preference_order).

--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -20,6 +20,7 @@
 use forwarding::retry::Budget;
 use forwarding::retry::Pulse;
 use forwarding::retry::Roster;
+use ownership::Shortlist;
 use platform::settings::Bounds;
 use platform::settings::Settings;
 use tokio::time::Instant;
@@ -78,6 +79,8 @@
     /// Upstreams whose cold limit an owner keeps, but which this instance may also send to without
     /// that owner.
     fallback_upstreams: BTreeSet<id::Upstream>,
+    /// Upstreams that this instance may come to send to so.
+    shortlist: Shortlist,
     health: BTreeMap<id::Upstream, Health>,
     latency_model: LatencyModel,
     /// Requests that are suspected of crashing upstreams.
@@ -104,6 +107,7 @@
             retry_budgets: BTreeMap::new(),
             cold_windows: BTreeMap::new(),
             fallback_upstreams: BTreeSet::new(),
+            shortlist: Shortlist::new(instance.clone()),
             health: BTreeMap::new(),
             latency_model: LatencyModel::default(),
             quarantine: Quarantine::default(),
@@ -332,21 +336,23 @@
         });
     }
 
-    fn find_fallback_upstreams(&self, view: &View) -> BTreeSet<id::Upstream> {
+    fn find_fallback_upstreams(&mut self, view: &View) -> BTreeSet<id::Upstream> {
         let now = Instant::now();
-        let is_fallback = |upstream: &Upstream| {
+        let members = view.members.values().map(Arc::as_ref);
+        let is_known = |name: &id::Upstream| view.upstreams.contains_key(name);
+        self.shortlist.update(members, is_known);
+        let mut found = BTreeSet::new();
+        for upstream in view.upstreams.values() {
             let limit = cold_rate_limit(&self.bounds, view, &upstream.service);
             let Some(limit) = limit.filter(|it| self.is_owned(*it, now)) else {
-                return false;
+                continue;
             };
             let (count, _) = limit.fallback_shares();
-            let members = view.members.values().map(Arc::as_ref);
-            let order = ownership::preference_order(upstream.name.as_str(), members);
-            let mut allowed = order.into_iter().take(count);
-            allowed.any(|it| it.instance == self.instance)
-        };
-        let upstreams = view.upstreams.values().filter(|it| is_fallback(it));
-        upstreams.map(|it| it.name.clone()).collect()
+            if self.shortlist.includes(&upstream.name, count) {
+                found.insert(upstream.name.clone());
+            }
+        }
+        found
     }
 
     fn retry_budget(&mut self, service: &id::Service) -> &mut Budget {
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -5,6 +5,9 @@
 //! is no leader election: the members' views may differ for a while, and self-fencing in
 //! `membership` bounds the time in which two members act as owner.
 
+mod shortlist;
+
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use base::hash;
@@ -12,6 +15,8 @@
 use config::model;
 use wire::member;
 
+pub use shortlist::Shortlist;
+
 /// The owner of `upstream`, or `None` if no member is eligible.
 ///
 /// Members of incarnation 0 are not eligible: the platform lists them, but they have not been heard
@@ -41,10 +46,7 @@
 ) -> Vec<&'a catalog::Member> {
     let mut scored: Vec<(f64, &catalog::Member)> =
         members.into_iter().map(|it| (score(key, it), it)).collect();
-    scored.sort_by(|a, b| {
-        b.0.total_cmp(&a.0)
-            .then_with(|| a.1.instance.cmp(&b.1.instance))
-    });
+    scored.sort_by(|a, b| compare(*a, *b));
     scored.into_iter().map(|it| it.1).collect()
 }
 
@@ -67,6 +69,12 @@
     member.cpu_share.max(f64::MIN_POSITIVE).log2().round() as i32
 }
 
+/// Order of two members with their scores: the higher score first.
+fn compare(a: (f64, &catalog::Member), b: (f64, &catalog::Member)) -> Ordering {
+    let by_score = b.0.total_cmp(&a.0);
+    by_score.then_with(|| a.1.instance.cmp(&b.1.instance))
+}
+
 /// Score in weighted rendezvous hashing: the logarithm of a uniform hash, divided by the weight.
 fn score(key: &str, member: &catalog::Member) -> f64 {
     let hash = hash::hash_strs([key, member.instance.as_str()]);
