Share each step service fairly among workspaces

Under contention a workspace that sends ten times its part took the room of all others, as owners looked at priority and deadline alone; clients that repeat at once did the same. Within a priority, waiting work beyond the fair part of its workspace now goes after work within it (max-min, tags as in start-time fair queueing, usage halves in 2 s), and the backlog of another workspace no longer refuses a request at the entry. Only while more than one batch waits and more than one workspace has work there: else the order is unchanged.

--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -8,6 +8,7 @@
 //! their [`Outcome`]s.
 
 mod call;
+pub mod fairness;
 mod fleet;
 mod plan;
 mod planner;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -4,6 +4,7 @@
 mod forecast;
 mod form;
 mod outcome;
+mod share;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 
 use crate::call::Call;
 use crate::call::Item;
+use crate::fairness;
 use crate::fleet::Fleet;
 use crate::fleet::Replica;
 use crate::fleet::UpstreamState;
@@ -56,6 +58,8 @@
     unused_results: Vec<(id::Upstream, Handle)>,
     ended: Vec<(PlanId, Result<Prepared, Refusal>)>,
     policy: SchedulingPolicy,
+    /// What workspaces have used of each service.
+    ledgers: BTreeMap<id::Service, fairness::Ledger>,
     last_id: u64,
 }
 
@@ -160,7 +164,9 @@
             .max()
             .unwrap_or_default();
         let end = self.expected_end(&active, &self.queue_times(now), now);
-        if end > active.plan.deadline || now + drain > active.plan.deadline {
+        if end > active.plan.deadline
+            || now + self.fair_drain(&active, drain) > active.plan.deadline
+        {
             return Err(Refusal::TooLate(drain));
         }
         self.last_id += 1;
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -25,10 +25,10 @@
 
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
-    plan: PlanId,
+    pub(super) plan: PlanId,
     step: usize,
-    rank: Rank,
-    waiting: usize,
+    pub(super) rank: Rank,
+    pub(super) waiting: usize,
     result_bytes: u64,
     /// Zone that the work waits for until [`ZONE_AFFINITY_WAIT`] has passed.
     preferred_zone: Option<id::Zone>,
@@ -49,7 +49,7 @@
 impl Planner {
     fn rank(&self, active: &ActivePlan, expected_end: Instant) -> Rank {
         match self.policy {
-            SchedulingPolicy::Urgency => Rank::new(
+            SchedulingPolicy::Urgency | SchedulingPolicy::Unshared => Rank::new(
                 active.plan.priority,
                 active.plan.soft_deadline,
                 expected_end,
@@ -59,7 +59,7 @@
     }
 
     pub(super) fn candidates(
-        &self,
+        &mut self,
         service: &id::Service,
         ends: &[(PlanId, Instant)],
         now: Instant,
@@ -90,6 +90,7 @@
             }
         }
         candidates.sort_by_key(|it| (it.rank, it.plan, it.step));
+        self.share_out(service, &mut candidates, now);
         candidates
     }
 
@@ -184,6 +185,7 @@
         }
         let mut items = Vec::with_capacity(pieces);
         for (plan, step, count) in assigned {
+            self.charge(service, plan, count, now);
             items.extend(self.assign_pieces(plan, step, count, inputs_read_at, expected_end, now));
         }
         self.last_id += 1;
--- a/crates/stages/src/rank.rs
+++ b/crates/stages/src/rank.rs
@@ -6,16 +6,19 @@
 
 use tokio::time::Instant;
 
-/// Scheduling policy; [`SchedulingPolicy::FirstCome`] performs worse and remains for comparison.
+/// Scheduling policy; all but [`SchedulingPolicy::Urgency`] perform worse and remain for
+/// comparison.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum SchedulingPolicy {
-    /// Work that can meet its soft deadline goes before late work; then by priority, then by soft
-    /// deadline.
+    /// Work that can meet its soft deadline goes before late work; then by priority, then by the
+    /// fair parts of workspaces under contention, then by soft deadline.
     #[default]
     Urgency,
+    /// The same, with no regard to workspaces.
+    Unshared,
     /// First come, first served.
     FirstCome,
 }
