--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -5,6 +5,7 @@
 mod forecast;
 mod form;
 mod outcome;
+mod share;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 
 use crate::call::Call;
 use crate::call::Item;
+use crate::fairness;
 use crate::fleet::Fleet;
 use crate::fleet::Replica;
 use crate::fleet::UpstreamState;
@@ -61,6 +63,8 @@
     unused_results: Vec<(id::Upstream, Handle)>,
     ended: Vec<(PlanId, Result<Prepared, Refusal>)>,
     policy: SchedulingPolicy,
+    /// What workspaces have used of each service.
+    ledgers: BTreeMap<id::Service, fairness::Ledger>,
     last_id: u64,
     backlog: Backlog,
     /// When all waiting plans are checked for being overdue next.
@@ -198,7 +202,8 @@
         self.visits += 1;
         let drain = self.drain_time_of(&active.plan, |it| it.after.is_empty(), now);
         let end = self.forecast(Some(&active.plan), now).expected_end(&active);
-        if end > active.plan.deadline || now + drain > active.plan.deadline {
+        let fair_drain = self.fair_drain(&active, drain);
+        if end > active.plan.deadline || now + fair_drain > active.plan.deadline {
             return Err(Refusal::TooLate(drain));
         }
         self.last_id += 1;
