--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -103,6 +103,34 @@
         })
     }
 
+    /// Returns the largest resident set size so far, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has exited.
+    pub fn peak_memory(&self) -> eyre::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|it| it.trim().strip_suffix(" kB"));
+        let kib = kib.ok_or_else(|| eyre::eyre!("no peak in the status of {}", self.name))?;
+        Ok(kib.trim().parse::<u64>()? * 1024)
+    }
+
+    /// Returns the number of open sockets and pipes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has exited.
+    pub fn open_sockets(&self) -> eyre::Result<usize> {
+        let entries = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?;
+        let targets = entries.filter_map(|it| std::fs::read_link(it.ok()?.path()).ok());
+        let is_socket = |target: &std::path::PathBuf| {
+            let target = target.to_string_lossy();
+            target.starts_with("socket:") || target.starts_with("pipe:")
+        };
+        Ok(targets.filter(is_socket).count())
+    }
+
     /// Waits for the process to exit; returns `None` if it still runs after `timeout`.
     ///
     /// # Errors
