Bound what connections of clients hold

Cause: the HTTP library kept up to 400 KiB of a head on each connection, nothing bounded the number of connections, and bytes of a collected answer left the memory budget while its client had not read them.

The acceptor of all three listeners is now our own: it counts the bytes of a head, closes idle connections and slow heads by the configuration in force, and at a bound on connections (two fifths of the sockets, and a quarter of the memory at 32 KiB each) closes the least worthy one. Answers count against the budget until they are written; when it is used up, connections whose clients read nothing are closed, the slowest first.

The tests of real processes get the users' 4,100 descriptors: under 1,000 the 900 clients of `endless` would not all have room, and the test would hold less than it did.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -5,6 +5,7 @@
 //! budget that all bodies share and that is proportional to the instance's memory.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -34,11 +35,24 @@
 
 impl std::error::Error for Error {}
 
-/// Memory budget that all buffered bodies of an instance share.
-#[derive(Debug)]
+/// Frees at least a number of bytes of the budget, soon; returns how many will be freed.
+type Reclaim = Box<dyn Fn(usize) -> usize + Send + Sync>;
+
+/// Memory budget that all buffered bodies of an instance share, with the heads of requests and the
+/// responses that clients have not read yet.
 pub struct MemoryBudget {
     reserved: AtomicUsize,
     max: usize,
+    reclaim: OnceLock<Reclaim>,
+}
+
+impl std::fmt::Debug for MemoryBudget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("MemoryBudget")
+            .field("reserved", &self.reserved)
+            .field("max", &self.max)
+            .finish_non_exhaustive()
+    }
 }
 
 /// The part of the budget that one body has reserved. Dropping it releases the bytes.
@@ -55,9 +69,21 @@
         Arc::new(MemoryBudget {
             reserved: AtomicUsize::new(0),
             max: total / BUDGET_DIVISOR,
+            reclaim: OnceLock::new(),
         })
     }
 
+    /// Sets what frees bytes when the budget is used up. Only the first call has an effect.
+    pub fn set_reclaim(&self, reclaim: impl Fn(usize) -> usize + Send + Sync + 'static) {
+        let _ = self.reclaim.set(Box::new(reclaim));
+    }
+
+    /// Whether `excess` bytes beyond the budget will be freed soon.
+    fn can_reclaim(&self, excess: usize) -> bool {
+        let reclaim = self.reclaim.get();
+        reclaim.is_some_and(|it| it(excess) >= excess)
+    }
+
     /// A reservation of zero bytes for a new body.
     #[must_use]
     pub fn new_reservation(self: &Arc<MemoryBudget>) -> Reservation {
@@ -82,7 +108,9 @@
         let budgeted = size.saturating_sub(UNBUDGETED_BYTES);
         let additional = budgeted.saturating_sub(self.bytes);
         let reserved = &self.budget.reserved;
-        if reserved.fetch_add(additional, Ordering::Relaxed) + additional > self.budget.max {
+        let total = reserved.fetch_add(additional, Ordering::Relaxed) + additional;
+        let excess = total.saturating_sub(self.budget.max);
+        if additional > 0 && excess > 0 && !self.budget.can_reclaim(excess) {
             reserved.fetch_sub(additional, Ordering::Relaxed);
             return Err(Error::TooLarge);
         }
@@ -124,7 +152,20 @@
     }
 }
 
-/// Reads a body of at most `max` bytes to its end, within the shared budget.
+/// Bytes with what they take of the budget.
+struct Held {
+    bytes: BytesMut,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads a body of at most `max` bytes to its end, within the shared budget, which counts it until
+/// the bytes are dropped.
 ///
 /// # Errors
 ///
@@ -147,5 +188,11 @@
         }
         reservation.append(&mut bytes, data)?;
     }
-    Ok(bytes.freeze())
+    if reservation.bytes == 0 {
+        return Ok(bytes.freeze());
+    }
+    Ok(Bytes::from_owner(Held {
+        bytes,
+        _reservation: reservation,
+    }))
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -33,6 +33,9 @@
 use crate::forward;
 use crate::forward::Body;
 use crate::forward::ClientResponse;
+use crate::listener_connections::Connections;
+use crate::listener_connections::RequestGuard;
+use crate::state::InFlightGuard;
 use crate::state::Node;
 
 /// `Retry-After` while no configuration is in force, or perhaps not the newest one.
@@ -84,7 +87,12 @@
 }
 
 /// Handles all client requests, and the readiness polls if they arrive at the same address.
-pub struct ClientHandler(pub Arc<Node>);
+pub struct ClientHandler {
+    /// The node that serves the requests.
+    pub node: Arc<Node>,
+    /// Connections on which they arrive.
+    pub connections: Arc<Connections>,
+}
 
 #[salvo::async_trait]
 impl Handler for ClientHandler {
@@ -95,7 +103,9 @@
         response: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let node = &self.0;
+        let node = &self.node;
+        let remote = request.remote_addr().clone().into_std();
+        let on_connection = remote.and_then(|it| self.connections.begin_request(it));
         if request.uri().path() == platform::READY_PATH
             && node.settings.readiness_address == node.settings.client_address
         {
@@ -108,7 +118,8 @@
         };
         match forward::run(node, &client_request).await {
             Ok(client_response) => {
-                write_response(node, &client_request, response, client_response, in_flight)
+                let guards = (in_flight, on_connection);
+                write_response(node, &client_request, response, client_response, guards)
             }
             Err(failure) => write_failure(node, &client_request, response, failure),
         }
@@ -279,7 +290,7 @@
     client_request: &ClientRequest,
     response: &mut Response,
     client_response: ClientResponse,
-    in_flight: crate::state::InFlightGuard,
+    (in_flight, on_connection): (InFlightGuard, Option<RequestGuard>),
 ) {
     let elapsed = client_request.received_at.elapsed();
     let status = client_response.status;
@@ -293,11 +304,18 @@
     *response.headers_mut() = client_response.headers;
     match client_response.body {
         Body::Whole(bytes) => {
+            if let Some(guard) = on_connection {
+                guard.record_response(bytes.len());
+            }
             response.replace_body(salvo::http::ResBody::Once(bytes));
         }
         Body::Events(mut relay) => {
             relay.track_in_flight(in_flight);
-            response.stream(relay.into_stream());
+            let events = relay.into_stream();
+            response.stream(events.inspect(move |_| {
+                // The request lasts as long as its stream.
+                let _guard = &on_connection;
+            }));
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod forward;
 pub mod front;
 pub mod limits;
+pub mod listener;
+pub mod listener_connections;
 mod origin;
 pub mod owner;
 pub mod peers;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,7 +11,6 @@
 use platform::settings::Settings;
 use platform::store;
 use salvo::Router;
-use salvo::conn::tcp::TcpAcceptor;
 use strum::IntoEnumIterator;
 use supervisor::RestartPolicy;
 use supervisor::Supervisor;
@@ -26,6 +25,9 @@
 use crate::front::ClientHandler;
 use crate::front::MetricsHandler;
 use crate::front::ReadinessHandler;
+use crate::listener::Acceptor;
+use crate::listener_connections;
+use crate::listener_connections::Connections;
 use crate::origin;
 use crate::owner::Owner;
 use crate::owner::UpstreamEvent;
@@ -38,8 +40,6 @@
 
 /// The settings file is read again this often, since it may change without a SIGHUP.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
-/// Length of the accept queue of a listener; a full queue delays clients by seconds.
-const BACKLOG: u32 = 1_024;
 
 /// Serves until `stop` completes, then shuts down gracefully. The metrics of `registry` are served
 /// as text; upstreams are connected to with `dialer`.
@@ -73,15 +73,26 @@
         "front" => %node.settings.client_address, "peer" => %node.settings.peer_address);
 
     let mut supervisor = Supervisor::new(telemetry);
-    let front = salvo::Server::new(listen(node.settings.client_address)?).disable_fuse();
+    let connections = Connections::of_clients(&node.settings, &node.memory);
+    let unread = Arc::downgrade(&connections);
+    node.memory.set_reclaim(move |needed| {
+        let connections = unread.upgrade();
+        connections.map_or(0, |it| it.close_unread(needed))
+    });
+    spawn_check(&mut supervisor, &node, "clients", &connections);
+    let front = Acceptor::bind(node.settings.client_address, connections.clone())?.into_server();
     let handle = front.handle();
-    let service =
-        salvo::Service::new(Router::with_path("{**rest}").goal(ClientHandler(node.clone())));
+    let handler = ClientHandler {
+        node: node.clone(),
+        connections,
+    };
+    let service = salvo::Service::new(Router::with_path("{**rest}").goal(handler));
     let serving = tokio::spawn(front.try_serve(service));
     if node.settings.readiness_address != node.settings.client_address {
         let router = Router::with_path("{**rest}").goal(ReadinessHandler(node.clone()));
         spawn_http_server(
             &mut supervisor,
+            &node,
             "ready",
             node.settings.readiness_address,
             router,
@@ -90,6 +101,7 @@
     let router = Router::with_path("{**rest}").goal(MetricsHandler(registry));
     spawn_http_server(
         &mut supervisor,
+        &node,
         "metrics",
         node.settings.metrics_address,
         router,
@@ -272,32 +284,38 @@
     }
 }
 
+fn spawn_check(
+    supervisor: &mut Supervisor,
+    node: &Arc<Node>,
+    name: &'static str,
+    connections: &Arc<Connections>,
+) {
+    let (node, connections) = (node.clone(), connections.clone());
+    supervisor.spawn("connections", RestartPolicy::Always, move || {
+        listener_connections::check(node.clone(), name, connections.clone())
+    });
+}
+
 fn spawn_http_server(
     supervisor: &mut Supervisor,
+    node: &Arc<Node>,
     name: &'static str,
     address: SocketAddr,
     router: Router,
 ) -> eyre::Result<()> {
     let router = Arc::new(router);
-    let mut first = Some(listen(address)?);
+    let connections = Connections::of_observers(&node.memory);
+    spawn_check(supervisor, node, name, &connections);
+    let mut first = Some(Acceptor::bind(address, connections.clone())?);
     supervisor.spawn(name, RestartPolicy::Always, move || {
-        let acceptor = first.take().map_or_else(|| listen(address), Ok);
+        let bind = || Acceptor::bind(address, connections.clone());
+        let acceptor = first.take().map_or_else(bind, Ok);
         let router = router.clone();
         async move {
             if let Ok(acceptor) = acceptor {
-                salvo::Server::new(acceptor).serve(router).await;
+                acceptor.into_server().serve(router).await;
             }
         }
     });
     Ok(())
 }
-
-fn listen(address: SocketAddr) -> eyre::Result<TcpAcceptor> {
-    let socket = tokio::net::TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    // Accepted connections inherit this option.
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    let listener = socket.listen(BACKLOG)?;
-    Ok(TcpAcceptor::try_from(listener)?)
-}
--- a/crates/node/tests/processes/deployment.rs
+++ b/crates/node/tests/processes/deployment.rs
@@ -57,6 +57,8 @@
         let settings = settings.replace("grace_s: 4", "grace_s: 8");
         let memory = format!("limits:\n  ram_mb: {MEMORY_MB}\n");
         let settings = settings.replace("limits:\n", &memory);
+        // The users' descriptors, with which all clients of a test have room.
+        let settings = settings.replace("max_fds: 1000", "max_fds: 4100");
         let path = self.dir.join(format!("{name}-{}.yaml", ports[0]));
         std::fs::write(&path, settings).expect("a file");
         let daemon = Daemon::start(&format!("{name}-{}", ports[0]), program, &path, &self.dir);
