Tell a spell of an upstream from its being slow

One call at more than twice its nominal time took a step upstream out for seconds (full weight, half-life of 3 s) while any faster one accepted calls. Where machines are shared, one in seven is 2.5 times slower for 600 ms at any moment, so that calls of a spell took capacity away for far longer than the spell. Now one slow call, or a figure that the upstream tells, weighs for its age (half-life 150 ms) in the choice among free upstreams, in the expected end and in the timeout; several slow calls in a row make an upstream slow as before. Upstreams that are equal are chosen by a hash, not all by the same name.

--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -7,12 +7,12 @@
 use catalog::BatchLimits;
 use tokio::time::Instant;
 
+use crate::speed::Percent;
+use crate::speed::SLOW_THRESHOLD;
+use crate::speed::Speed;
+
 /// Weight of the newest sample in the exponential moving averages.
 const EWMA_WEIGHT: f64 = 0.3;
-/// Half-life of an upstream's excess slowdown (the part above 1) while there are no samples.
-const SLOWDOWN_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Upstreams whose slowdown exceeds this get calls only when no faster one accepts calls.
-const SLOW_THRESHOLD: f64 = 2.0;
 /// Initial back-off after a rejected call, about a quarter of a call's overhead; doubles with each
 /// consecutive rejection, because calls of a former owner may still occupy the upstream.
 const REJECTED_BACKOFF_MIN: Duration = Duration::from_millis(50);
@@ -37,6 +37,11 @@
 /// After a change of owner, calls of the former owner arrive for about as long as its requests may
 /// wait.
 const HANDOVER_SETTLING_TIME: Duration = Duration::from_secs(2);
+/// A call times out at the earliest after this multiple of what it takes at an upstream that slows
+/// down as it is sent, as much as any of its service lately.
+const SHARED_TIMEOUT_FACTOR: f64 = 1.5;
+/// Time for which the largest slowdown that an upstream told counts for all of its service.
+const LARGEST_TOLD_AGE_MAX: Duration = Duration::from_secs(10);
 /// Allowance for connection setup and the round trip between zones.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(150);
 
@@ -59,9 +64,7 @@
     pub(crate) calls_in_flight: u32,
     /// Bytes of results kept there, and reserved for the calls in flight, by this owner.
     pub(crate) reserved_bytes: u64,
-    /// Moving average of measured over nominal call time, at least 1.
-    slowdown: f64,
-    sampled_at: Option<Instant>,
+    speed: Speed,
     /// Time since which no call has been rejected or may have been queued at the upstream.
     unqueued_since: Option<Instant>,
     backoff_until: Option<Instant>,
@@ -100,8 +103,7 @@
             replica,
             calls_in_flight: 0,
             reserved_bytes: 0,
-            slowdown: 1.0,
-            sampled_at: None,
+            speed: Speed::default(),
             unqueued_since: None,
             backoff_until: None,
             held_off_until: None,
@@ -112,12 +114,7 @@
     }
 
     pub(crate) fn slowdown(&self, now: Instant) -> f64 {
-        let Some(sampled_at) = self.sampled_at else {
-            return 1.0;
-        };
-        let idle = now.saturating_duration_since(sampled_at);
-        let halvings = idle.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64();
-        1.0 + (self.slowdown - 1.0) * 0.5_f64.powf(halvings)
+        self.speed.slowdown(now)
     }
 
     /// Whether results of `bytes` fit, besides the kept ones and `planned` bytes, into a memory of
@@ -139,7 +136,7 @@
     }
 
     pub(crate) fn is_slow(&self, now: Instant) -> bool {
-        self.slowdown(now) > SLOW_THRESHOLD
+        self.speed.is_slow(now)
     }
 
     fn accepts_calls(&self, now: Instant) -> bool {
@@ -158,6 +155,8 @@
     /// Moving average of the time in seconds that pieces which can still meet their soft deadline
     /// wait for a call.
     average_wait_time: f64,
+    /// Largest slowdown that an upstream told lately, and when.
+    largest_told: Option<(Percent, Instant)>,
 }
 
 impl Fleet {
@@ -168,6 +167,7 @@
             average_call_time: limits.call_overhead.as_secs_f64()
                 + limits.piece_time.as_secs_f64() * limits.batch_max as f64 / 3.0,
             average_wait_time: 0.0,
+            largest_told: None,
         }
     }
 
@@ -252,17 +252,35 @@
     pub(crate) fn inputs_read_at(&self, upstream: &id::Upstream, now: Instant) -> Option<Instant> {
         let unqueued_since = self.upstreams.get(upstream)?.unqueued_since?;
         let is_settled = now.saturating_duration_since(unqueued_since) >= HANDOVER_SETTLING_TIME;
-        is_settled.then_some(now + self.limits.call_overhead.mul_f64(INPUT_READ_FRACTION))
+        let time = self.limits.call_overhead.mul_f64(INPUT_READ_FRACTION);
+        is_settled.then_some(now + time.mul_f64(self.slowdown(upstream, now)))
     }
 
     pub(crate) fn timeout(&self, upstream: &id::Upstream, pieces: usize, now: Instant) -> Duration {
-        let slowdown = self
-            .upstreams
-            .get(upstream)
-            .map_or(1.0, |it| it.slowdown(now));
-        self.nominal_time(pieces)
-            .mul_f64(slowdown.max(1.0) * TIMEOUT_FACTOR)
-            + TIMEOUT_MARGIN
+        let slowdown = self.slowdown(upstream, now);
+        let shared = self.largest_told.map_or(1.0, |it| it.0.slowdown());
+        let factor = (slowdown * TIMEOUT_FACTOR).max(shared * SHARED_TIMEOUT_FACTOR);
+        self.nominal_time(pieces).mul_f64(factor) + TIMEOUT_MARGIN
+    }
+
+    /// Expected factor on the time of a call that an upstream gets now.
+    pub(crate) fn slowdown(&self, upstream: &id::Upstream, now: Instant) -> f64 {
+        let state = self.upstreams.get(upstream);
+        state.map_or(1.0, |it| it.slowdown(now))
+    }
+
+    /// Records how fast an upstream says that it works.
+    pub(crate) fn record_told(&mut self, upstream: &id::Upstream, percent: Percent, now: Instant) {
+        let Some(state) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        state.speed.record_told(percent, now);
+        let largest = self
+            .largest_told
+            .filter(|(_, at)| now.saturating_duration_since(*at) < LARGEST_TOLD_AGE_MAX);
+        if largest.is_none_or(|it| it.0 <= percent) {
+            self.largest_told = Some((percent, now));
+        }
     }
 
     pub(crate) fn record_wait(&mut self, wait: Duration) {
@@ -285,21 +303,14 @@
             return;
         };
         state.consecutive_rejections = 0;
-        state.unqueued_since = if elapsed <= nominal * UNQUEUED_TIME_FACTOR {
+        // A call that took long because the machine was shared has not been queued.
+        let expected = nominal * state.speed.spell_told(now);
+        state.unqueued_since = if elapsed <= expected * UNQUEUED_TIME_FACTOR {
             state.unqueued_since.or(Some(now))
         } else {
             None
         };
-        let before = state.slowdown(now);
-        // Pieces of some steps take less than their nominal time; the slowdown stays at least 1.
-        let sample = (elapsed / nominal).max(1.0);
-        let weight = if sample > SLOW_THRESHOLD {
-            1.0
-        } else {
-            EWMA_WEIGHT
-        };
-        state.slowdown = before + weight * (sample - before);
-        state.sampled_at = Some(now);
+        state.speed.record_call(elapsed / nominal, now);
     }
 
     pub(crate) fn record_rejection(&mut self, upstream: &id::Upstream, now: Instant) {
@@ -347,7 +358,7 @@
 
     pub(crate) fn forget_failures(&mut self, upstream: &id::Upstream) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
-            state.slowdown = 1.0;
+            state.speed.forget_calls();
             state.backoff_until = None;
         }
     }
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -13,6 +13,7 @@
 mod planner;
 mod rank;
 pub mod shard;
+pub mod speed;
 
 pub use call::Call;
 pub use call::Input;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -23,6 +23,7 @@
 use crate::plan::Prepared;
 use crate::plan::Refusal;
 use crate::rank::SchedulingPolicy;
+use crate::speed::Percent;
 
 use active::ActivePlan;
 use active::PieceState;
@@ -101,6 +102,13 @@
         }
     }
 
+    /// Records how fast an upstream said that it works at the moment.
+    pub fn record_speed(&mut self, upstream: &id::Upstream, percent: Percent, now: Instant) {
+        for fleet in self.fleets.values_mut() {
+            fleet.record_told(upstream, percent, now);
+        }
+    }
+
     /// Forgets the lost and slow calls of an upstream, because the path to it was at fault.
     pub fn forget_failures(&mut self, upstream: &id::Upstream) {
         for fleet in self.fleets.values_mut() {
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::hash;
 use base::id;
 use tokio::time::Instant;
 
@@ -26,6 +27,7 @@
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
     plan: PlanId,
+    request: String,
     step: usize,
     rank: Rank,
     waiting: usize,
@@ -80,6 +82,7 @@
                 }
                 candidates.push(Candidate {
                     plan: *id,
+                    request: active.plan.request.clone(),
                     step: idx,
                     rank: self.rank(active, *end),
                     waiting,
@@ -177,7 +180,8 @@
         waits.into_iter().for_each(|it| fleet.record_wait(it));
         let timeout = fleet.timeout(&upstream, pieces, now);
         let inputs_read_at = fleet.inputs_read_at(&upstream, now);
-        let expected_end = now + fleet.nominal_time(pieces);
+        let slowdown = fleet.slowdown(&upstream, now);
+        let expected_end = now + fleet.nominal_time(pieces).mul_f64(slowdown);
         if let Some(state) = fleet.upstreams.get_mut(&upstream) {
             state.calls_in_flight += 1;
             state.reserved_bytes += reserved_bytes;
@@ -228,7 +232,11 @@
                 let zone = candidate.preferred_zone.as_ref();
                 (
                     zone.is_some_and(|zone| *zone != it.replica.zone),
+                    it.calls_in_flight,
+                    speed_class(it.slowdown(now)),
                     it.reserved_bytes,
+                    // Several owners may choose by the same news.
+                    hash::hash_strs([&candidate.request, it.replica.name.as_str()]),
                 )
             });
             if let Some(state) = best {
@@ -276,6 +284,11 @@
     }
 }
 
+/// Upstreams of one class are equally fast, as far as calls of different pieces can tell.
+fn speed_class(slowdown: f64) -> u32 {
+    (slowdown * 2.0) as u32
+}
+
 /// Whether the waiting work that can meet its soft deadline exceeds one batch.
 fn is_congested(candidates: &[Candidate], batch_max: usize) -> bool {
     let in_time = candidates.iter().filter(|it| !it.rank.is_late);
