Read the load that upstreams tell, and the speed in it

Answers to step calls and to frees say how long work takes at the upstream at this moment; no code read it.

--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -57,6 +57,8 @@
     upstreams: BTreeMap<id::Upstream, Arc<Upstream>>,
     /// Upstreams that asked to receive no calls for now, and until when.
     held_off_until: BTreeMap<id::Upstream, Instant>,
+    /// Upstreams whose unreadable load has been logged.
+    unreadable_loads: BTreeSet<id::Upstream>,
 }
 
 /// State of an upstream as observed by a step call.
@@ -256,9 +258,11 @@
         let State {
             planners,
             held_off_until,
+            unreadable_loads,
             ..
         } = &mut *state;
         held_off_until.retain(|_, until| *until > now);
+        unreadable_loads.retain(|it| view.upstreams.contains_key(it));
         for planner in planners.values_mut() {
             for (upstream, until) in &*held_off_until {
                 planner.hold_off(upstream, *until);
--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -8,6 +8,7 @@
 use base::id;
 use catalog::Upstream;
 use forwarding::quota::Urgency;
+use platform::upstream::ResponseHead;
 use stages::Call;
 use stages::Handle;
 use stages::Outcome;
@@ -52,6 +53,7 @@
             let reply = exchange::run(&node, &upstream, &call, permit).await;
             log_call(&shared.telemetry, &call, &reply.outcome, sent_at.elapsed());
             if let Some(head) = &reply.head {
+                shared.record_load(&upstream.name, head);
                 if let Some(time) = head.retry_after {
                     shared.hold_off(&upstream.name, time);
                 }
@@ -116,6 +118,32 @@
         }
     }
 
+    /// Records the load that an upstream told; logs an unreadable one once for each upstream.
+    fn record_load(&self, upstream: &id::Upstream, head: &ResponseHead) {
+        let Some(load) = head.load else {
+            return;
+        };
+        let state = self.state.lock();
+        let state = &mut *state.unwrap_or_else(PoisonError::into_inner);
+        match load {
+            Ok(load) => {
+                let now = Instant::now();
+                if let Some(percent) = load.speed {
+                    for planner in state.planners.values_mut() {
+                        planner.record_speed(upstream, percent, now);
+                    }
+                }
+            }
+            Err(err) => {
+                self.telemetry.count("steps.loads_unreadable", 1);
+                if state.unreadable_loads.insert(upstream.clone()) {
+                    slog::warn!(self.telemetry.logger(), "load_unreadable";
+                        "upstream" => upstream.as_str(), "reason" => %err);
+                }
+            }
+        }
+    }
+
     fn is_held_off(&self, upstream: &id::Upstream) -> bool {
         let state = self.state.lock();
         let state = state.unwrap_or_else(PoisonError::into_inner);
@@ -161,6 +189,7 @@
     let head = exchange::free(node, upstream, handles, permit).await;
     drop(lease);
     if let Some(head) = &head {
+        shared.record_load(&upstream.name, head);
         quota::news::record_answer(node, upstream, head.limits, sent_at);
     }
     let is_freed = head.is_some_and(|it| it.status.is_success());
