--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod report;
 mod run;
 mod site;
+mod spells;
 
 pub use load::Burst;
 pub use load::Load;
@@ -22,3 +23,4 @@
 pub use site::fee_office;
 pub use site::fee_office_zone;
 pub use site::supplement_shop;
+pub use spells::Spells;
--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -7,6 +7,7 @@
 use rand::rngs::SmallRng;
 
 use crate::site::Site;
+use crate::spells::Spells;
 
 /// A multiple of the usual request rate for a limited time.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,6 +62,8 @@
         /// Duration of the fault.
         duration: Duration,
     },
+    /// All upstreams work slower by turns, throughout the run.
+    Spells(Spells),
 }
 
 /// Load and faults of one run.
@@ -132,6 +135,14 @@
         })
     }
 
+    /// The spells in which upstreams work slower, if there are any.
+    pub(crate) fn spells(&self) -> Option<Spells> {
+        self.upstream_faults.iter().find_map(|it| match it {
+            UpstreamFault::Spells(spells) => Some(*spells),
+            _ => None,
+        })
+    }
+
     /// Factor on the time of calls to an upstream at a time; `None` while it sends no responses.
     pub(crate) fn slowdown(&self, service: usize, upstream: usize, time: Duration) -> Option<f64> {
         let mut slowdown = 1.0;
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -33,6 +33,8 @@
     /// Number of calls rejected because their upstream was processing another one. The owner knows
     /// its calls in flight, so it should send none of these.
     pub rejected_calls: u32,
+    /// Number of calls whose response did not come before their timeout.
+    pub lost_calls: u32,
 }
 
 impl Report {
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -23,6 +23,7 @@
 use stages::Replica;
 use stages::SchedulingPolicy;
 use stages::Step;
+use stages::speed::Percent;
 use tokio::time::Instant;
 
 use crate::load::Load;
@@ -152,6 +153,7 @@
                 if !matches!(outcome, Outcome::Rejected | Outcome::Unsent) {
                     self.busy.remove(&call.upstream);
                 }
+                self.record_speed(&call.upstream, &outcome, now);
                 self.planner.finish(call.id, outcome, now);
             }
             Event::Release(plan) => self.planner.release(plan),
@@ -159,6 +161,18 @@
         }
     }
 
+    /// Has the planner know the speed that a response tells.
+    fn record_speed(&mut self, upstream: &id::Upstream, outcome: &Outcome, now: Instant) {
+        let spells = self.load.spells().filter(|it| it.is_told);
+        if let (Some(spells), Outcome::Done(_)) = (spells, outcome) {
+            let (service, idx) = self.upstreams[upstream];
+            let percent = spells.factor(service, idx, now - self.start) * 100.0;
+            if let Some(percent) = Percent::new(percent as u64) {
+                self.planner.record_speed(upstream, percent, now);
+            }
+        }
+    }
+
     fn submit_request(&mut self, kind_idx: usize, now: Instant) {
         let kind = &self.site.kinds[kind_idx];
         let report = &mut self.report.kinds[kind_idx];
@@ -255,10 +269,14 @@
             let handle = Handle(format!("{}/{}", call.upstream, self.next_sequence));
             results.push(Ok::<Handle, ItemFailure>(handle));
         }
+        if let Some(spells) = self.load.spells() {
+            call_time = spells.time(service, upstream, now - self.start, call_time);
+        }
         call_time = call_time.mul_f64(slowdown);
         self.report.calls += 1;
         self.report.pieces += call.items.len() as u32;
         if call_time > call.timeout {
+            self.report.lost_calls += 1;
             let at = now + call.timeout;
             return self.schedule(at, Event::CallEnded(call, Outcome::Lost));
         }
--- a/crates/xtask/src/experiment.rs
+++ b/crates/xtask/src/experiment.rs
@@ -7,6 +7,8 @@
 use model::Load;
 use model::Report;
 use model::Site;
+use model::Spells;
+use model::UpstreamFault;
 use stages::SchedulingPolicy;
 use strum::IntoEnumIterator;
 
@@ -44,6 +46,42 @@
     }
 }
 
+/// One upstream in seven is slow for 600 ms, then another.
+const SPELLS: Spells = Spells {
+    share: 0.15,
+    time_factor: 2.5,
+    length: Duration::from_millis(600),
+    is_told: true,
+    is_fixed_per_call: false,
+};
+
+/// Spells by what the responses tell of them and by when the speed of a call is decided.
+const SPELL_KINDS: [(&str, Spells); 4] = [
+    ("told", SPELLS),
+    (
+        "untold",
+        Spells {
+            is_told: false,
+            ..SPELLS
+        },
+    ),
+    (
+        "told, fixed",
+        Spells {
+            is_fixed_per_call: true,
+            ..SPELLS
+        },
+    ),
+    (
+        "untold, fixed",
+        Spells {
+            is_told: false,
+            is_fixed_per_call: true,
+            ..SPELLS
+        },
+    ),
+];
+
 /// Prints the share of value earned, averaged over seeds `1..=seeds`, by site, load pattern and
 /// policy; with `is_detailed` also the report of the first seed.
 pub(crate) fn run(seeds: u64, is_detailed: bool) {
@@ -61,6 +99,13 @@
             print_pattern(site, pattern, seeds, is_detailed);
         }
     }
+    println!("fee office, one zone of the grown site, one upstream in seven slow for 600 ms");
+    for (name, spells) in SPELL_KINDS {
+        println!(" {name}");
+        for pattern in &PATTERNS {
+            print_spells(&sites[2].1, pattern, spells, seeds);
+        }
+    }
 }
 
 /// Runs a pattern with each policy and prints one line.
@@ -81,6 +126,29 @@
     }
 }
 
+/// Runs a pattern with spells and prints the value earned, in all and by kind, and the number of
+/// calls that were given up.
+fn print_spells(site: &Site, pattern: &Pattern, spells: Spells, seeds: u64) {
+    let mut load = pattern.load();
+    load.upstream_faults.push(UpstreamFault::Spells(spells));
+    let reports: Vec<Report> = (1..=seeds)
+        .map(|seed| model::run(site, &load, SchedulingPolicy::Urgency, seed))
+        .collect();
+    let average = |value: &dyn Fn(&Report) -> f64| {
+        reports.iter().map(value).sum::<f64>() / reports.len().max(1) as f64
+    };
+    print!(
+        "  {:<26} {:.3} by kind",
+        pattern.name,
+        average(&Report::value_share)
+    );
+    for idx in 0..site.kinds.len() {
+        let share = |it: &Report| it.kinds[idx].value_earned / it.kinds[idx].value_possible;
+        print!(" {:.3}", average(&share));
+    }
+    println!(" calls lost {:.1}", average(&|it| f64::from(it.lost_calls)));
+}
+
 impl Pattern {
     fn load(&self) -> Load {
         Load {
