--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::hash;
 use base::id;
 use tokio::time::Instant;
 
@@ -176,7 +177,8 @@
         waits.into_iter().for_each(|it| fleet.record_wait(it));
         let timeout = fleet.timeout(&upstream, pieces, now);
         let inputs_read_at = fleet.inputs_read_at(&upstream, now);
-        let expected_end = now + fleet.nominal_time(pieces);
+        let slowdown = fleet.slowdown(&upstream, now);
+        let expected_end = now + fleet.nominal_time(pieces).mul_f64(slowdown);
         if let Some(state) = fleet.upstreams.get_mut(&upstream) {
             state.calls_in_flight += 1;
             state.reserved_bytes += reserved_bytes;
@@ -224,11 +226,17 @@
                 .iter()
                 .filter(|it| it.has_capacity(0, size, capacity, now))
                 .filter(|it| candidate.may_run_in(&it.replica.zone, now));
+            let plan = self.plans.get(&candidate.plan);
+            let request = plan.map_or("", |it| it.plan.request.as_str());
             let best = eligible.min_by_key(|it| {
                 let zone = candidate.preferred_zone.as_ref();
                 (
                     zone.is_some_and(|zone| *zone != it.replica.zone),
+                    it.calls_in_flight,
+                    speed_class(it.slowdown(now)),
                     it.reserved_bytes,
+                    // Several owners may choose by the same news.
+                    hash::hash_strs([request, it.replica.name.as_str()]),
                 )
             });
             if let Some(state) = best {
@@ -281,6 +289,11 @@
     }
 }
 
+/// Upstreams of one class are equally fast, as far as calls of different pieces can tell.
+fn speed_class(slowdown: f64) -> u32 {
+    (slowdown * 2.0) as u32
+}
+
 /// Whether the waiting work that can meet its soft deadline exceeds one batch.
 fn is_congested(candidates: &[Candidate], batch_max: usize) -> bool {
     let in_time = candidates.iter().filter(|it| !it.rank.is_late);
