Weigh the news of a shard's queue by its age

Each instance hears of a shard only in answers to its own submissions. It used news up to 500 ms old as it stood, and took a shard without for one without a queue; sixty instances that act on the same news moved together. Now a queue counts as drained by the age of its news, requests sent since are added, and chance in proportion to the age parts the instances. A shard whose owners don't answer counts as queued for two seconds, until a successor answers.

--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -31,8 +31,6 @@
 
 /// Prefix of the keys by which the owners of shards are determined.
 const OWNERSHIP_KEY_PREFIX: &str = "steps/";
-/// Age up to which the queue wait that a shard reported is used.
-const SHARD_WAIT_AGE_MAX: Duration = Duration::from_millis(500);
 /// Interval of liveness checks of the owner while its results are awaited.
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Members that are tried in each round before this instance runs the steps itself.
@@ -135,6 +133,7 @@
             if let Some(result) = prepare_remotely(node, &member, prepare_request).await {
                 return result;
             }
+            node.shard_waits().record_lost(&shard, Instant::now());
             if node.peers.record_timeout(&member).await {
                 slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
                     "request" => &prepare_request.prepare.request);
@@ -155,8 +154,8 @@
     if !prepare_request.prepare.steps.is_empty() {
         let plan = peers::plan_from(prepare_request.to_message(), &prepare_request.terms);
         let mut guard = node.owner.submit(shard.clone(), plan)?;
-        let wait = (guard.queue_wait, Instant::now());
-        node.shard_waits().insert(shard.clone(), wait);
+        let (wait, now) = (guard.queue_wait, Instant::now());
+        node.shard_waits().record_wait(shard.clone(), wait, now);
         prepared = guard.prepared().await?;
         plan_guard = Some(guard);
     }
@@ -181,25 +180,31 @@
     if shards.len() == 1 {
         return shards.pop();
     }
-    let waits = node.shard_waits().clone();
-    let now = Instant::now();
-    let wait = |shard: &Shard| {
-        let wait = waits.get(shard);
-        let wait = wait.filter(|it| now.saturating_duration_since(it.1) < SHARD_WAIT_AGE_MAX);
-        wait.map_or(Duration::ZERO, |it| it.0)
+    let waits = match prepare.steps.is_empty() {
+        true => vec![Duration::ZERO; shards.len()],
+        false => {
+            let book = node.shard_waits();
+            book.waits(&shards, &prepare.request, Instant::now())
+        }
     };
-    let has_steps = !prepare.steps.is_empty();
-    let candidates = shards.into_iter().map(|it| shard::Candidate {
-        capacity: shard::capacity(&view, &it, services()),
-        wait: if has_steps { wait(&it) } else { Duration::ZERO },
-        shard: it,
-    });
+    let candidates = shards
+        .into_iter()
+        .zip(waits)
+        .map(|(shard, wait)| shard::Candidate {
+            capacity: shard::capacity(&view, &shard, services()),
+            wait,
+            shard,
+        });
     let candidates: Vec<shard::Candidate> = candidates.collect();
-    shard::choose(
+    let chosen = shard::choose(
         &candidates,
         prepare_request.prefix_cache.as_ref(),
         &prepare.request,
-    )
+    )?;
+    if !prepare.steps.is_empty() {
+        node.shard_waits().record_sent(&chosen);
+    }
+    Some(chosen)
 }
 
 /// Members that aren't suspected of having failed, the most capable ones first, those of the shard's
@@ -244,7 +249,7 @@
         match reply {
             Reply::Steps(Progress::Accepted(wait)) => {
                 let shard = prepare_request.prepare.shard.clone();
-                node.shard_waits().insert(shard, (wait, Instant::now()));
+                node.shard_waits().record_wait(shard, wait, Instant::now());
             }
             Reply::Steps(Progress::Prepared {
                 handles,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,7 +25,7 @@
 use mirror::succession::Origin;
 use platform::settings::Settings;
 use platform::store;
-use stages::Shard;
+use stages::balance::Book;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -102,9 +102,6 @@
     }
 }
 
-/// Per shard, the last reported time until its queue drains, and when it was reported.
-pub type ShardWaits = BTreeMap<Shard, (Duration, Instant)>;
-
 /// Shared state of one node process.
 pub struct Node {
     /// Settings as read at the start; later changes only reach [`Limits`] and the shutdown.
@@ -129,7 +126,7 @@
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
     paths: Mutex<Paths>,
-    shard_waits: Mutex<ShardWaits>,
+    shard_waits: Mutex<Book>,
     shutdown: Arc<OnceLock<Shutdown>>,
     /// Time from the stop signal to the exit, from the newest settings.
     stop_grace: Mutex<Duration>,
@@ -343,7 +340,7 @@
     }
 
     /// Locks the drain times of the shards. The guard must not be held across an await.
-    pub fn shard_waits(&self) -> MutexGuard<'_, ShardWaits> {
+    pub fn shard_waits(&self) -> MutexGuard<'_, Book> {
         let waits = self.shard_waits.lock();
         waits.unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -7,6 +7,7 @@
 //! current time, performs no I/O and spawns no tasks. Its driver sends the [`Call`]s and reports
 //! their [`Outcome`]s.
 
+pub mod balance;
 mod call;
 mod fleet;
 mod plan;
