Place requests at engines by their memory and slots

Owners placed by waiting time alone: an engine that keeps a shared prompt got long prompts beyond its kv_cap_tokens, and preempted them or crashed, while others had room. A taken slot costs 600 ms, more than processing the prompt again. The whole prompt and the largest output count: no overbooking, as no measurement supports one. Counted in owner.placed by fit; engine_overfull is logged.

--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -106,6 +106,9 @@
 pub struct Engine {
     /// Maximum number of concurrent requests per upstream.
     pub slots: u32,
+    /// Tokens that the running requests and cached prompts of one upstream may take up; `None` if
+    /// not configured.
+    pub memory_tokens: Option<u64>,
 }
 
 /// Limits and expected times of the upstreams of a service that runs batched steps.
--- a/crates/forwarding/src/board.rs
+++ b/crates/forwarding/src/board.rs
@@ -12,6 +12,10 @@
 
 use crate::cold::SendWindow;
 use crate::cold::Share;
+use crate::engine_memory::Fit;
+use crate::engine_memory::Need;
+use crate::engine_memory::Occupancy;
+use crate::engine_memory::Room;
 
 /// Weight of the newest sample in the moving average of an engine; the averages over all engines
 /// use a tenth of it.
@@ -23,6 +27,9 @@
 /// take about this long. With a lower cost the owner moved prompts on the noise of first-event
 /// times.
 const AFFINITY_COST: Duration = Duration::from_millis(400);
+/// Cost of an engine without a free slot. Waiting for a slot costs more than processing the prompt
+/// again, but less than an engine that has stopped answering.
+const NO_SLOT_COST: Duration = Duration::from_millis(600);
 /// Expected time to the first event before any sample.
 const FIRST_EVENT_TIME_DEFAULT: Duration = Duration::from_millis(200);
 /// Lower bound on the expected time to the first event; differences below it are noise.
@@ -53,6 +60,7 @@
 struct EngineLoad {
     sends: SendWindow,
     waiting: BTreeMap<u64, Waiting>,
+    occupancy: Occupancy,
     /// Moving average of the time to the first event as a multiple of the expected one, and the
     /// time of the newest sample.
     latency_ratio: Option<(f64, Instant)>,
@@ -75,6 +83,8 @@
 pub struct Ticket {
     /// Name of the engine.
     pub engine: id::Upstream,
+    /// Whether the engine had room for the request.
+    pub fit: Fit,
     id: u64,
 }
 
@@ -90,6 +100,20 @@
         expected: Duration,
         share: impl Fn(&id::Upstream) -> Option<Share>,
         now: Instant,
+    ) -> Option<Ticket> {
+        self.place_within(candidates, expected, Need::default(), |_| None, share, now)
+    }
+
+    /// Like [`EngineBalancer::place`], at an engine that has room for what the request needs, or
+    /// else at the least overfull one. `room` returns the limits of an engine, if they are known.
+    pub fn place_within(
+        &mut self,
+        candidates: &[id::Upstream],
+        expected: Duration,
+        need: Need,
+        room: impl Fn(&id::Upstream) -> Option<Room>,
+        share: impl Fn(&id::Upstream) -> Option<Share>,
+        now: Instant,
     ) -> Option<Ticket> {
         let expected = expected.max(EXPECTED_MIN);
         let is_allowed = |it: &id::Upstream| {
@@ -99,6 +123,11 @@
                 .map(|(it, share)| it.sends.allows(share, now));
             allowed.unwrap_or(true)
         };
+        let unused = Occupancy::default();
+        let fit = |it: &id::Upstream| {
+            let occupancy = self.engines.get(it).map_or(&unused, |it| &it.occupancy);
+            room(it).map_or(Fit::Free, |it| occupancy.fit(need, it, now))
+        };
         let allowed = candidates.iter().enumerate().filter(|it| is_allowed(it.1));
         let costs = allowed.map(|(idx, it)| {
             let affinity = if idx == 0 {
@@ -106,13 +135,21 @@
             } else {
                 AFFINITY_COST
             };
-            (self.estimate(it, expected, now) + affinity, idx)
+            let fit = fit(it);
+            let (excess, wait) = match fit {
+                Fit::Free => (0, Duration::ZERO),
+                Fit::NoSlot => (0, NO_SLOT_COST),
+                Fit::Overfull(excess) => (excess, Duration::ZERO),
+            };
+            let cost = self.estimate(it, expected, now) + affinity + wait;
+            (excess, cost, idx, fit)
         });
-        let (_, idx) = costs.min()?;
+        let (_, _, idx, fit) = costs.min()?;
         let engine = candidates[idx].clone();
         self.last_id += 1;
         let load = self.engines.entry(engine.clone()).or_default();
         load.sends.record(now);
+        load.occupancy.add(self.last_id, need, now);
         let waiting = Waiting {
             since: now,
             expected,
@@ -120,6 +157,7 @@
         load.waiting.insert(self.last_id, waiting);
         Some(Ticket {
             engine,
+            fit,
             id: self.last_id,
         })
     }
@@ -133,6 +171,7 @@
         let Some(waiting) = load.waiting.remove(&ticket.id) else {
             return;
         };
+        load.occupancy.record_first_event(ticket.id, now);
         let ratio = waiting.latency_ratio(now);
         let before = load.latency_ratio(overall, now);
         load.latency_ratio = Some((before + SAMPLE_WEIGHT * (ratio - before), now));
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod choice;
 pub mod cold;
+pub mod engine_memory;
 pub mod events;
 pub mod health;
 pub mod life;
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -14,11 +14,14 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Catalog;
 use catalog::Upstream;
 use catalog::View;
 use forwarding::board::EngineBalancer;
 use forwarding::board::Ticket;
 use forwarding::cold;
+use forwarding::engine_memory;
+use forwarding::engine_memory::Fit;
 use platform::settings::Bounds;
 use stages::Handle;
 use stages::Outcome;
@@ -54,6 +57,8 @@
     balancer: EngineBalancer,
     /// The owner's share of the cold limit of each engine whose limit the owner keeps.
     cold_shares: BTreeMap<id::Upstream, cold::Share>,
+    /// Slots and memory of each engine.
+    engine_rooms: BTreeMap<id::Upstream, engine_memory::Room>,
     upstreams: BTreeMap<id::Upstream, Arc<Upstream>>,
     /// Upstreams that asked to receive no calls for now, and until when.
     held_off_until: BTreeMap<id::Upstream, Instant>,
@@ -205,10 +210,16 @@
         self.shared.changed.notify_one();
     }
 
-    /// Places a request at the best of `engines`; `typical_latency` is the usual time until its
-    /// first event. `None` if `engines` is empty or the cold limits of all of them are used up.
+    /// Places a request at the best of `engines` that has room for it, or else at the least overfull
+    /// one; `typical_latency` is the usual time until its first event. `None` if `engines` is empty or the cold limits of all of them are used up.
     #[must_use]
-    pub fn place(&self, engines: &[id::Upstream], typical_latency: Duration) -> Option<Placement> {
+    pub fn place(
+        &self,
+        request: &str,
+        engines: &[id::Upstream],
+        typical_latency: Duration,
+        need: engine_memory::Need,
+    ) -> Option<Placement> {
         let state = &mut *self.lock();
         let now = Instant::now();
         let may_send = self.shared.cold_sends_from <= now;
@@ -216,7 +227,18 @@
             let share = state.cold_shares.get(it).copied()?;
             Some(if may_send { share } else { cold::Share::NONE })
         };
-        let ticket = state.balancer.place(engines, typical_latency, share, now)?;
+        let room = |it: &id::Upstream| state.engine_rooms.get(it).copied();
+        let ticket =
+            state
+                .balancer
+                .place_within(engines, typical_latency, need, room, share, now)?;
+        let telemetry = &self.shared.telemetry;
+        telemetry.count_tagged("owner.placed", &ticket.fit.to_string(), 1);
+        if let Fit::Overfull(excess) = ticket.fit {
+            slog::info!(telemetry.logger(), "engine_overfull"; "request" => request,
+                "engine" => ticket.engine.as_str(), "tokens" => need.tokens(),
+                "excess" => excess, "candidates" => engines.len());
+        }
         Some(Placement {
             owner: self.clone(),
             ticket,
@@ -243,6 +265,7 @@
             .balancer
             .retain(|name| view.upstreams.contains_key(name));
         state.cold_shares = compute_cold_shares(&self.shared.bounds, view, members);
+        state.engine_rooms = engine_rooms(catalog, view);
         let now = Instant::now();
         for service in catalog.services.values() {
             let Some(batch_limits) = service.batch_limits else {
@@ -389,6 +412,18 @@
     shares.collect()
 }
 
+fn engine_rooms(catalog: &Catalog, view: &View) -> BTreeMap<id::Upstream, engine_memory::Room> {
+    let rooms = view.upstreams.values().filter_map(|it| {
+        let engine = catalog.services.get(&it.service)?.engine?;
+        let room = engine_memory::Room {
+            slots: engine.slots,
+            tokens: engine.memory_tokens,
+        };
+        Some((it.name.clone(), room))
+    });
+    rooms.collect()
+}
+
 fn replicas(view: &View, service: &id::Service, shard: &Shard) -> Vec<Replica> {
     let upstreams = view.upstreams.values();
     let upstreams = upstreams.filter(|it| it.service == *service && shard.contains(&it.zone));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 
 use base::id;
 use catalog::Member;
+use forwarding::engine_memory::Need;
 use forwarding::origin::ORIGIN_TTL_MAX;
 use forwarding::origin::Record;
 use forwarding::poison::Source;
@@ -307,7 +308,8 @@
     let typical_latency = engines.usual;
     let mut engines = engines.candidates_in(&shard, prepared.zone.as_ref());
     engines.retain(|it| quota::has_capacity(node, it));
-    let placement = node.owner.place(&engines, typical_latency);
+    let need = need_from(terms);
+    let placement = node.owner.place(&request, &engines, typical_latency, need);
     let progress = Progress::Prepared {
         handles: prepared.handles,
         zone: prepared.zone,
@@ -318,6 +320,14 @@
     drop((placement, plan_guard));
 }
 
+/// What a request takes of an engine, by its terms.
+pub(crate) fn need_from(terms: &Terms) -> Need {
+    Need {
+        prompt_tokens: terms.prompt_tokens,
+        output_tokens: terms.output_tokens_max,
+    }
+}
+
 async fn send_refusal(node: &Node, request: &str, refusal: &Refusal, replies: mpsc::Sender<Reply>) {
     let counts = node.paths().counts();
     slog::info!(node.logger(), "steps_refused"; "request" => request, "reason" => %refusal,
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -164,7 +164,9 @@
     let typical_latency = engines.usual;
     let mut engines = engines.candidates_in(&shard, prepared.zone.as_ref());
     engines.retain(|it| quota::has_capacity(node, it));
-    let placement = node.owner.place(&engines, typical_latency);
+    let need = peers::need_from(&prepare_request.terms);
+    let request = &prepare_request.prepare.request;
+    let placement = node.owner.place(request, &engines, typical_latency, need);
     Ok(Preparation {
         prepared,
         engine: placement.as_ref().map(|it| it.engine().clone()),
