Spread the returns of refused clients, and keep their turn

All clients refused for late steps were told the time until the queue had drained, at least 400 ms and at most 30% of their time: a cohort came back in one moment, behind whatever had arrived since. An owner now tells each the time at which it can be served, one after another at the rate served lately, less urgent ones behind more urgent ones; where a client accepts less, its instance tells it a time between half and all of that, by the request's id. A request that returns in that time, known by its fingerprint, is ordered by its first attempt. At most 4,096 turns, which expire a second after the time told. Only refusals that the planner makes for lack of time are concerned.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod poison;
 pub mod quota;
 pub mod retry;
+pub mod returns;
 pub mod stop;
--- a/crates/node/src/forward/refusal.rs
+++ b/crates/node/src/forward/refusal.rs
@@ -6,6 +6,7 @@
 use forwarding::life::Cause;
 use forwarding::life::Failure;
 use forwarding::life::Pending;
+use forwarding::returns;
 use stages::Refusal;
 use tokio::time::Instant;
 
@@ -54,7 +55,8 @@
         Refusal::NoUpstream => (Cause::NoUpstream, DEFAULT_RETRY_AFTER),
         Refusal::Failed => (Cause::StepsFailed, DEFAULT_RETRY_AFTER),
     };
-    pending.into_failure(cause, request.clamp_retry_after(retry_after))
+    let accepted = request.clamp_retry_after(Duration::MAX);
+    pending.into_failure(cause, returns::spread(retry_after, accepted, &request.id))
 }
 
 /// Time until the first upstream of a service accepts requests again; zero if one does now or none
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod planner;
 mod rank;
+pub mod returns;
 pub mod shard;
 
 pub use call::Call;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -25,11 +25,13 @@
 use crate::plan::Prepared;
 use crate::plan::Refusal;
 use crate::rank::SchedulingPolicy;
+use crate::returns::Returns;
 
 use active::ActivePlan;
 use active::PieceState;
 use active::StepProgress;
 use forecast::refusal_time;
+use share::refused;
 
 /// Interval at which the queue is scanned while pieces wait: pieces may become eligible for
 /// upstreams in other zones, or unable to end in time.
@@ -60,6 +62,8 @@
     policy: SchedulingPolicy,
     /// What workspaces have used of each service.
     ledgers: BTreeMap<id::Service, fairness::Ledger>,
+    /// When refused clients return.
+    returns: Returns,
     last_id: u64,
 }
 
@@ -154,6 +158,7 @@
         let active = ActivePlan {
             steps: steps.collect(),
             submitted_at: now,
+            turn: self.take_turn(&plan, now),
             piece_failures: 0,
             is_delivered: false,
             plan,
@@ -167,7 +172,8 @@
         if end > active.plan.deadline
             || now + self.fair_drain(&active, drain) > active.plan.deadline
         {
-            return Err(Refusal::TooLate(drain));
+            let refused = refused(&active, drain);
+            return Err(Refusal::TooLate(self.returns.refuse(refused, now)));
         }
         self.last_id += 1;
         let id = PlanId(self.last_id);
@@ -259,7 +265,9 @@
                 .map(|it| self.drain_time(it, active.plan.priority, now))
                 .max()
                 .unwrap_or_default();
-            self.refuse(id, Refusal::TooLate(drain));
+            let refused = refused(active, drain);
+            let wait = self.returns.refuse(refused, now);
+            self.refuse(id, Refusal::TooLate(wait));
         }
     }
 
--- a/crates/stages/src/planner/active.rs
+++ b/crates/stages/src/planner/active.rs
@@ -53,6 +53,8 @@
     pub(super) plan: Plan,
     pub(super) steps: Vec<StepProgress>,
     pub(super) submitted_at: Instant,
+    /// What the first attempt was ordered by, if this one returns in its turn.
+    pub(super) turn: Option<Instant>,
     /// Number of failures of pieces, repeated ones of the same piece included.
     pub(super) piece_failures: u32,
     /// Whether the final results have been reported; the plan remains until it is released.
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -53,7 +53,8 @@
                 active.plan.priority,
                 active.plan.soft_deadline,
                 expected_end,
-            ),
+            )
+            .with_turn(active.turn),
             SchedulingPolicy::FirstCome => Rank::first_come(active.submitted_at),
         }
     }
--- a/crates/stages/src/planner/outcome.rs
+++ b/crates/stages/src/planner/outcome.rs
@@ -130,6 +130,7 @@
         if let Some(active) = self.plans.get_mut(&item.plan) {
             active.is_delivered = true;
         }
+        self.returns.record_served(now);
         let prepared = self.collect_results(item.plan);
         self.ended.push((item.plan, Ok(prepared)));
     }
--- a/crates/stages/src/planner/share.rs
+++ b/crates/stages/src/planner/share.rs
@@ -10,7 +10,9 @@
 use super::active::ActivePlan;
 use super::form::Candidate;
 use crate::fairness::Demand;
+use crate::plan::Plan;
 use crate::rank::SchedulingPolicy;
+use crate::returns::Refused;
 
 impl Planner {
     /// Reorders the candidates of a service: within a priority, work within the fair part of its
@@ -50,6 +52,11 @@
         candidates.extend(ordered.into_iter().map(|it| it.1));
     }
 
+    /// What the first attempt of a plan's request was ordered by, if it returns in its turn.
+    pub(super) fn take_turn(&mut self, plan: &Plan, now: Instant) -> Option<Instant> {
+        self.returns.take_turn(plan.fingerprint, plan.priority, now)
+    }
+
     /// Charges pieces that are being sent to the workspace of their plan.
     pub(super) fn charge(
         &mut self,
@@ -80,3 +87,15 @@
         drain.mul_f64(parts.fold(0.0, f64::max).min(1.0))
     }
 }
+
+/// A plan that is being refused; `drain` is the time until what waits has drained.
+pub(super) fn refused(active: &ActivePlan, drain: Duration) -> Refused {
+    let plan = &active.plan;
+    Refused {
+        fingerprint: plan.fingerprint,
+        priority: plan.priority,
+        sort_time: active.turn.unwrap_or(plan.soft_deadline),
+        deadline: plan.deadline,
+        drain,
+    }
+}
--- a/crates/stages/src/rank.rs
+++ b/crates/stages/src/rank.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// The rank of a request that returns in its turn: it keeps the place of its first attempt.
+    pub(crate) fn with_turn(self, sort_time: Option<Instant>) -> Rank {
+        Rank {
+            sort_time: sort_time.map_or(self.sort_time, |it| it.min(self.sort_time)),
+            ..self
+        }
+    }
+
     pub(crate) fn first_come(submitted_at: Instant) -> Rank {
         Rank {
             is_late: false,
