--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod board;
 pub mod choice;
 pub mod cold;
+pub mod engine_memory;
 pub mod events;
 pub mod health;
 pub mod life;
@@ -15,4 +16,5 @@
 pub mod poison;
 pub mod quota;
 pub mod retry;
+pub mod returns;
 pub mod stop;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -14,6 +14,7 @@
 mod plan;
 mod planner;
 mod rank;
+pub mod returns;
 pub mod shard;
 pub mod speed;
 
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -26,6 +26,7 @@
 use crate::plan::Prepared;
 use crate::plan::Refusal;
 use crate::rank::SchedulingPolicy;
+use crate::returns::Returns;
 use crate::speed::Percent;
 
 use active::ActivePlan;
@@ -33,6 +34,7 @@
 use active::StepProgress;
 use backlog::Backlog;
 use forecast::refusal_time;
+use share::refused;
 
 pub use backlog::Count;
 pub use backlog::Counts;
@@ -66,6 +68,8 @@
     policy: SchedulingPolicy,
     /// What workspaces have used of each service.
     ledgers: BTreeMap<id::Service, fairness::Ledger>,
+    /// When refused clients return.
+    returns: Returns,
     last_id: u64,
     backlog: Backlog,
     /// When all waiting plans are checked for being overdue next.
@@ -201,6 +205,7 @@
         let mut active = ActivePlan {
             steps: steps.collect(),
             submitted_at: now,
+            turn: self.take_turn(&plan, now),
             piece_failures: 0,
             is_delivered: false,
             is_past_aim: false,
@@ -212,7 +217,8 @@
         let end = self.forecast(Some(&active.plan), now).expected_end(&active);
         let fair_drain = self.fair_drain(&active, drain);
         if end > active.plan.deadline || now + fair_drain > active.plan.deadline {
-            return Err(Refusal::TooLate(drain));
+            let refused = refused(&active, drain);
+            return Err(Refusal::TooLate(self.returns.refuse(refused, now)));
         }
         self.last_id += 1;
         let id = PlanId(self.last_id);
@@ -336,8 +342,11 @@
             .map(|(id, _)| *id)
             .collect();
         for id in overdue {
-            let drain = self.drain_time_of(&self.plans[&id].plan, |_| true, now);
-            self.refuse(id, Refusal::TooLate(drain));
+            let active = &self.plans[&id];
+            let drain = self.drain_time_of(&active.plan, |_| true, now);
+            let refused = refused(active, drain);
+            let wait = self.returns.refuse(refused, now);
+            self.refuse(id, Refusal::TooLate(wait));
         }
     }
 
