Move traffic between software versions as operators order

An order of a roll-out had no effect: no traffic moved in a controlled way, a bad version got all that its upstreams could take, and no status was written. Where the settings name the contract, instances now count what they send, a coordinator goes on by stages that it writes to the store, and each request goes to the version that the stage allows. Without an order, or without the contract, nothing changes.

--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -134,6 +134,8 @@
     pub connections_max: u32,
     /// Request rate, per second, that a cold upstream can take; 0 if the service has no cold phase.
     pub cold_per_second: f64,
+    /// Time after its start for which an upstream is cold.
+    pub cold_start: Duration,
     /// Set for services that run model engines.
     pub engine: Option<Engine>,
     /// Set for services that run steps.
--- a/crates/catalog/src/view.rs
+++ b/crates/catalog/src/view.rs
@@ -82,6 +82,10 @@
     pub members: BTreeMap<id::Instance, Arc<Member>>,
     /// Software versions that are recorded as in service now or shortly before, by service.
     pub software: BTreeMap<id::Service, BTreeSet<id::Software>>,
+    /// Orders to move the traffic of a service to one software version.
+    pub orders: BTreeMap<id::Service, rollout::order::Order>,
+    /// How far the roll-outs of services have come.
+    pub rollouts: BTreeMap<id::Service, rollout::order::State>,
     /// Newest store version included in the snapshot.
     pub version: u64,
 }
--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -333,7 +333,8 @@
                 | Request::Origins(_)
                 | Request::Tunnel(_)
                 | Request::Updates(_)
-                | Request::Schedule(_) => return,
+                | Request::Schedule(_)
+                | Request::Rollout(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -342,6 +342,14 @@
         entry.value.as_deref()
     }
 
+    /// Store version of a row; 0 if the store holds no such row.
+    #[must_use]
+    pub fn row_version(&self, table: Table, key: &str) -> u64 {
+        let entry = self.tables.get(&table).and_then(|it| it.rows.get(key));
+        let entry = entry.filter(|it| it.value.is_some());
+        entry.map_or(0, |it| it.version)
+    }
+
     /// Rows of a table that the store lost when it came back from an older copy and that were not
     /// written again yet, with their values.
     pub fn lost(&self, table: Table) -> impl Iterator<Item = (&str, &[u8])> {
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -106,6 +106,9 @@
         return Err(pending.into_failure(Cause::Stopping, STOPPING_RETRY_AFTER));
     }
     node.limits().record_request(service, Instant::now());
+    if let Some(mut rollouts) = node.rollouts() {
+        rollouts.ledger.record_request(service);
+    }
     let continuation = tokio::select! {
         biased;
         continuation = origin::resolve(node, request) => continuation,
--- a/crates/node/src/forward/response.rs
+++ b/crates/node/src/forward/response.rs
@@ -81,6 +81,7 @@
     connection.record_refusal(&request.id);
     slog::info!(node.logger(), "not_run"; "request" => &request.id,
         "upstream" => send_guard.upstream.name.as_str(), "status" => head.status.as_u16());
+    send_guard.record_not_run();
     send_guard.record_first_byte(true);
     // Status 421 comes from another upstream, which now has the address of the intended one.
     match head.status {
--- a/crates/node/src/forward/resume.rs
+++ b/crates/node/src/forward/resume.rs
@@ -75,6 +75,9 @@
     let is_for_request = head.request_id.as_deref() == Some(&request.id);
     record_announcements(node, &send_guard, &head, is_for_request);
     let is_usable = head.status.is_success() && head.is_signed && is_for_request;
+    if head.is_not_run {
+        send_guard.record_not_run();
+    }
     send_guard.record_first_byte(!is_usable);
     if head.is_not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
         send_guard.record_rejected();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,8 @@
 mod quota;
 pub mod relay;
 mod restore;
+mod rollout;
+mod rollouts;
 pub mod routing;
 pub mod send_guard;
 pub mod serve;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -36,6 +36,7 @@
 
 use crate::detour;
 use crate::quota;
+use crate::rollout;
 use crate::state::BOUNDED_TABLES;
 use crate::state::Node;
 use crate::suspicion;
@@ -257,6 +258,10 @@
                     hold_origins(&node, origins);
                     send_reply(&replies, Reply::Done).await;
                 }
+                Request::Rollout(report) => {
+                    let grant = rollout::serve_report(&node, *report);
+                    send_reply(&replies, Reply::Rollout(grant)).await;
+                }
                 // All other requests are for dispatchers, which this deployment does not have.
                 _ => {}
             }
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::rollout::choice::Choice;
 use base::hash;
 use base::id;
 use catalog::Upstream;
@@ -33,6 +34,7 @@
 use crate::quota;
 use crate::quota::Admission;
 use crate::quota::lease::Lease;
+use crate::rollout;
 use crate::state::Node;
 use crate::suspicion;
 
@@ -240,7 +242,7 @@
         let opened = open(node, request, &upstream, continuation).await;
         match opened {
             // Connecting takes time, so the view, quarantine and cold limit are checked again.
-            Ok(connection) if node.view().is_still_usable(&upstream) => {
+            Ok(connection) if is_still_usable(node, &upstream, request, continuation) => {
                 if suspicion::is_quarantined(node, request) {
                     return Err(Cause::Quarantined);
                 }
@@ -271,6 +273,16 @@
     }
 }
 
+fn is_still_usable(
+    node: &Node,
+    upstream: &Upstream,
+    request: &ClientRequest,
+    continuation: &Continuation,
+) -> bool {
+    let view = node.view();
+    view.is_still_usable(upstream) && rollout::allows(node, &view, upstream, request, continuation)
+}
+
 /// Takes a connection to an upstream. It leads to the registered process where another one may run
 /// another software version, and the request begins or resumes a stream that depends on it.
 async fn open(
@@ -393,6 +405,7 @@
         .filter(|it| tries == 0 && !hints.excluded.contains(it))
         .and_then(|it| view.upstreams.get(it))
         .filter(|it| view.is_usable(it) && continuation.allows(&view, it))
+        .filter(|it| rollout::allows(node, &view, it, request, continuation))
         .filter(|it| !is_held_off(node, it));
     let preferred = preferred.filter(|_| !denials.apply_to_engine(node, hints));
     if let Some(upstream) = preferred.filter(|_| is_owned) {
@@ -422,7 +435,7 @@
 ) -> bool {
     let view = node.view();
     let mut usable = view.usable(service);
-    usable.any(|it| continuation.allows(&view, it))
+    usable.any(|it| continuation.allows(&view, it) && rollout::may_use(node, &view, it))
 }
 
 /// Why a request is refused for which no upstream is usable.
@@ -449,12 +462,50 @@
     hints: &RoutingHints<'_>,
     denials: &Denials,
     cold_limits: ColdLimitMode,
+) -> Result<Vec<id::Upstream>, Cause> {
+    let is_repeat = !hints.excluded.is_empty();
+    let choices = rollout::choices(node, service, request, continuation, is_repeat);
+    let mut last = Err(no_upstream(continuation));
+    for choice in choices {
+        last = rank_chosen(
+            node,
+            request,
+            service,
+            continuation,
+            hints,
+            denials,
+            cold_limits,
+            &choice,
+        );
+        if last.as_ref().is_ok_and(|it| !it.is_empty()) {
+            break;
+        }
+    }
+    last
+}
+
+/// Ranks the upstreams of the versions that a roll-out allows.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "those of the caller and one more"
+)]
+fn rank_chosen(
+    node: &Node,
+    request: &ClientRequest,
+    service: &id::Service,
+    continuation: &Continuation,
+    hints: &RoutingHints<'_>,
+    denials: &Denials,
+    cold_limits: ColdLimitMode,
+    choice: &Choice,
 ) -> Result<Vec<id::Upstream>, Cause> {
     let view = node.view();
     let now = Instant::now();
     let usable = view.usable(service);
     let usable = usable.filter(|it| continuation.allows(&view, it));
+    let usable = usable.filter(|it| choice.allows(&it.software));
     let mut usable: Vec<&Arc<Upstream>> = usable.collect();
+    rollout::keep_leaders(choice, &mut usable);
     if usable.is_empty() {
         return Err(no_upstream(continuation));
     }
--- a/crates/node/src/send_guard.rs
+++ b/crates/node/src/send_guard.rs
@@ -48,6 +48,9 @@
         let quarantine = &mut limits.quarantine;
         quarantine.track_send(send_id, request.subject(), upstream.incarnation(), sent_at);
         drop(limits);
+        if let Some(mut rollouts) = node.rollouts() {
+            rollouts.record_send(send_id, &request.route.name, upstream, sent_at);
+        }
         SendGuard {
             node: node.clone(),
             upstream: upstream.clone(),
@@ -70,6 +73,13 @@
         };
         let mut limits = self.node.limits();
         limits.record_answer(&self.upstream.name, &self.request, first_byte);
+        drop(limits);
+        if let Some(mut rollouts) = self.node.rollouts() {
+            match is_failure {
+                true => rollouts.ledger.record_failure(self.send_id),
+                false => rollouts.ledger.record_answer(self.send_id, now),
+            }
+        }
     }
 
     /// Records that the upstream asked to receive no requests for `duration`.
@@ -88,6 +98,13 @@
         }
     }
 
+    /// Records that the upstream did not run the request. To be called before any answer is recorded.
+    pub(crate) fn record_not_run(&self) {
+        if let Some(mut rollouts) = self.node.rollouts() {
+            rollouts.ledger.record_not_run(self.send_id);
+        }
+    }
+
     /// Records that no byte of the request reached the intended upstream.
     pub(crate) fn record_unsent(&self) {
         self.node.limits().quarantine.cancel_send(self.send_id);
@@ -109,6 +126,10 @@
         let mut limits = self.node.limits();
         let health = limits.health(&self.upstream.name);
         health.record_failure(self.send_id, Instant::now());
+        drop(limits);
+        if let Some(mut rollouts) = self.node.rollouts() {
+            rollouts.ledger.record_failure(self.send_id);
+        }
     }
 }
 
@@ -119,6 +140,10 @@
         suspicion::record_loss(self, LossKind::Silent);
         let mut limits = self.node.limits();
         limits.health(&self.upstream.name).record_end(self.send_id);
+        drop(limits);
+        if let Some(mut rollouts) = self.node.rollouts() {
+            rollouts.ledger.record_end(self.send_id, Instant::now());
+        }
     }
 }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -33,6 +33,7 @@
 use crate::peers::Peers;
 use crate::quota;
 use crate::restore;
+use crate::rollout;
 use crate::state::Node;
 use crate::suspicion;
 
@@ -182,6 +183,10 @@
     supervisor.spawn("versions", RestartPolicy::Always, move || {
         origin::record_versions(version_node.clone())
     });
+    let rollout_node = node.clone();
+    supervisor.spawn("rollouts", RestartPolicy::Always, move || {
+        rollout::run(rollout_node.clone())
+    });
     let (restore_node, restore_store) = (node.clone(), store.clone());
     supervisor.spawn("restore", RestartPolicy::Always, move || {
         restore::run(restore_node.clone(), restore_store.clone())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,8 @@
 //! State that the tasks of a node share.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -42,6 +44,7 @@
 use crate::peers::Peers;
 use crate::quota;
 use crate::quota::Quotas;
+use crate::rollouts::Rollouts;
 use crate::suspicion;
 use crate::view_tracker::Change;
 use crate::view_tracker::OUTAGE_MIN;
@@ -150,6 +153,8 @@
     pub(crate) origin_wakers: OriginWakers,
     /// Wakes the task that restores rows when the store has lost some.
     pub(crate) rows_lost: Notify,
+    /// Roll-outs of software versions; `None` if this deployment has none.
+    rollouts: Option<Mutex<Rollouts>>,
 }
 
 impl Node {
@@ -186,6 +191,7 @@
             loss_wakers: suspicion::Wakers::default(),
             origin_wakers: OriginWakers::default(),
             rows_lost: Notify::new(),
+            rollouts: settings.rollout.map(|it| Mutex::new(Rollouts::new(it))),
             are_versions_recorded: AtomicBool::new(false),
             settings,
             telemetry,
@@ -330,6 +336,13 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the roll-outs; `None` if this deployment has none. The guard must not be held across an
+    /// await.
+    pub(crate) fn rollouts(&self) -> Option<MutexGuard<'_, Rollouts>> {
+        let rollouts = self.rollouts.as_ref()?;
+        Some(rollouts.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Locks the paths to upstreams. The guard must not be held across an await.
     pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
@@ -516,12 +529,38 @@
                 |it| view.members.contains_key(it),
             );
             let members = self.limits().member_count(Instant::now());
-            self.owner.configure(&view, members);
+            if let Some(mut rollouts) = self.rollouts() {
+                rollouts.update(&view, Instant::now());
+            }
+            self.owner.configure(&self.view_of_owner(&view), members);
             self.view.send_replace(view);
         }
         suspicion::apply_loss_changes(self, &changes);
     }
 
+    /// The view that steps are run by. The planner knows no shares, so during a roll-out of a step
+    /// service the version that may not get all traffic gets none.
+    fn view_of_owner<'a>(&self, view: &'a View) -> Cow<'a, View> {
+        let catalog = view.catalog.as_ref();
+        let is_step = |it: &id::Service| {
+            let service = catalog.and_then(|catalog| catalog.services.get(it));
+            service.is_some_and(|it| it.batch_limits.is_some())
+        };
+        let Some(rollouts) = self.rollouts() else {
+            return Cow::Borrowed(view);
+        };
+        let mut view = Cow::Borrowed(view);
+        let services = view.orders.keys().chain(view.rollouts.keys());
+        let services: BTreeSet<id::Service> = services.filter(|it| is_step(it)).cloned().collect();
+        for service in services {
+            let choice = rollouts.choose(&view, &service, 1.0, false);
+            view.to_mut()
+                .upstreams
+                .retain(|_, it| it.service != service || choice.allows(&it.software));
+        }
+        view
+    }
+
     /// Since when registrations have been watched without a gap; `None` during a store outage.
     pub(crate) fn watched_since(&self, now: Instant) -> Option<Instant> {
         let mut copy = self.store_copy();
@@ -552,7 +591,10 @@
             Change::Member(name) | Change::MemberGone(name) | Change::MemberLapsed(name) => {
                 name.to_string()
             }
-            Change::Software(service, software) | Change::SoftwareGone(service, software) => {
+            Change::RolloutWithdrawn(service) | Change::Rollout(service) => service.to_string(),
+            Change::RolloutOrdered(service, software)
+            | Change::Software(service, software)
+            | Change::SoftwareGone(service, software) => {
                 format!("{service} {software}")
             }
             Change::Loss(loss) => format!("{} {}", loss.fingerprint, loss.incarnation),
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -25,6 +25,7 @@
 use mirror::succession::Origin;
 use mirror::succession::Reason;
 use platform::origins;
+use platform::rollout;
 use platform::rows;
 use platform::rows::OperatorKey;
 use tokio::time::Instant;
@@ -95,6 +96,12 @@
     MemberGone(id::Instance),
     /// The store has lost the row of an instance of this system, which stays in the view for now.
     MemberLapsed(id::Instance),
+    /// Operators ordered to move the traffic of a service to a software version.
+    RolloutOrdered(id::Service, id::Software),
+    /// The order of a service was removed.
+    RolloutWithdrawn(id::Service),
+    /// The stored state of a service's roll-out changed.
+    Rollout(id::Service),
     /// A software version of a service was recorded.
     Software(id::Service, id::Software),
     /// A software version of a service has not been in service for some time.
@@ -342,6 +349,7 @@
                 Ok(outcome) => outcome.map(|it| self.apply_configuration(it)),
                 Err(err) => Some(unreadable(row, err)),
             },
+            OperatorKey::Rollout(service) => self.apply_order(service, row),
             OperatorKey::Evacuation(zone) if row.value.is_some() => {
                 self.lost_evacuations.remove(&zone);
                 self.view.evacuated_zones.insert(zone.clone());
@@ -429,6 +437,9 @@
         if let Some((service, software)) = origins::parse_software_key(&row.key) {
             return Some(self.apply_software(service, software, row.value.is_some()));
         }
+        if let Some(service) = rollout::parse_key(&row.key) {
+            return Some(self.apply_rollout(service, row));
+        }
         let name = rows::parse_member_key(&row.key)?;
         self.lost_members.remove(&name);
         let Some(value) = row.value.as_deref() else {
@@ -446,6 +457,39 @@
 }
 
 impl ViewTracker {
+    /// An order that cannot be decoded has no effect: one before it is no longer in force.
+    fn apply_order(&mut self, service: id::Service, row: &Row) -> Option<Change> {
+        let Some(value) = row.value.as_deref() else {
+            let order = self.view.orders.remove(&service);
+            return order.map(|_| Change::RolloutWithdrawn(service));
+        };
+        match rollout::decode_order(&service, row.version, value) {
+            Ok(order) => {
+                let to = order.to.clone();
+                self.view.orders.insert(service.clone(), order);
+                Some(Change::RolloutOrdered(service, to))
+            }
+            Err(err) => {
+                self.view.orders.remove(&service);
+                Some(unreadable(row, err))
+            }
+        }
+    }
+
+    fn apply_rollout(&mut self, service: id::Service, row: &Row) -> Change {
+        let Some(value) = row.value.as_deref() else {
+            self.view.rollouts.remove(&service);
+            return Change::Rollout(service);
+        };
+        match rollout::decode_state(value) {
+            Ok(state) => {
+                self.view.rollouts.insert(service.clone(), state);
+                Change::Rollout(service)
+            }
+            Err(err) => unreadable(row, err),
+        }
+    }
+
     fn apply_software(
         &mut self,
         service: id::Service,
--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -65,6 +65,14 @@
         Node::start_with(name, zone, store, RetryLimit::SITE, Link::default())
     }
 
+    /// Starts a node of a deployment whose operators order roll-outs.
+    pub(crate) fn start_with_rollouts(name: &str, zone: &str, store: SocketAddr) -> Node {
+        let ports = site::reserve_ports().expect("ports");
+        let text = site::settings(name, zone, store, ports, RetryLimit::AMPLE);
+        let bounds = "contracts: [rollout]\nbounds:\n  exposure_share: 0.1\n  exposure_extra: 20\n";
+        Node::start_from(name, &text.replace("bounds:\n", bounds), Link::default())
+    }
+
     fn start_with(
         name: &str,
         zone: &str,
@@ -74,7 +82,11 @@
     ) -> Node {
         let ports = site::reserve_ports().expect("ports");
         let text = site::settings(name, zone, store, ports, retries);
-        let settings = platform::settings::parse(&text).expect("valid settings");
+        Node::start_from(name, &text, link)
+    }
+
+    fn start_from(name: &str, text: &str, link: Link) -> Node {
+        let settings = platform::settings::parse(text).expect("valid settings");
         let (shutdown, shutdown_signal) = oneshot::channel();
         let (client_address, readiness_address) =
             (settings.client_address, settings.readiness_address);
@@ -174,6 +186,11 @@
         Fixture::start_nodes(site, count, start_node).await
     }
 
+    /// Like [`Fixture::start`], in a deployment whose operators order roll-outs.
+    pub(crate) async fn start_with_rollouts(count: usize) -> Fixture {
+        Fixture::start_with(count, Node::start_with_rollouts).await
+    }
+
     /// Starts `count` nodes of a site and waits until they are ready. Their retry budget is ample.
     pub(crate) async fn start_at(site: Site, count: usize) -> Fixture {
         Fixture::start_nodes(site, count, Node::start).await
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -71,6 +71,9 @@
     /// Like [`Request::Prepare`], with what the owner schedules and places by; since
     /// [`crate::Protocol::V3`].
     Schedule(Box<steps::Schedule>),
+    /// Tells the coordinator of a roll-out what the sender has counted; since
+    /// [`crate::Protocol::V3`].
+    Rollout(Box<Rollout>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -109,6 +112,22 @@
     Tunnel(tunnel::Answer),
     /// What the requester's copies of the tables lack, with recent losses.
     Updates(Box<TablesUpdate>),
+    /// What the coordinator of a roll-out allows; `None` if the receiver is not the coordinator, or
+    /// cannot tell what is allowed.
+    Rollout(Option<rollout::choice::Grant>),
+}
+
+/// Counts of an instance for the coordinator of a roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service.
+    pub service: id::Service,
+    /// The sender.
+    pub instance: id::Instance,
+    /// Distinguishes the sender's process from earlier ones.
+    pub incarnation: u64,
+    /// The counts.
+    pub report: rollout::desk::Report,
 }
 
 /// Where a stream began, for the instance that saves it.
