Pass over a coordinator that grants nothing

Callers of a good version saw it reverted when the instance that wrote the stages was killed: the one killed was asked again after 4 s, and the new coordinator began anew. One that answers without a grant, or not at all, for 0.6 s is now passed over for the order; so are instances of the previous release.

--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -164,7 +164,12 @@
     let key = rows::key(service);
     let order = ownership::preference_order(&key, view.members.values().map(Arc::as_ref));
     let mut order = order.into_iter().map(|it| &it.instance);
-    let first = order.find(|it| **it == node.settings.instance || !node.peers.is_suspected(it));
+    let now = Instant::now();
+    let rollouts = node.rollouts()?;
+    let first = order.find(|it| {
+        **it == node.settings.instance
+            || (!node.peers.is_suspected(it) && !rollouts.is_unfit(service, it, now))
+    });
     view.members.get(first?).cloned()
 }
 
@@ -190,21 +195,25 @@
         let mut replies = node.peers.open_with(coordinator, request).await.ok()?;
         replies.next().await
     };
-    match tokio::time::timeout(REPORT_TIMEOUT, reply).await {
-        Ok(Some(Reply::Rollout(grant))) => {
-            node.peers.record_answer(&coordinator.instance);
-            if let (Some(grant), Some(mut rollouts)) = (grant, node.rollouts()) {
-                rollouts.record_grant(service, grant, asked_at);
-            }
-        }
-        Ok(_) => {}
-        Err(_) => {
-            if node.peers.record_timeout(coordinator).await {
-                slog::warn!(node.logger(), "coordinator_lost"; "service" => service.as_str(),
-                    "instance" => %coordinator.instance);
-            }
+    let reply = tokio::time::timeout(REPORT_TIMEOUT, reply).await;
+    let grant = match &reply {
+        Ok(Some(Reply::Rollout(grant))) => *grant,
+        _ => None,
+    };
+    if matches!(reply, Ok(Some(_))) {
+        node.peers.record_answer(&coordinator.instance);
+    }
+    if let Some(mut rollouts) = node.rollouts() {
+        let instance = &coordinator.instance;
+        rollouts.record_answer(service, instance, grant.is_some(), asked_at);
+        if let Some(grant) = grant {
+            rollouts.record_grant(service, grant, asked_at);
         }
     }
+    if reply.is_err() && node.peers.record_timeout(coordinator).await {
+        slog::warn!(node.logger(), "coordinator_lost"; "service" => service.as_str(),
+            "instance" => %coordinator.instance);
+    }
 }
 
 /// Takes the report of another instance; returns what that may send.
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -26,6 +26,9 @@
 /// Time from the latest step of a coordinator for which it grants anything.
 const DESK_AGE_MAX: Duration = Duration::from_millis(700);
 
+/// Time without a grant after which another instance is asked to coordinate.
+const UNGRANTED_TIME_MAX: Duration = Duration::from_millis(600);
+
 /// The coordinator's side of a roll-out.
 #[derive(Debug)]
 pub(crate) struct Coordination {
@@ -48,6 +51,9 @@
     pub(crate) desks: BTreeMap<id::Service, Coordination>,
     /// The newest grants, and until when they hold.
     grants: BTreeMap<id::Service, (Grant, Instant)>,
+    /// Since when coordinators have answered without a grant, or not at all. One that is passed over
+    /// stays so for the order: going back would cost a new coordinator what it knows.
+    ungranted: BTreeMap<(id::Service, id::Instance), Instant>,
     /// When each order was seen.
     seen: BTreeMap<id::Service, (u64, Instant)>,
     /// When the upstreams appeared, as long as they may be cold.
@@ -64,6 +70,7 @@
             ledger: Ledger::default(),
             desks: BTreeMap::new(),
             grants: BTreeMap::new(),
+            ungranted: BTreeMap::new(),
             seen: BTreeMap::new(),
             started: BTreeMap::new(),
             cold_times: BTreeMap::new(),
@@ -77,12 +84,16 @@
             let seen = seen.or_insert((order.version, now));
             if seen.0 != order.version {
                 *seen = (order.version, now);
+                self.ungranted.retain(|it, _| it.0 != *service);
             }
             self.ledger.begin(service, order.version, &order.to);
         }
         let is_ordered = |it: &id::Service| view.orders.contains_key(it);
         self.ledger.retain(is_ordered);
         self.seen.retain(|it, _| is_ordered(it));
+        self.ungranted.retain(|(service, instance), _| {
+            is_ordered(service) && view.members.contains_key(instance)
+        });
         let services = view.catalog.iter().flat_map(|it| it.services.values());
         let cold = services.filter(|it| !it.cold_start.is_zero());
         self.cold_times = cold.map(|it| (it.name.clone(), it.cold_start)).collect();
@@ -127,6 +138,37 @@
         self.grants.insert(service.clone(), grant);
     }
 
+    /// Records whether a coordinator granted anything.
+    pub(crate) fn record_answer(
+        &mut self,
+        service: &id::Service,
+        coordinator: &id::Instance,
+        is_granted: bool,
+        now: Instant,
+    ) {
+        let key = (service.clone(), coordinator.clone());
+        match is_granted {
+            true => {
+                self.ungranted.remove(&key);
+            }
+            false => {
+                self.ungranted.entry(key).or_insert(now);
+            }
+        }
+    }
+
+    /// Whether an instance is passed over as a coordinator: it is of an earlier build, or has grown
+    /// unable to tell what is allowed.
+    pub(crate) fn is_unfit(
+        &self,
+        service: &id::Service,
+        instance: &id::Instance,
+        now: Instant,
+    ) -> bool {
+        let since = self.ungranted.get(&(service.clone(), instance.clone()));
+        since.is_some_and(|it| now.saturating_duration_since(*it) >= UNGRANTED_TIME_MAX)
+    }
+
     /// Time since this instance saw an order.
     pub(crate) fn elapsed(&self, service: &id::Service, order: u64, now: Instant) -> Duration {
         let seen = self.seen.get(service).filter(|it| it.0 == order);
