--- a/crates/node/tests/rollouts/main.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -14,6 +14,7 @@
 
 use platform_standin::client;
 use platform_standin::site::API_KEY;
+use platform_standin::site::EVENTS_PER_STREAM;
 use platform_standin::store::Mode;
 use platform_standin::upstream::Fault;
 use platform_standin::upstream::Upstream;
@@ -45,6 +46,38 @@
 /// Bad answers after which that time begins.
 const BAD_ANSWERS: usize = 50;
 const STATUS_KEY: &str = "rollout/ledger";
+/// Headers of a request for a stream.
+const STREAM_HEADERS: [&str; 3] = [
+    "x-model: m",
+    "x-token-count: 30,6",
+    "x-prompt-prefix: aa:10,bb:20",
+];
+
+/// A service, and requests that it answers.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    service: &'static str,
+    target: &'static str,
+    headers: &'static [&'static str],
+    events: u32,
+    /// Time of an answer of the old version.
+    time: Duration,
+}
+
+const READ: Kind = Kind {
+    service: "ledger",
+    target: "GET /read/1",
+    headers: &[],
+    events: 0,
+    time: OLD_TIME,
+};
+const STREAM: Kind = Kind {
+    service: "engine",
+    target: "POST /summary/1",
+    headers: &STREAM_HEADERS,
+    events: EVENTS_PER_STREAM,
+    time: Duration::from_millis(10),
+};
 
 /// Requests at a steady rate to nodes, until dropped.
 struct Load {
@@ -54,7 +87,7 @@
 }
 
 impl Load {
-    fn start(addresses: &[SocketAddr], name: &str) -> Load {
+    fn start(kind: Kind, addresses: &[SocketAddr], name: &str) -> Load {
         let responses = Arc::<Mutex<Vec<u16>>>::default();
         let mut tasks = JoinSet::new();
         for (address, node) in addresses.iter().copied().zip('a'..) {
@@ -70,8 +103,9 @@
                     let id = format!("x-request-id: {name}{number}");
                     requests.spawn(async move {
                         let key = format!("authorization: Bearer {API_KEY}");
-                        let headers = [key.as_str(), id.as_str(), "x-deadline-ms: 2000"];
-                        let target = "GET /read/1";
+                        let mut headers = vec![key.as_str(), id.as_str(), "x-deadline-ms: 2000"];
+                        headers.extend(kind.headers);
+                        let target = kind.target;
                         let response = client::send_request(address, target, &headers, b"").await;
                         responses.lock().expect("a lock").push(response.status);
                     });
@@ -92,8 +126,9 @@
     }
 }
 
-/// A roll-out of the `ledger` service.
+/// A roll-out of a service.
 struct Rollout {
+    kind: Kind,
     fixture: Fixture,
     old: Vec<Arc<Upstream>>,
     new: Vec<Arc<Upstream>>,
@@ -104,34 +139,40 @@
 impl Rollout {
     /// Starts nodes and orders a roll-out to a version whose answers take `time`.
     async fn order(time: Duration) -> Rollout {
-        Rollout::order_over(time, OVER).await
+        Rollout::order_over(READ, time, OVER).await
     }
 
-    async fn order_over(time: Duration, over: Duration) -> Rollout {
+    async fn order_over(kind: Kind, time: Duration, over: Duration) -> Rollout {
         let mut fixture = Fixture::start_with_rollouts(NODES).await;
         for _ in 0..MORE_OLD {
-            let added = fixture.site.add("ledger", 0, OLD_TIME).await;
+            let added = fixture.site.add(kind.service, kind.events, kind.time).await;
             added.expect("a port for an upstream");
         }
         // The old version is known before the new one is.
         tokio::time::sleep(Duration::from_millis(500)).await;
-        let order = json!({"service": "ledger", "to": "v2", "over_s": over.as_secs_f64()});
+        let key = format!("rollout/{}", kind.service);
+        let order = json!({"service": kind.service, "to": "v2", "over_s": over.as_secs_f64()});
         fixture
             .site
             .store
-            .put("op", STATUS_KEY, order.to_string().as_bytes());
+            .put("op", &key, order.to_string().as_bytes());
         let ordered_at = Instant::now();
         tokio::time::sleep(Duration::from_millis(300)).await;
         for _ in 0..NEW_UPSTREAMS {
-            let added = fixture.site.add_version("ledger", 0, time, "v2").await;
+            let added = fixture
+                .site
+                .add_version(kind.service, kind.events, time, "v2")
+                .await;
             added.expect("a port for an upstream");
         }
         let of = |version: &str| {
             let upstreams = fixture.site.upstreams.iter();
-            let upstreams = upstreams.filter(|it| it.1 == "ledger" && it.0.version() == version);
+            let upstreams =
+                upstreams.filter(|it| it.1 == kind.service && it.0.version() == version);
             upstreams.map(|it| it.0.clone()).collect()
         };
         Rollout {
+            kind,
             old: of("v1"),
             new: of("v2"),
             ordered_at,
@@ -149,9 +190,13 @@
         self.new.iter().for_each(|it| it.set_fault(fault, None));
     }
 
+    fn key(&self) -> String {
+        format!("rollout/{}", self.kind.service)
+    }
+
     /// The status that operators read.
     fn status(&self) -> Option<Value> {
-        let row = self.fixture.site.store.row("status", STATUS_KEY)?;
+        let row = self.fixture.site.store.row("status", &self.key())?;
         serde_json::from_slice(&row).ok()
     }
 
@@ -163,7 +208,7 @@
 
     /// The stage that the nodes have stored.
     fn stage(&self) -> Option<Stage> {
-        let row = self.fixture.site.store.row("catkinvane", STATUS_KEY)?;
+        let row = self.fixture.site.store.row("catkinvane", &self.key())?;
         let state = platform::rollout::decode_state(&row).expect("a state");
         Some(state.stage)
     }
@@ -212,8 +257,18 @@
 /// after the status says so, since its upstreams stop then.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_good_version_completes() {
-    let rollout = Rollout::order(OLD_TIME).await;
-    let load = Load::start(&rollout.addresses(), "good");
+    check_good(READ).await;
+}
+
+/// The same with streams that are placed by their prompts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_good_version_of_engines_completes() {
+    check_good(STREAM).await;
+}
+
+async fn check_good(kind: Kind) {
+    let rollout = Rollout::order_over(kind, kind.time, OVER).await;
+    let load = Load::start(kind, &rollout.addresses(), "good");
     rollout.wait_for("running").await;
     rollout.wait_for("complete").await;
     let complete_at = Instant::now();
@@ -230,7 +285,7 @@
 /// A kind of bad version.
 async fn check_bad(time: Duration, fault: Fault, from: Duration) {
     let rollout = Rollout::order(time).await;
-    let load = Load::start(&rollout.addresses(), "bad");
+    let load = Load::start(READ, &rollout.addresses(), "bad");
     tokio::time::sleep(from).await;
     let bad_from = Instant::now();
     rollout.set_fault(fault);
@@ -267,7 +322,7 @@
 /// The instance that writes the stages is killed between two of them: another one goes on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn another_instance_takes_over() {
-    let mut rollout = Rollout::order_over(OLD_TIME, LONG_OVER).await;
+    let mut rollout = Rollout::order_over(READ, OLD_TIME, LONG_OVER).await;
     let store = &rollout.fixture.site.store;
     let members = (0..NODES).map(|idx| {
         let name: base::id::Instance = format!("n{idx}").parse().expect("a name");
@@ -279,7 +334,7 @@
     let coordinator: usize = order[0].instance.as_str()[1..].parse().expect("a number");
     let mut addresses = rollout.addresses();
     addresses.remove(coordinator);
-    let load = Load::start(&addresses, "takeover");
+    let load = Load::start(READ, &addresses, "takeover");
     rollout.wait_for_stage(Stage::Step(1)).await;
     rollout.fixture.nodes.remove(coordinator).kill();
     rollout.wait_for("complete").await;
@@ -292,7 +347,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn nothing_is_sent_while_the_store_is_silent() {
     let rollout = Rollout::order(OLD_TIME).await;
-    let load = Load::start(&rollout.addresses(), "silent");
+    let load = Load::start(READ, &rollout.addresses(), "silent");
     rollout.wait_for_stage(Stage::Step(1)).await;
     rollout.fixture.site.store.set_mode(Mode::Silent);
     // Rows count as fresh for 1.3 s at the bounds of the site, and a grant for 0.9 s.
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -6,13 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Latency buckets of a [`Cell`].
-const BUCKETS: usize = 24;
-/// Ratio of the bounds of a bucket. The last one begins at 11 s.
+/// Last latency bucket of a [`Cell`]; it begins at 11 s.
+const BUCKET_MAX: u8 = 23;
+/// Ratio of the bounds of a bucket.
 const BUCKET_RATIO: f64 = 1.5;
 /// Buckets above that of the old version's median from which an answer counts as slow: about three
 /// times the median.
-const SLOW_BUCKETS: usize = 3;
+const SLOW_BUCKETS: u8 = 3;
 /// Parts that the upstreams of the new version are divided into.
 pub const PARTS: u8 = 4;
 /// Answers of the old version that make a median.
@@ -43,52 +43,53 @@
     /// Sends that ended with a failure.
     pub failures: u64,
     /// Answers by latency; the failures are not among them.
-    pub answers: [u64; BUCKETS],
+    pub answers: BTreeMap<u8, u64>,
     /// Sends without an answer yet, by their age now.
-    pub open: [u64; BUCKETS],
+    pub open: BTreeMap<u8, u64>,
 }
 
 /// The bucket of a latency.
 #[must_use]
-fn bucket(latency: Duration) -> usize {
+fn bucket(latency: Duration) -> u8 {
     let ms = latency.as_secs_f64() * 1e3;
     let idx = ms.max(1.0).log(BUCKET_RATIO);
-    (idx as usize).min(BUCKETS - 1)
+    (idx as u8).min(BUCKET_MAX)
 }
 
 impl Cell {
     /// Counts an answer.
     pub fn record_answer(&mut self, latency: Duration) {
-        self.answers[bucket(latency)] += 1;
+        *self.answers.entry(bucket(latency)).or_default() += 1;
     }
 
     /// Counts a send that has no answer yet.
     pub fn record_open(&mut self, age: Duration) {
-        self.open[bucket(age)] += 1;
+        *self.open.entry(bucket(age)).or_default() += 1;
     }
 
     /// Number of answers that are no failures.
     #[must_use]
     pub fn answered(&self) -> u64 {
-        self.answers.iter().sum()
+        self.answers.values().sum()
     }
 
-    fn median(&self) -> Option<usize> {
+    fn median(&self) -> Option<u8> {
         let total = self.answered();
         if total < MEDIAN_ANSWERS_MIN {
             return None;
         }
         let mut sum = 0;
-        self.answers.iter().position(|it| {
-            sum += it;
+        let median = self.answers.iter().find(|it| {
+            sum += it.1;
             sum * 2 >= total
-        })
+        });
+        median.map(|it| *it.0)
     }
 
     /// Bad answers and all answers, where those from bucket `slow_from` are bad.
-    fn slow(&self, slow_from: usize) -> (u64, u64) {
-        let late: u64 = self.answers.iter().skip(slow_from).sum();
-        let open: u64 = self.open.iter().skip(slow_from).sum();
+    fn slow(&self, slow_from: u8) -> (u64, u64) {
+        let late: u64 = self.answers.range(slow_from..).map(|it| it.1).sum();
+        let open: u64 = self.open.range(slow_from..).map(|it| it.1).sum();
         (late + open, self.answered() + open)
     }
 
@@ -99,10 +100,12 @@
     fn add(&mut self, other: &Cell) {
         self.sends += other.sends;
         self.failures += other.failures;
-        let sums = self.answers.iter_mut().zip(&other.answers);
-        sums.for_each(|(sum, it)| *sum += it);
-        let sums = self.open.iter_mut().zip(&other.open);
-        sums.for_each(|(sum, it)| *sum += it);
+        for (bucket, count) in &other.answers {
+            *self.answers.entry(*bucket).or_default() += count;
+        }
+        for (bucket, count) in &other.open {
+            *self.open.entry(*bucket).or_default() += count;
+        }
     }
 
     /// What was counted since `before`; sends without an answer are as now.
@@ -110,8 +113,10 @@
         let mut cell = self.clone();
         cell.sends = self.sends.saturating_sub(before.sends);
         cell.failures = self.failures.saturating_sub(before.failures);
-        let rests = cell.answers.iter_mut().zip(&before.answers);
-        rests.for_each(|(rest, it)| *rest = rest.saturating_sub(*it));
+        for (bucket, count) in &mut cell.answers {
+            let known = before.answers.get(bucket).copied().unwrap_or_default();
+            *count = count.saturating_sub(known);
+        }
         cell
     }
 }
@@ -156,7 +161,7 @@
     pub fn close(&mut self) {
         self.old_open = 0;
         for cell in self.cells.values_mut() {
-            cell.open = [0; BUCKETS];
+            cell.open.clear();
         }
     }
 
