--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,8 @@
 mod quota;
 pub mod relay;
 mod restore;
+mod rollout;
+mod rollouts;
 pub mod routing;
 pub mod send_guard;
 pub mod serve;
