--- a/crates/catalog/src/model.rs
+++ b/crates/catalog/src/model.rs
@@ -106,6 +106,9 @@
 pub struct Engine {
     /// Maximum number of concurrent requests per upstream.
     pub slots: u32,
+    /// Tokens that the running requests and cached prompts of one upstream may take up; `None` if
+    /// not configured.
+    pub memory_tokens: Option<u64>,
 }
 
 /// Limits and expected times of the upstreams of a service that runs batched steps.
@@ -134,6 +137,8 @@
     pub connections_max: u32,
     /// Request rate, per second, that a cold upstream can take; 0 if the service has no cold phase.
     pub cold_per_second: f64,
+    /// Time after its start for which an upstream is cold.
+    pub cold_start: Duration,
     /// Set for services that run model engines.
     pub engine: Option<Engine>,
     /// Set for services that run steps.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod report;
 mod run;
 mod site;
+mod spells;
 
 pub use load::Burst;
 pub use load::Load;
@@ -23,3 +24,4 @@
 pub use site::fee_office_zone;
 pub use site::sorting_office;
 pub use site::supplement_shop;
+pub use spells::Spells;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use forwarding::engine_memory::Need;
 use forwarding::origin::ORIGIN_TTL_MAX;
 use forwarding::origin::Record;
 use forwarding::poison::Source;
@@ -27,6 +28,7 @@
 
 use crate::detour;
 use crate::quota;
+use crate::rollout;
 use crate::state::BOUNDED_TABLES;
 use crate::state::Node;
 use crate::suspicion;
@@ -90,6 +92,10 @@
                     hold_origins(&node, origins);
                     send_reply(&replies, Reply::Done).await;
                 }
+                Request::Rollout(report) => {
+                    let grant = rollout::serve_report(&node, *report);
+                    send_reply(&replies, Reply::Rollout(grant)).await;
+                }
                 // All other requests are for dispatchers, which this deployment does not have.
                 _ => {}
             }
@@ -152,7 +158,8 @@
     let typical_latency = engines.usual;
     let mut engines = engines.candidates_in(&shard, prepared.zone.as_ref());
     engines.retain(|it| quota::has_capacity(node, it));
-    let placement = node.owner.place(&engines, typical_latency);
+    let need = need_from(terms);
+    let placement = node.owner.place(&request, &engines, typical_latency, need);
     let progress = Progress::Prepared {
         handles: prepared.handles,
         zone: prepared.zone,
@@ -163,6 +170,14 @@
     drop((placement, plan_guard));
 }
 
+/// What a request takes of an engine, by its terms.
+pub(crate) fn need_from(terms: &Terms) -> Need {
+    Need {
+        prompt_tokens: terms.prompt_tokens,
+        output_tokens: terms.output_tokens_max,
+    }
+}
+
 async fn send_refusal(node: &Node, request: &str, refusal: &Refusal, replies: mpsc::Sender<Reply>) {
     let counts = node.paths().counts();
     slog::info!(node.logger(), "steps_refused"; "request" => request, "reason" => %refusal,
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -154,6 +154,7 @@
                     busy = Some((member, wait));
                 }
                 Asked::Lost => {
+                    node.shard_waits().record_lost(&shard, Instant::now());
                     if node.peers.record_timeout(&member).await {
                         slog::warn!(node.logger(), "owner_lost"; "instance" => %member.instance,
                             "request" => &prepare_request.prepare.request);
@@ -176,7 +177,7 @@
     let now = Instant::now();
     let class = prepare_request.class();
     let time_left = prepare_request.deadline.saturating_duration_since(now);
-    let wait = node.shard_waits().too_late(&class, time_left, now);
+    let wait = node.owner_waits().too_late(&class, time_left, now);
     let Some(wait) = wait.filter(|_| !prepare_request.prepare.steps.is_empty()) else {
         return Ok(());
     };
@@ -195,7 +196,7 @@
 ) -> bool {
     let now = Instant::now();
     let shard = &prepare_request.prepare.shard;
-    let wait = node.shard_waits().of_shard(shard, now);
+    let wait = node.owner_waits().of_shard(shard, now);
     let time_left = prepare_request.soft_deadline.saturating_duration_since(now);
     member.cpu_share * 2.0 >= owner.cpu_share && wait < time_left
 }
@@ -237,9 +238,9 @@
     if !prepare_request.prepare.steps.is_empty() {
         let plan = peers::plan_from(prepare_request.to_message(), &prepare_request.terms);
         let mut guard = node.owner.submit(shard.clone(), plan)?;
-        let (class, now) = (prepare_request.class(), Instant::now());
-        node.shard_waits()
-            .record_accepted(&class, guard.queue_wait, now);
+        let (class, wait, now) = (prepare_request.class(), guard.queue_wait, Instant::now());
+        node.owner_waits().record_accepted(&class, wait, now);
+        node.shard_waits().record_wait(shard.clone(), wait, now);
         prepared = guard.prepared().await?;
         plan_guard = Some(guard);
     }
@@ -247,7 +248,9 @@
     let typical_latency = engines.usual;
     let mut engines = engines.candidates_in(&shard, prepared.zone.as_ref());
     engines.retain(|it| quota::has_capacity(node, it));
-    let placement = node.owner.place(&engines, typical_latency);
+    let need = peers::need_from(&prepare_request.terms);
+    let request = &prepare_request.prepare.request;
+    let placement = node.owner.place(request, &engines, typical_latency, need);
     Ok(Preparation {
         prepared,
         engine: placement.as_ref().map(|it| it.engine().clone()),
@@ -264,21 +267,31 @@
     if shards.len() == 1 {
         return shards.pop();
     }
-    let waits = node.shard_waits();
-    let now = Instant::now();
-    let wait = |shard: &Shard| waits.of_shard(shard, now);
-    let has_steps = !prepare.steps.is_empty();
-    let candidates = shards.into_iter().map(|it| shard::Candidate {
-        capacity: shard::capacity(&view, &it, services()),
-        wait: if has_steps { wait(&it) } else { Duration::ZERO },
-        shard: it,
-    });
+    let waits = match prepare.steps.is_empty() {
+        true => vec![Duration::ZERO; shards.len()],
+        false => {
+            let book = node.shard_waits();
+            book.waits(&shards, &prepare.request, Instant::now())
+        }
+    };
+    let candidates = shards
+        .into_iter()
+        .zip(waits)
+        .map(|(shard, wait)| shard::Candidate {
+            capacity: shard::capacity(&view, &shard, services()),
+            wait,
+            shard,
+        });
     let candidates: Vec<shard::Candidate> = candidates.collect();
-    shard::choose(
+    let chosen = shard::choose(
         &candidates,
         prepare_request.prefix_cache.as_ref(),
         &prepare.request,
-    )
+    )?;
+    if !prepare.steps.is_empty() {
+        node.shard_waits().record_sent(&chosen);
+    }
+    Some(chosen)
 }
 
 /// Members that aren't suspected of having failed, the most capable ones first, those of the shard's
@@ -327,7 +340,8 @@
         match reply {
             Reply::Steps(Progress::Accepted(wait)) => {
                 let (class, now) = (prepare_request.class(), Instant::now());
-                node.shard_waits().record_accepted(&class, wait, now);
+                node.owner_waits().record_accepted(&class, wait, now);
+                node.shard_waits().record_wait(class.shard, wait, now);
             }
             Reply::Steps(Progress::Prepared {
                 handles,
@@ -342,7 +356,7 @@
             }
             Reply::Steps(Progress::TooLate(drain)) => {
                 let (class, now) = (prepare_request.class(), Instant::now());
-                node.shard_waits().record_late(class, drain, now);
+                node.owner_waits().record_late(class, drain, now);
                 return Asked::Ended(Err(Refusal::TooLate(drain)));
             }
             Reply::Steps(Progress::NoUpstream) => return Asked::Ended(Err(Refusal::NoUpstream)),
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,6 +1,8 @@
 //! State that the tasks of a node share.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -25,6 +27,7 @@
 use mirror::succession::Origin;
 use platform::settings::Settings;
 use platform::store;
+use stages::balance::Book;
 use stages::pressure::Holds;
 use stages::pressure::Waits;
 use telemetry::Telemetry;
@@ -43,6 +46,7 @@
 use crate::peers::Peers;
 use crate::quota;
 use crate::quota::Quotas;
+use crate::rollouts::Rollouts;
 use crate::suspicion;
 use crate::view_tracker::Change;
 use crate::view_tracker::OUTAGE_MIN;
@@ -127,7 +131,8 @@
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
     paths: Mutex<Paths>,
-    shard_waits: Mutex<Waits>,
+    shard_waits: Mutex<Book>,
+    owner_waits: Mutex<Waits>,
     owner_holds: Mutex<Holds>,
     shutdown: Arc<OnceLock<Shutdown>>,
     /// Time from the stop signal to the exit, from the newest settings.
@@ -149,6 +154,8 @@
     pub(crate) origin_wakers: OriginWakers,
     /// Wakes the task that restores rows when the store has lost some.
     pub(crate) rows_lost: Notify,
+    /// Roll-outs of software versions; `None` if this deployment has none.
+    rollouts: Option<Mutex<Rollouts>>,
 }
 
 impl Node {
@@ -177,6 +184,7 @@
             store_recoveries: watch::Sender::new(0),
             store_copy: Mutex::default(),
             shard_waits: Mutex::default(),
+            owner_waits: Mutex::default(),
             owner_holds: Mutex::default(),
             shutdown: Arc::default(),
             stop_grace: Mutex::new(settings.stop_grace),
@@ -186,6 +194,7 @@
             loss_wakers: suspicion::Wakers::default(),
             origin_wakers: OriginWakers::default(),
             rows_lost: Notify::new(),
+            rollouts: settings.rollout.map(|it| Mutex::new(Rollouts::new(it))),
             are_versions_recorded: AtomicBool::new(false),
             settings,
             telemetry,
@@ -330,6 +339,13 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the roll-outs; `None` if this deployment has none. The guard must not be held across an
+    /// await.
+    pub(crate) fn rollouts(&self) -> Option<MutexGuard<'_, Rollouts>> {
+        let rollouts = self.rollouts.as_ref()?;
+        Some(rollouts.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Locks the paths to upstreams. The guard must not be held across an await.
     pub(crate) fn paths(&self) -> MutexGuard<'_, Paths> {
         self.paths.lock().unwrap_or_else(PoisonError::into_inner)
@@ -343,11 +359,17 @@
     }
 
     /// Locks the drain times of the shards. The guard must not be held across an await.
-    pub fn shard_waits(&self) -> MutexGuard<'_, Waits> {
+    pub fn shard_waits(&self) -> MutexGuard<'_, Book> {
         let waits = self.shard_waits.lock();
         waits.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the waits that owners reported. The guard must not be held across an await.
+    pub(crate) fn owner_waits(&self) -> MutexGuard<'_, Waits> {
+        let waits = self.owner_waits.lock();
+        waits.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the holds that busy owners asked for. The guard must not be held across an await.
     pub(crate) fn owner_holds(&self) -> MutexGuard<'_, Holds> {
         let holds = self.owner_holds.lock();
@@ -522,12 +544,38 @@
                 |it| view.members.contains_key(it),
             );
             let members = self.limits().member_count(Instant::now());
-            self.owner.configure(&view, members);
+            if let Some(mut rollouts) = self.rollouts() {
+                rollouts.update(&view, Instant::now());
+            }
+            self.owner.configure(&self.view_of_owner(&view), members);
             self.view.send_replace(view);
         }
         suspicion::apply_loss_changes(self, &changes);
     }
 
+    /// The view that steps are run by. The planner knows no shares, so during a roll-out of a step
+    /// service the version that may not get all traffic gets none.
+    fn view_of_owner<'a>(&self, view: &'a View) -> Cow<'a, View> {
+        let catalog = view.catalog.as_ref();
+        let is_step = |it: &id::Service| {
+            let service = catalog.and_then(|catalog| catalog.services.get(it));
+            service.is_some_and(|it| it.batch_limits.is_some())
+        };
+        let Some(rollouts) = self.rollouts() else {
+            return Cow::Borrowed(view);
+        };
+        let mut view = Cow::Borrowed(view);
+        let services = view.orders.keys().chain(view.rollouts.keys());
+        let services: BTreeSet<id::Service> = services.filter(|it| is_step(it)).cloned().collect();
+        for service in services {
+            let choice = rollouts.choose(&view, &service, 1.0, false);
+            view.to_mut()
+                .upstreams
+                .retain(|_, it| it.service != service || choice.allows(&it.software));
+        }
+        view
+    }
+
     /// Since when registrations have been watched without a gap; `None` during a store outage.
     pub(crate) fn watched_since(&self, now: Instant) -> Option<Instant> {
         let mut copy = self.store_copy();
@@ -558,7 +606,10 @@
             Change::Member(name) | Change::MemberGone(name) | Change::MemberLapsed(name) => {
                 name.to_string()
             }
-            Change::Software(service, software) | Change::SoftwareGone(service, software) => {
+            Change::RolloutWithdrawn(service) | Change::Rollout(service) => service.to_string(),
+            Change::RolloutOrdered(service, software)
+            | Change::Software(service, software)
+            | Change::SoftwareGone(service, software) => {
                 format!("{service} {software}")
             }
             Change::Loss(loss) => format!("{} {}", loss.fingerprint, loss.incarnation),
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -7,13 +7,17 @@
 //! current time, performs no I/O and spawns no tasks. Its driver sends the [`Call`]s and reports
 //! their [`Outcome`]s.
 
+pub mod balance;
 mod call;
+pub mod fairness;
 mod fleet;
 mod plan;
 mod planner;
 pub mod pressure;
 mod rank;
+pub mod returns;
 pub mod shard;
+pub mod speed;
 
 pub use call::Call;
 pub use call::Input;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -5,6 +5,7 @@
 mod forecast;
 mod form;
 mod outcome;
+mod share;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 
 use crate::call::Call;
 use crate::call::Item;
+use crate::fairness;
 use crate::fleet::Fleet;
 use crate::fleet::Replica;
 use crate::fleet::UpstreamState;
@@ -24,12 +26,15 @@
 use crate::plan::Prepared;
 use crate::plan::Refusal;
 use crate::rank::SchedulingPolicy;
+use crate::returns::Returns;
+use crate::speed::Percent;
 
 use active::ActivePlan;
 use active::PieceState;
 use active::StepProgress;
 use backlog::Backlog;
 use forecast::refusal_time;
+use share::refused;
 
 pub use backlog::Count;
 pub use backlog::Counts;
@@ -61,6 +66,10 @@
     unused_results: Vec<(id::Upstream, Handle)>,
     ended: Vec<(PlanId, Result<Prepared, Refusal>)>,
     policy: SchedulingPolicy,
+    /// What workspaces have used of each service.
+    ledgers: BTreeMap<id::Service, fairness::Ledger>,
+    /// When refused clients return.
+    returns: Returns,
     last_id: u64,
     backlog: Backlog,
     /// When all waiting plans are checked for being overdue next.
@@ -111,6 +120,13 @@
         }
     }
 
+    /// Records how fast an upstream said that it works at the moment.
+    pub fn record_speed(&mut self, upstream: &id::Upstream, percent: Percent, now: Instant) {
+        for fleet in self.fleets.values_mut() {
+            fleet.record_told(upstream, percent, now);
+        }
+    }
+
     /// Forgets the lost and slow calls of an upstream, because the path to it was at fault.
     pub fn forget_failures(&mut self, upstream: &id::Upstream) {
         for fleet in self.fleets.values_mut() {
@@ -189,6 +205,7 @@
         let mut active = ActivePlan {
             steps: steps.collect(),
             submitted_at: now,
+            turn: self.take_turn(&plan, now),
             piece_failures: 0,
             is_delivered: false,
             is_past_aim: false,
@@ -198,8 +215,10 @@
         self.visits += 1;
         let drain = self.drain_time_of(&active.plan, |it| it.after.is_empty(), now);
         let end = self.forecast(Some(&active.plan), now).expected_end(&active);
-        if end > active.plan.deadline || now + drain > active.plan.deadline {
-            return Err(Refusal::TooLate(drain));
+        let fair_drain = self.fair_drain(&active, drain);
+        if end > active.plan.deadline || now + fair_drain > active.plan.deadline {
+            let refused = refused(&active, drain);
+            return Err(Refusal::TooLate(self.returns.refuse(refused, now)));
         }
         self.last_id += 1;
         let id = PlanId(self.last_id);
@@ -323,8 +342,11 @@
             .map(|(id, _)| *id)
             .collect();
         for id in overdue {
-            let drain = self.drain_time_of(&self.plans[&id].plan, |_| true, now);
-            self.refuse(id, Refusal::TooLate(drain));
+            let active = &self.plans[&id];
+            let drain = self.drain_time_of(&active.plan, |_| true, now);
+            let refused = refused(active, drain);
+            let wait = self.returns.refuse(refused, now);
+            self.refuse(id, Refusal::TooLate(wait));
         }
     }
 
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::hash;
 use base::id;
 use tokio::time::Instant;
 
@@ -25,10 +26,10 @@
 
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
-    plan: PlanId,
+    pub(super) plan: PlanId,
     step: usize,
-    rank: Rank,
-    waiting: usize,
+    pub(super) rank: Rank,
+    pub(super) waiting: usize,
     result_bytes: u64,
     /// Zone that the work waits for until [`ZONE_AFFINITY_WAIT`] has passed.
     preferred_zone: Option<id::Zone>,
@@ -49,17 +50,18 @@
 impl Planner {
     fn rank(&self, active: &ActivePlan, expected_end: Instant) -> Rank {
         match self.policy {
-            SchedulingPolicy::Urgency => Rank::new(
+            SchedulingPolicy::Urgency | SchedulingPolicy::Unshared => Rank::new(
                 active.plan.priority,
                 active.plan.soft_deadline,
                 expected_end,
-            ),
+            )
+            .with_turn(active.turn),
             SchedulingPolicy::FirstCome => Rank::first_come(active.submitted_at),
         }
     }
 
     pub(super) fn candidates(
-        &self,
+        &mut self,
         service: &id::Service,
         ends: &[(PlanId, Instant)],
         now: Instant,
@@ -88,6 +90,7 @@
             });
         }
         candidates.sort_by_key(|it| (it.rank, it.plan, it.step));
+        self.share_out(service, &mut candidates, now);
         candidates
     }
 
@@ -175,13 +178,15 @@
         waits.into_iter().for_each(|it| fleet.record_wait(it));
         let timeout = fleet.timeout(&upstream, pieces, now);
         let inputs_read_at = fleet.inputs_read_at(&upstream, now);
-        let expected_end = now + fleet.nominal_time(pieces);
+        let slowdown = fleet.slowdown(&upstream, now);
+        let expected_end = now + fleet.nominal_time(pieces).mul_f64(slowdown);
         if let Some(state) = fleet.upstreams.get_mut(&upstream) {
             state.calls_in_flight += 1;
             state.reserved_bytes += reserved_bytes;
         }
         let mut items = Vec::with_capacity(pieces);
         for (plan, step, count) in assigned {
+            self.charge(service, plan, count, now);
             items.extend(self.assign_pieces(plan, step, count, inputs_read_at, expected_end, now));
         }
         self.last_id += 1;
@@ -222,11 +227,17 @@
                 .iter()
                 .filter(|it| it.has_capacity(0, size, capacity, now))
                 .filter(|it| candidate.may_run_in(&it.replica.zone, now));
+            let plan = self.plans.get(&candidate.plan);
+            let request = plan.map_or("", |it| it.plan.request.as_str());
             let best = eligible.min_by_key(|it| {
                 let zone = candidate.preferred_zone.as_ref();
                 (
                     zone.is_some_and(|zone| *zone != it.replica.zone),
+                    it.calls_in_flight,
+                    speed_class(it.slowdown(now)),
                     it.reserved_bytes,
+                    // Several owners may choose by the same news.
+                    hash::hash_strs([request, it.replica.name.as_str()]),
                 )
             });
             if let Some(state) = best {
@@ -279,6 +290,11 @@
     }
 }
 
+/// Upstreams of one class are equally fast, as far as calls of different pieces can tell.
+fn speed_class(slowdown: f64) -> u32 {
+    (slowdown * 2.0) as u32
+}
+
 /// Whether the waiting work that can meet its soft deadline exceeds one batch.
 fn is_congested(candidates: &[Candidate], batch_max: usize) -> bool {
     let in_time = candidates.iter().filter(|it| !it.rank.is_late);
--- a/crates/stages/src/rank.rs
+++ b/crates/stages/src/rank.rs
@@ -6,16 +6,19 @@
 
 use tokio::time::Instant;
 
-/// Scheduling policy; [`SchedulingPolicy::FirstCome`] performs worse and remains for comparison.
+/// Scheduling policy; all but [`SchedulingPolicy::Urgency`] perform worse and remain for
+/// comparison.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum SchedulingPolicy {
-    /// Work that can meet its soft deadline goes before late work; then by priority, then by soft
-    /// deadline.
+    /// Work that can meet its soft deadline goes before late work; then by priority, then by the
+    /// fair parts of workspaces under contention, then by soft deadline.
     #[default]
     Urgency,
+    /// The same, with no regard to workspaces.
+    Unshared,
     /// First come, first served.
     FirstCome,
 }
@@ -39,6 +42,14 @@
         }
     }
 
+    /// The rank of a request that returns in its turn: it keeps the place of its first attempt.
+    pub(crate) fn with_turn(self, sort_time: Option<Instant>) -> Rank {
+        Rank {
+            sort_time: sort_time.map_or(self.sort_time, |it| it.min(self.sort_time)),
+            ..self
+        }
+    }
+
     pub(crate) fn first_come(submitted_at: Instant) -> Rank {
         Rank {
             is_late: false,
