--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod plan;
 mod planner;
+pub mod pressure;
 mod rank;
 pub mod returns;
 pub mod shard;
