Give an upstream in a spell a smaller batch

The largest batch of an upstream shrinks by what it tells of its speed, for as long as the news is fresh.

--- a/crates/stages/src/fleet.rs
+++ b/crates/stages/src/fleet.rs
@@ -135,6 +135,11 @@
         kept == 0 || kept + bytes <= usable_capacity(capacity)
     }
 
+    /// Slowdown that the newest response told; 1 if none did.
+    pub(crate) fn spell_told(&self, now: Instant) -> f64 {
+        self.speed.spell_told(now)
+    }
+
     pub(crate) fn is_slow(&self, now: Instant) -> bool {
         self.speed.is_slow(now)
     }
--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -15,6 +15,7 @@
 use crate::call::Call;
 use crate::call::Item;
 use crate::fleet::Fleet;
+use crate::fleet::UpstreamState;
 use crate::rank::Rank;
 use crate::rank::SchedulingPolicy;
 
@@ -145,6 +146,7 @@
         let started_ms = state.replica.started_ms;
         let capacity = fleet.limits.result_capacity;
         let batch_max = fleet.limits.batch_max;
+        let batch_max = batch_max_at(state, batch_max, now);
         let is_congested = is_congested(candidates, batch_max);
         let mut pieces = 0;
         let mut reserved_bytes = 0;
@@ -284,6 +286,13 @@
     }
 }
 
+/// Largest batch of an upstream: less while it says that it works slower than usual, so that fewer
+/// pieces wait for it.
+fn batch_max_at(state: &UpstreamState, batch_max: usize, now: Instant) -> usize {
+    let pieces = (batch_max as f64 / state.spell_told(now)) as usize;
+    pieces.clamp(1, batch_max.max(1))
+}
+
 /// Upstreams of one class are equally fast, as far as calls of different pieces can tell.
 fn speed_class(slowdown: f64) -> u32 {
     (slowdown * 2.0) as u32
