--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -51,7 +51,7 @@
             };
             let sent_at = Instant::now();
             let reply = exchange::run(&node, &upstream, &call, permit).await;
-            log_call(&shared.telemetry, &call, &reply.outcome, sent_at.elapsed());
+            log_call(&shared.telemetry, &call, &reply, sent_at.elapsed());
             if let Some(head) = &reply.head {
                 shared.record_load(&upstream.name, head);
                 if let Some(time) = head.retry_after {
@@ -198,8 +198,8 @@
     }
 }
 
-fn log_call(telemetry: &Telemetry, call: &Call, outcome: &Outcome, elapsed: Duration) {
-    let (outcome, made) = match outcome {
+fn log_call(telemetry: &Telemetry, call: &Call, reply: &exchange::Reply, elapsed: Duration) {
+    let (outcome, made) = match &reply.outcome {
         Outcome::Done(results) => ("done", results.iter().filter(|it| it.is_ok()).count()),
         Outcome::Rejected => ("rejected", 0),
         Outcome::Unsent => ("unsent", 0),
@@ -212,8 +212,11 @@
     telemetry.time_ms("steps.call_time", elapsed.as_millis() as u64);
     let mut requests: Vec<&str> = call.items.iter().map(|it| it.request.as_str()).collect();
     requests.dedup();
+    let load = reply.head.as_ref().and_then(|it| it.load?.ok());
+    let speed = load.and_then(|it| it.speed);
     slog::info!(telemetry.logger(), "step_call"; "call" => call.id,
         "upstream" => call.upstream.as_str(), "pieces" => call.items.len(), "made" => made,
         "requests" => requests.join(","), "took_ms" => elapsed.as_millis() as u64,
-        "timeout_ms" => call.timeout.as_millis() as u64, "outcome" => outcome);
+        "timeout_ms" => call.timeout.as_millis() as u64, "outcome" => outcome,
+        "time_percent" => speed.map(|it| it.to_string()));
 }
