--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -28,7 +28,8 @@
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
     plan: PlanId,
-    request: String,
+    /// Differs between the requests of different owners.
+    fingerprint: id::Fingerprint,
     step: usize,
     rank: Rank,
     waiting: usize,
@@ -83,7 +84,7 @@
                 }
                 candidates.push(Candidate {
                     plan: *id,
-                    request: active.plan.request.clone(),
+                    fingerprint: active.plan.fingerprint,
                     step: idx,
                     rank: self.rank(active, *end),
                     waiting,
@@ -230,6 +231,7 @@
                 .iter()
                 .filter(|it| it.has_capacity(0, size, capacity, now))
                 .filter(|it| candidate.may_run_in(&it.replica.zone, now));
+            let fingerprint = candidate.fingerprint.0.to_le_bytes();
             let best = eligible.min_by_key(|it| {
                 let zone = candidate.preferred_zone.as_ref();
                 (
@@ -238,7 +240,7 @@
                     speed_class(it.slowdown(now)),
                     it.reserved_bytes,
                     // Several owners may choose by the same news.
-                    hash::hash_strs([&candidate.request, it.replica.name.as_str()]),
+                    hash::hash_bytes([&fingerprint[..], it.replica.name.as_str().as_bytes()]),
                 )
             });
             if let Some(state) = best {
--- a/crates/stages/tests/uneven.rs
+++ b/crates/stages/tests/uneven.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use base::hash;
 use base::id;
 use catalog::BatchLimits;
 use stages::Call;
@@ -58,7 +59,7 @@
     };
     let plan = Plan {
         request: request.to_owned(),
-        fingerprint: id::Fingerprint(0),
+        fingerprint: id::Fingerprint(hash::hash_strs([request])),
         key: "key".to_owned(),
         zone: None,
         priority: 1,
