--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -15,6 +15,7 @@
 use crate::call::Call;
 use crate::call::Item;
 use crate::fleet::Fleet;
+use crate::fleet::UpstreamState;
 use crate::rank::Rank;
 use crate::rank::SchedulingPolicy;
 
@@ -27,6 +28,8 @@
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
     pub(super) plan: PlanId,
+    /// Differs between the requests of different owners.
+    fingerprint: id::Fingerprint,
     step: usize,
     pub(super) rank: Rank,
     pub(super) waiting: usize,
@@ -81,6 +84,7 @@
             };
             candidates.push(Candidate {
                 plan: *id,
+                fingerprint: active.plan.fingerprint,
                 step: *idx,
                 rank: self.rank(active, end),
                 waiting: progress.waiting_count(),
@@ -143,6 +147,7 @@
         let started_ms = state.replica.started_ms;
         let capacity = fleet.limits.result_capacity;
         let batch_max = fleet.limits.batch_max;
+        let batch_max = batch_max_at(state, batch_max, now);
         let is_congested = is_congested(candidates, batch_max);
         let mut pieces = 0;
         let mut reserved_bytes = 0;
@@ -227,8 +232,7 @@
                 .iter()
                 .filter(|it| it.has_capacity(0, size, capacity, now))
                 .filter(|it| candidate.may_run_in(&it.replica.zone, now));
-            let plan = self.plans.get(&candidate.plan);
-            let request = plan.map_or("", |it| it.plan.request.as_str());
+            let fingerprint = candidate.fingerprint.0.to_le_bytes();
             let best = eligible.min_by_key(|it| {
                 let zone = candidate.preferred_zone.as_ref();
                 (
@@ -237,7 +241,7 @@
                     speed_class(it.slowdown(now)),
                     it.reserved_bytes,
                     // Several owners may choose by the same news.
-                    hash::hash_strs([request, it.replica.name.as_str()]),
+                    hash::hash_bytes([&fingerprint[..], it.replica.name.as_str().as_bytes()]),
                 )
             });
             if let Some(state) = best {
@@ -290,6 +294,13 @@
     }
 }
 
+/// Largest batch of an upstream: less while it says that it works slower than usual, so that fewer
+/// pieces wait for it.
+fn batch_max_at(state: &UpstreamState, batch_max: usize, now: Instant) -> usize {
+    let pieces = (batch_max as f64 / state.spell_told(now)) as usize;
+    pieces.clamp(1, batch_max.max(1))
+}
+
 /// Upstreams of one class are equally fast, as far as calls of different pieces can tell.
 fn speed_class(slowdown: f64) -> u32 {
     (slowdown * 2.0) as u32
