Account for what slow clients hold until they take it

Events of streams and answers now count in the memory budget until the client has taken them; bodies that stand still are closed after the idle time, or after a second if their place is needed. Who is closed for memory: the least urgent first, then the slowest. One check of all listeners in 250 ms in place of three.

--- a/crates/node/src/buffer.rs
+++ b/crates/node/src/buffer.rs
@@ -135,6 +135,30 @@
         Ok(())
     }
 
+    /// Splits off what was reserved beyond a body that buffers `size` bytes.
+    #[must_use]
+    pub fn split_off(&mut self, size: usize) -> Reservation {
+        let budgeted = size.saturating_sub(UNBUDGETED_BYTES).min(self.bytes);
+        let rest = Reservation {
+            budget: self.budget.clone(),
+            bytes: self.bytes - budgeted,
+        };
+        self.bytes = budgeted;
+        rest
+    }
+
+    /// Keeps the reservation until `bytes` are dropped.
+    #[must_use]
+    pub fn attach(self, bytes: Bytes) -> Bytes {
+        if self.bytes == 0 {
+            return bytes;
+        }
+        Bytes::from_owner(Held {
+            bytes,
+            _reservation: self,
+        })
+    }
+
     /// Releases what was reserved beyond a body that buffers `size` bytes.
     pub fn shrink(&mut self, size: usize) {
         let budgeted = size.saturating_sub(UNBUDGETED_BYTES).min(self.bytes);
@@ -154,7 +178,7 @@
 
 /// Bytes with what they take of the budget.
 struct Held {
-    bytes: BytesMut,
+    bytes: Bytes,
     _reservation: Reservation,
 }
 
@@ -188,11 +212,5 @@
         }
         reservation.append(&mut bytes, data)?;
     }
-    if reservation.bytes == 0 {
-        return Ok(bytes.freeze());
-    }
-    Ok(Bytes::from_owner(Held {
-        bytes,
-        _reservation: reservation,
-    }))
+    Ok(reservation.attach(bytes.freeze()))
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -116,6 +116,9 @@
             Ok(client_request) => Arc::new(client_request),
             Err(rejection) => return write_rejection(node, request, response, rejection),
         };
+        if let Some(guard) = &on_connection {
+            guard.record_body_end();
+        }
         match forward::run(node, &client_request).await {
             Ok(client_response) => {
                 let guards = (in_flight, on_connection);
@@ -294,6 +297,7 @@
 ) {
     let elapsed = client_request.received_at.elapsed();
     let status = client_response.status;
+    let priority = client_request.priority;
     slog::info!(node.logger(), "answered"; "request" => &client_request.id,
         "status" => status.as_u16(), "route" => &client_request.route.name,
         "took_ms" => elapsed.as_millis() as u64);
@@ -305,16 +309,19 @@
     match client_response.body {
         Body::Whole(bytes) => {
             if let Some(guard) = on_connection {
-                guard.record_response(bytes.len());
+                guard.record_response(bytes.len(), priority);
             }
             response.replace_body(salvo::http::ResBody::Once(bytes));
         }
         Body::Events(mut relay) => {
             relay.track_in_flight(in_flight);
             let events = relay.into_stream();
-            response.stream(events.inspect(move |_| {
-                // The request lasts as long as its stream.
-                let _guard = &on_connection;
+            // The request lasts as long as its stream.
+            response.stream(events.inspect(move |events| {
+                let size = events.as_ref().map_or(0, Bytes::len);
+                if let Some(guard) = &on_connection {
+                    guard.record_response(size, priority);
+                }
             }));
         }
     }
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -164,9 +164,6 @@
     ) -> Poll<std::io::Result<()>> {
         let connection = self.connection.clone();
         connection.waker.register(cx.waker());
-        if connection.is_closing() && !connection.is_idle() {
-            return Poll::Ready(Err(std::io::ErrorKind::ConnectionAborted.into()));
-        }
         let is_reading_head = !connection.has_request();
         if is_reading_head {
             let size = connection.head_bytes();
@@ -179,9 +176,14 @@
         let filled = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
         let size = buf.filled().len() - filled;
-        if is_reading_head && size > 0 {
-            connection.record_head(size, self.connections.now_ms());
+        if size > 0 {
+            let now = self.connections.now_ms();
+            match is_reading_head {
+                true => connection.record_head(size, now),
+                false => connection.record_body(now),
+            }
         }
+        // A request that has arrived in time is served.
         if result.is_pending() && connection.is_closing() {
             return Poll::Ready(Err(std::io::ErrorKind::ConnectionAborted.into()));
         }
--- a/crates/node/src/listener_connections.rs
+++ b/crates/node/src/listener_connections.rs
@@ -1,5 +1,6 @@
 //! The open connections of a listener, and which of them are closed first.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -50,9 +52,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Checks from one log line to the next.
 const CHECKS_PER_LINE: u32 = 8;
-/// Time for which a client must have read nothing before its connection is closed in favour of
-/// another one.
-const UNREAD_MIN_MS: u64 = 1_000;
+/// Time for which a client must have read nothing, or sent nothing of a body, before its connection
+/// is closed in favour of another one.
+const STALL_MIN_MS: u64 = 1_000;
 
 /// Why a connection was closed.
 #[derive(
@@ -66,6 +68,8 @@
     HeadTimeout,
     /// A head exceeds the limit or the memory budget.
     HeadTooLarge,
+    /// Nothing of a body arrived in time.
+    BodyStalled,
     /// The client read nothing of a response in time.
     Unread,
     /// Another connection took its place.
@@ -84,12 +88,17 @@
     is_closing: AtomicBool,
     requests: AtomicUsize,
     head_bytes: AtomicUsize,
-    /// When the head began, or else when the connection last wrote or was accepted.
+    /// When the head began, when the body last went on, or else when the connection last wrote or
+    /// was accepted.
     since_ms: AtomicU64,
     /// When the client stopped reading; 0 if it reads.
     blocked_since_ms: AtomicU64,
-    /// Length of the response that is being written.
+    /// Whether the body of a request is being read.
+    is_reading_body: AtomicBool,
+    /// Length of the response, or of the events, that are being written.
     response_bytes: AtomicUsize,
+    /// Priority of the request; 0 is the most urgent.
+    priority: AtomicU8,
 }
 
 impl Connection {
@@ -109,10 +118,6 @@
         Some(self.blocked_since_ms.load(Ordering::Relaxed)).filter(|it| *it > 0)
     }
 
-    pub(crate) fn is_idle(&self) -> bool {
-        !self.has_request() && self.head_bytes() == 0 && self.blocked_since_ms().is_none()
-    }
-
     /// Records bytes of a head. A connection that was about to be closed as idle stays open.
     pub(crate) fn record_head(&self, size: usize, now_ms: u64) {
         if self.head_bytes.fetch_add(size, Ordering::Relaxed) == 0 {
@@ -121,6 +126,15 @@
         }
     }
 
+    /// Records bytes that arrived while the connection has a request. A body that goes on keeps its
+    /// connection.
+    pub(crate) fn record_body(&self, now_ms: u64) {
+        if self.is_reading_body.load(Ordering::Relaxed) {
+            self.since_ms.store(now_ms, Ordering::Relaxed);
+            self.is_closing.store(false, Ordering::Relaxed);
+        }
+    }
+
     pub(crate) fn record_blocked(&self, now_ms: u64) {
         if self.blocked_since_ms().is_none() {
             self.blocked_since_ms.store(now_ms, Ordering::Relaxed);
@@ -130,6 +144,8 @@
     pub(crate) fn record_progress(&self, now_ms: u64) {
         self.blocked_since_ms.store(0, Ordering::Relaxed);
         self.since_ms.store(now_ms, Ordering::Relaxed);
+        // What was read before is answered.
+        self.head_bytes.store(0, Ordering::Relaxed);
     }
 
     /// Why the connection has exceeded the limits on time, if it has.
@@ -140,10 +156,12 @@
         if let Some(since) = self.blocked_since_ms() {
             return exceeds(since, limits.idle_timeout).then_some(Close::Unread);
         }
+        let since = self.since_ms.load(Ordering::Relaxed);
         if self.has_request() {
-            return None;
+            let is_reading_body = self.is_reading_body.load(Ordering::Relaxed);
+            let is_overdue = is_reading_body && exceeds(since, limits.idle_timeout);
+            return is_overdue.then_some(Close::BodyStalled);
         }
-        let since = self.since_ms.load(Ordering::Relaxed);
         match self.head_bytes() {
             0 => exceeds(since, limits.idle_timeout).then_some(Close::Idle),
             _ => exceeds(since, limits.header_timeout).then_some(Close::HeadTimeout),
@@ -152,13 +170,15 @@
 
     /// Order in which connections are closed in favour of others; `None` if this one may not be.
     fn unworthiness(&self, now_ms: u64) -> Option<(u8, u64)> {
+        let is_stalled = |since: u64| now_ms.saturating_sub(since) >= STALL_MIN_MS;
         if let Some(since) = self.blocked_since_ms() {
-            return (now_ms.saturating_sub(since) >= UNREAD_MIN_MS).then_some((2, since));
+            return is_stalled(since).then_some((3, since));
         }
+        let since = self.since_ms.load(Ordering::Relaxed);
         if self.has_request() {
-            return None;
+            let is_reading_body = self.is_reading_body.load(Ordering::Relaxed);
+            return (is_reading_body && is_stalled(since)).then_some((2, since));
         }
-        let since = self.since_ms.load(Ordering::Relaxed);
         Some((u8::from(self.head_bytes() > 0), since))
     }
 }
@@ -227,7 +247,9 @@
             head_bytes: AtomicUsize::new(0),
             since_ms: AtomicU64::new(self.now_ms()),
             blocked_since_ms: AtomicU64::new(0),
+            is_reading_body: AtomicBool::new(false),
             response_bytes: AtomicUsize::new(0),
+            priority: AtomicU8::new(0),
         });
         self.lock().insert(remote, connection.clone());
         connection
@@ -255,7 +277,8 @@
     }
 
     /// Closes the connection that is the least worth: without a request, the longest idle one; then
-    /// the oldest incomplete head; then the client that has read nothing for the longest time.
+    /// the oldest incomplete head; then the body, and then the response, that has stood still for the
+    /// longest time.
     /// Returns `false` if there is none.
     pub(crate) fn close_least_worthy(&self) -> bool {
         let now = self.now_ms();
@@ -270,8 +293,8 @@
         true
     }
 
-    /// Closes connections whose clients read nothing, the slowest first, until their responses hold
-    /// `needed` bytes; returns what they hold.
+    /// Closes connections whose clients read nothing, the least urgent and then the slowest first,
+    /// until their responses hold `needed` bytes; returns what they hold.
     #[must_use]
     pub fn close_unread(&self, needed: usize) -> usize {
         let open = self.lock();
@@ -280,7 +303,10 @@
             .filter_map(|it| Some((it.blocked_since_ms()?, it)))
             .filter(|it| it.1.response_bytes.load(Ordering::Relaxed) > 0)
             .collect();
-        blocked.sort_by_key(|it| it.0);
+        blocked.sort_by_key(|(since, connection)| {
+            let priority = connection.priority.load(Ordering::Relaxed);
+            (Reverse(priority), *since)
+        });
         let mut found = 0;
         for (_, connection) in blocked {
             if found >= needed {
@@ -292,6 +318,18 @@
         found
     }
 
+    /// Closes the connections that exceed `limits` on time; bounds heads by them from now on.
+    fn close_overdue(&self, limits: &ClientLimits) {
+        self.head_bytes_max
+            .store(head_bytes_max(limits), Ordering::Relaxed);
+        let now = self.now_ms();
+        for connection in self.lock().values() {
+            if let Some(close) = connection.overdue(limits, now) {
+                self.close(connection, close);
+            }
+        }
+    }
+
     /// Marks the connection from `remote` as having a request, until the guard is dropped.
     #[must_use]
     pub fn begin_request(self: &Arc<Connections>, remote: SocketAddr) -> Option<RequestGuard> {
@@ -300,6 +338,8 @@
         connection.head_bytes.store(0, Ordering::Relaxed);
         connection.response_bytes.store(0, Ordering::Relaxed);
         connection.is_closing.store(false, Ordering::Relaxed);
+        connection.is_reading_body.store(true, Ordering::Relaxed);
+        connection.since_ms.store(self.now_ms(), Ordering::Relaxed);
         Some(RequestGuard {
             connections: self.clone(),
             connection,
@@ -326,59 +366,83 @@
 }
 
 impl RequestGuard {
-    /// Records the length of the response that is about to be written.
-    pub fn record_response(&self, size: usize) {
-        self.connection
-            .response_bytes
-            .store(size, Ordering::Relaxed);
+    /// Records that the whole request has been read: from now on it is answered.
+    pub fn record_body_end(&self) {
+        let connection = &self.connection;
+        connection.is_reading_body.store(false, Ordering::Relaxed);
+    }
+
+    /// Records the length of what is about to be written, and how urgent it is.
+    pub fn record_response(&self, size: usize, priority: u8) {
+        let connection = &self.connection;
+        connection.response_bytes.store(size, Ordering::Relaxed);
+        connection.priority.store(priority, Ordering::Relaxed);
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let now = self.connections.now_ms();
+        self.record_body_end();
         self.connection.since_ms.store(now, Ordering::Relaxed);
         self.connection.requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// Closes connections that exceed the limits of the configuration; never returns.
-pub async fn check(node: Arc<Node>, name: &'static str, connections: Arc<Connections>) {
-    let mut counted = [0; Close::COUNT];
-    let mut logged = counted;
+/// Counts of closed connections by reason.
+type Counts = [u64; Close::COUNT];
+
+/// Closes connections that exceed the limits of the configuration in force, counts them and logs
+/// the counts; never returns. Each listener has its name.
+pub async fn check(node: Arc<Node>, listeners: Vec<(&'static str, Arc<Connections>)>) {
+    let mut reports = vec![Report::default(); listeners.len()];
     for number in 1_u32.. {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let limits = node.view().catalog.as_ref().and_then(|it| it.limits);
         let limits = limits.unwrap_or(DEFAULT_LIMITS);
-        let head_max = head_bytes_max(&limits);
-        connections
-            .head_bytes_max
-            .store(head_max, Ordering::Relaxed);
-        let now = connections.now_ms();
-        for connection in connections.lock().values() {
-            if let Some(close) = connection.overdue(&limits, now) {
-                connections.close(connection, close);
+        for ((name, connections), report) in listeners.iter().zip(&mut reports) {
+            connections.close_overdue(&limits);
+            report.count(&node, connections);
+            if number.is_multiple_of(CHECKS_PER_LINE) {
+                report.log(&node, name, connections);
             }
         }
+    }
+}
+
+/// What was counted and logged of a listener.
+#[derive(Clone, Default)]
+struct Report {
+    counted: Counts,
+    logged: Counts,
+}
+
+impl Report {
+    fn count(&mut self, node: &Node, connections: &Connections) {
         for close in Close::iter() {
             let count = connections.closes[close as usize].load(Ordering::Relaxed);
-            let new = count - counted[close as usize];
+            let new = count - self.counted[close as usize];
             if new > 0 {
                 node.telemetry
                     .count_tagged("connections.closed", close.into(), new);
             }
-            counted[close as usize] = count;
+            self.counted[close as usize] = count;
         }
-        if number.is_multiple_of(CHECKS_PER_LINE) && counted != logged {
-            let names = Close::iter().map(|it| {
-                let name: &str = it.into();
-                format!("{name}:{}", counted[it as usize] - logged[it as usize])
-            });
-            let names: Vec<String> = names.filter(|it| !it.ends_with(":0")).collect();
-            slog::info!(node.logger(), "connections_closed"; "listener" => name,
-                "counts" => names.join(","), "open" => connections.lock().len(),
-                "max" => connections.max);
-            logged = counted;
+    }
+
+    fn log(&mut self, node: &Node, listener: &str, connections: &Connections) {
+        if self.counted == self.logged {
+            return;
         }
+        let counts = Close::iter().map(|it| {
+            let count = self.counted[it as usize] - self.logged[it as usize];
+            (<&str>::from(it), count)
+        });
+        let counts = counts.filter(|it| it.1 > 0);
+        let counts: Vec<String> = counts.map(|it| format!("{}:{}", it.0, it.1)).collect();
+        slog::info!(node.logger(), "connections_closed"; "listener" => listener,
+            "counts" => counts.join(","), "open" => connections.lock().len(),
+            "max" => connections.max);
+        self.logged = self.counted;
     }
 }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -245,7 +245,9 @@
             return None;
         }
         let events = self.buffer.split_to(length).freeze();
-        self.reservation.shrink(self.buffer.len());
+        // They count until the client has read them.
+        let reservation = self.reservation.split_off(self.buffer.len());
+        let events = reservation.attach(events);
         let now = Instant::now();
         let pause = self
             .last_arrival
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -79,7 +79,7 @@
         let connections = unread.upgrade();
         connections.map_or(0, |it| it.close_unread(needed))
     });
-    spawn_check(&mut supervisor, &node, "clients", &connections);
+    let mut listeners = vec![("clients", connections.clone())];
     let front = Acceptor::bind(node.settings.client_address, connections.clone())?.into_server();
     let handle = front.handle();
     let handler = ClientHandler {
@@ -90,22 +90,18 @@
     let serving = tokio::spawn(front.try_serve(service));
     if node.settings.readiness_address != node.settings.client_address {
         let router = Router::with_path("{**rest}").goal(ReadinessHandler(node.clone()));
-        spawn_http_server(
-            &mut supervisor,
-            &node,
-            "ready",
-            node.settings.readiness_address,
-            router,
-        )?;
+        let address = node.settings.readiness_address;
+        let connections = spawn_http_server(&mut supervisor, &node, "ready", address, router)?;
+        listeners.push(("ready", connections));
     }
     let router = Router::with_path("{**rest}").goal(MetricsHandler(registry));
-    spawn_http_server(
-        &mut supervisor,
-        &node,
-        "metrics",
-        node.settings.metrics_address,
-        router,
-    )?;
+    let address = node.settings.metrics_address;
+    let connections = spawn_http_server(&mut supervisor, &node, "metrics", address, router)?;
+    listeners.push(("metrics", connections));
+    let check_node = node.clone();
+    supervisor.spawn("connections", RestartPolicy::Always, move || {
+        listener_connections::check(check_node.clone(), listeners.clone())
+    });
     spawn_tasks(&mut supervisor, &node, &store, path.clone());
     let (event_node, events) = (node.clone(), Arc::new(Mutex::new(events)));
     supervisor.spawn("findings", RestartPolicy::Always, move || {
@@ -284,31 +280,19 @@
     }
 }
 
-fn spawn_check(
-    supervisor: &mut Supervisor,
-    node: &Arc<Node>,
-    name: &'static str,
-    connections: &Arc<Connections>,
-) {
-    let (node, connections) = (node.clone(), connections.clone());
-    supervisor.spawn("connections", RestartPolicy::Always, move || {
-        listener_connections::check(node.clone(), name, connections.clone())
-    });
-}
-
 fn spawn_http_server(
     supervisor: &mut Supervisor,
     node: &Arc<Node>,
     name: &'static str,
     address: SocketAddr,
     router: Router,
-) -> eyre::Result<()> {
+) -> eyre::Result<Arc<Connections>> {
     let router = Arc::new(router);
     let connections = Connections::of_observers(&node.memory);
-    spawn_check(supervisor, node, name, &connections);
     let mut first = Some(Acceptor::bind(address, connections.clone())?);
+    let accepted = connections.clone();
     supervisor.spawn(name, RestartPolicy::Always, move || {
-        let bind = || Acceptor::bind(address, connections.clone());
+        let bind = || Acceptor::bind(address, accepted.clone());
         let acceptor = first.take().map_or_else(bind, Ok);
         let router = router.clone();
         async move {
@@ -317,5 +301,5 @@
             }
         }
     });
-    Ok(())
+    Ok(connections)
 }
--- a/crates/node/tests/crowds/crowd.rs
+++ b/crates/node/tests/crowds/crowd.rs
@@ -50,6 +50,7 @@
     EndlessBody,
     HugeBody,
     BodyThatStops,
+    PatientBody,
     Pipeline,
     UnreadAnswer,
     UnreadStream,
@@ -107,6 +108,11 @@
                 let length = format!("content-length: {}\r\n\r\n", BODY_BYTES + 1);
                 (post(&length), piece, BODY_BYTES)
             }
+            Behaviour::PatientBody => once(
+                "POST /post/1 HTTP/1.1\r\nhost: site.example\r\nx-deadline-ms: 600000\r\n\
+                 x-request-id: patient\r\nauthorization: Bearer key-1\r\ncontent-length: 5\r\n\r\nab"
+                    .to_owned(),
+            ),
             Behaviour::Pipeline => {
                 let request = read("\r\n");
                 (String::new(), request.repeat(50), ENDLESS_BYTES)
--- a/crates/node/tests/crowds/main.rs
+++ b/crates/node/tests/crowds/main.rs
@@ -103,6 +103,9 @@
     bodies_of_huge_length_end_no_process: Clients, HugeBody;
     /// Guards against keeping many bodies inside the limit that stop before their end.
     bodies_that_stop_end_no_process: Clients, BodyThatStops;
+    /// Guards against a bound on connections that is used up by bodies that stop, for as long as
+    /// their clients want to wait.
+    patient_bodies_shut_nobody_out: Clients, PatientBody;
     /// Guards against keeping requests that follow others without waiting for their answers.
     requests_without_pause_end_no_process: Clients, Pipeline;
     /// Guards against keeping long answers for clients that read nothing.
--- a/crates/node/tests/it/buffer.rs
+++ b/crates/node/tests/it/buffer.rs
@@ -71,3 +71,43 @@
         }
     }
 }
+
+/// Guards against answers that leave the account while slow clients have not read them.
+#[test]
+fn an_answer_counts_until_it_is_dropped() {
+    let budget = MemoryBudget::for_instance(INSTANCE_BYTES);
+    let mut answer = budget.new_reservation();
+    answer.resize(BODY_BYTES_MAX).expect("room");
+    let events = answer.split_off(BODY_BYTES_MAX / 2);
+    let events = events.attach(bytes::Bytes::from_static(b"events"));
+    let copy = events.clone();
+    drop((answer, events));
+    let (rest, reserved_bytes) = fill(&budget, 10);
+    assert!(
+        reserved_bytes <= BUDGET_BYTES - BODY_BYTES_MAX / 2 + 10 * 64 * 1024,
+        "{reserved_bytes} bytes"
+    );
+    drop((rest, copy));
+    let (_rest, reserved_bytes) = fill(&budget, 10);
+    assert!(
+        reserved_bytes > BUDGET_BYTES - 1024 * 1024,
+        "{reserved_bytes} bytes"
+    );
+}
+
+/// Guards against refusing ordinary bodies while slow clients hold the memory, and against granting
+/// more than what is freed for them.
+#[test]
+fn a_full_budget_takes_from_slow_clients() {
+    let budget = MemoryBudget::for_instance(INSTANCE_BYTES);
+    let (reservations, _) = fill(&budget, 100);
+    let freed = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let to_free = freed.clone();
+    budget.set_reclaim(move |_| to_free.load(std::sync::atomic::Ordering::Relaxed));
+    let mut body = budget.new_reservation();
+    assert_eq!(body.resize(1024 * 1024), Err(Error::TooLarge));
+    freed.store(2 * 1024 * 1024, std::sync::atomic::Ordering::Relaxed);
+    assert_eq!(body.resize(1024 * 1024), Ok(()));
+    drop((reservations, body));
+    assert_eq!(budget.new_reservation().resize(1024 * 1024), Ok(()));
+}
--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -26,7 +26,7 @@
 /// A running node.
 pub(crate) struct Node {
     pub(crate) client_address: SocketAddr,
-    readiness_address: SocketAddr,
+    pub(crate) readiness_address: SocketAddr,
     shutdown: Option<oneshot::Sender<()>>,
     task: JoinHandle<eyre::Result<()>>,
     /// Its network to the upstreams.
--- a/crates/node/tests/it/slow.rs
+++ b/crates/node/tests/it/slow.rs
@@ -197,3 +197,17 @@
     }
     assert!(fixture.runs("slow").is_empty());
 }
+
+/// Guards against a connection of the load balancer that is closed between its polls, as the bytes
+/// of all polls together last longer than one head may.
+#[tokio::test]
+async fn a_connection_for_readiness_polls_stays_open() {
+    let fixture = start().await;
+    let mut stream = begin(fixture.nodes[0].readiness_address, "").await;
+    for _ in 0..8 {
+        let poll = "GET /api/readyz HTTP/1.1\r\nhost: n0\r\n\r\n";
+        stream.write_all(poll.as_bytes()).await.expect("sent");
+        assert!(read_some(&mut stream).await.starts_with("http/1.1 200"));
+        tokio::time::sleep(HEADER_TIMEOUT / 2).await;
+    }
+}
