Roll out step services

An order for a service that runs steps was reverted whatever the version, as the planner knows no shares. It now uses one upstream of an unproven version, where that is within the exposure, and only the new ones at the whole; calls are counted as requests are. The coordinator takes its next step at once after a new stage, which took 0.2 s a stage before.

--- a/crates/node/src/owner/calls.rs
+++ b/crates/node/src/owner/calls.rs
@@ -23,6 +23,7 @@
 use super::exchange;
 use crate::quota;
 use crate::quota::Admission;
+use crate::rollout;
 use crate::state::Node;
 
 impl Owner {
@@ -49,7 +50,10 @@
                 }
             };
             let sent_at = Instant::now();
+            let record = rollout::CallRecord::begin(&node, &upstream);
             let reply = exchange::run(&node, &upstream, &call, permit).await;
+            record.record(&reply.outcome);
+            drop(record);
             log_call(&shared.telemetry, &call, &reply.outcome, sent_at.elapsed());
             if let Some(head) = &reply.head {
                 if let Some(time) = head.retry_after {
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -25,6 +25,8 @@
 use rollout::stage;
 use rollout::stage::Reason;
 use rollout::stage::Situation;
+use stages::ItemFailure;
+use stages::Outcome;
 use tokio::time::Instant;
 use wire::Protocol;
 use wire::Reply;
@@ -99,12 +101,55 @@
     rollouts.is_none_or(|it| !it.is_barred(view, upstream))
 }
 
+/// A call to an upstream that runs steps, counted until it is dropped.
+pub(crate) struct CallRecord {
+    node: Arc<Node>,
+    id: Option<u64>,
+}
+
+impl CallRecord {
+    /// Records the begin of a call.
+    pub(crate) fn begin(node: &Arc<Node>, upstream: &Upstream) -> CallRecord {
+        let rollouts = node.rollouts();
+        CallRecord {
+            id: rollouts.map(|mut it| it.record_call(upstream, Instant::now())),
+            node: node.clone(),
+        }
+    }
+
+    /// Records the outcome.
+    pub(crate) fn record(&self, outcome: &Outcome) {
+        let Some((id, mut rollouts)) = self.id.zip(self.node.rollouts()) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done(results) if results.contains(&Err(ItemFailure::Failed)) => {
+                rollouts.ledger.record_failure(id);
+            }
+            Outcome::Done(_) => rollouts.ledger.record_answer(id, Instant::now()),
+            Outcome::Lost => rollouts.ledger.record_failure(id),
+            Outcome::Rejected | Outcome::Unsent | Outcome::Unreachable | Outcome::Interrupted => {
+                rollouts.ledger.record_not_run(id)
+            }
+        }
+    }
+}
+
+impl Drop for CallRecord {
+    fn drop(&mut self) {
+        if let Some((id, mut rollouts)) = self.id.zip(self.node.rollouts()) {
+            rollouts.ledger.record_end(id, Instant::now());
+        }
+    }
+}
+
 /// Reports and coordinates; never returns.
 pub(crate) async fn run(node: Arc<Node>) {
     if node.rollouts().is_none() {
         std::future::pending::<()>().await;
     }
     let mut view = node.watch_view();
+    let mut withheld = BTreeSet::new();
     loop {
         view.mark_unchanged();
         let services = active_services(&node.view());
@@ -117,13 +162,33 @@
             }
             continue;
         }
-        join_all(services.iter().map(|it| step(&node, it))).await;
+        let steps = join_all(services.iter().map(|it| step(&node, it))).await;
+        let now_withheld = match node.rollouts() {
+            Some(rollouts) => rollouts.withheld(&node.view()),
+            None => BTreeSet::new(),
+        };
+        if now_withheld != withheld {
+            withheld = now_withheld;
+            node.refresh_owner();
+        }
         let members = node.member_count() as u32;
-        let interval = INTERVAL.max(INTERVAL_PER_MEMBER * members);
+        let interval = match steps.contains(&Progress::Entered) {
+            true => Duration::ZERO,
+            false => INTERVAL.max(INTERVAL_PER_MEMBER * members),
+        };
         tokio::time::sleep(interval).await;
     }
 }
 
+/// Outcome of one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// This instance has begun a stage, and knows its share after another step.
+    Entered,
+    /// Nothing else is to be done for now.
+    None,
+}
+
 /// Services whose roll-out may change.
 fn active_services(view: &View) -> Vec<id::Service> {
     let services = view.orders.keys().chain(view.rollouts.keys());
@@ -141,13 +206,13 @@
     order.or_else(|| view.rollouts.get(service).map(|it| it.order))
 }
 
-async fn step(node: &Arc<Node>, service: &id::Service) {
+async fn step(node: &Arc<Node>, service: &id::Service) -> Progress {
     let view = node.view();
     let Some(order) = order_version(&view, service) else {
-        return;
+        return Progress::None;
     };
     let Some(coordinator) = coordinator(node, &view, service) else {
-        return;
+        return Progress::None;
     };
     if coordinator.instance == node.settings.instance {
         return coordinate(node, service, order).await;
@@ -156,6 +221,7 @@
         rollouts.desks.remove(service);
     }
     send_report(node, &coordinator, service, order).await;
+    Progress::None
 }
 
 /// The instance that coordinates the roll-out of a service. Two that believe it of themselves do no
@@ -227,7 +293,7 @@
 }
 
 /// What a step of the coordinator has found.
-struct Outcome {
+struct Findings {
     /// The stage so far.
     current: Option<State>,
     /// The state to write, and why.
@@ -239,21 +305,23 @@
 }
 
 /// One step of the coordinator.
-async fn coordinate(node: &Arc<Node>, service: &id::Service, order: u64) {
+async fn coordinate(node: &Arc<Node>, service: &id::Service, order: u64) -> Progress {
     // It may not know the newest stage, so nothing is granted any more.
     if !node.is_fresh() {
-        return;
+        return Progress::None;
     }
     let Some(outcome) = decide(node, service, order) else {
-        return;
+        return Progress::None;
     };
     let mut current = outcome.current.clone();
+    let mut progress = Progress::None;
     if let Some((state, reason)) = &outcome.next {
         let is_new = outcome.current.as_ref() != Some(state);
         log_outcome(node, service, state, *reason, &outcome);
         match write(node, service, state).await {
             Ok(()) => {
                 if is_new {
+                    progress = Progress::Entered;
                     node.telemetry
                         .count_tagged("rollout.stages", state.stage.into(), 1);
                 }
@@ -271,7 +339,7 @@
     }
     let now = Instant::now();
     let Some(mut rollouts) = node.rollouts() else {
-        return;
+        return Progress::None;
     };
     let is_written = current != outcome.current;
     let coordination = rollouts.coordination(service, order, now);
@@ -279,7 +347,7 @@
         coordination.written = current.clone().map(|it| (it, now));
     }
     let Some(state) = current else {
-        return;
+        return Progress::None;
     };
     let share = match outcome.current.as_ref() == Some(&state) {
         true => outcome.share,
@@ -299,15 +367,20 @@
     telemetry.gauge("rollout.share_permille", (share * 1e3) as u64);
     telemetry.gauge("rollout.exposure", outcome.total.exposure());
     telemetry.gauge("rollout.failures", outcome.total.failures());
+    progress
 }
 
-fn decide(node: &Node, service: &id::Service, version: u64) -> Option<Outcome> {
+fn decide(node: &Node, service: &id::Service, version: u64) -> Option<Findings> {
     let view = node.view();
     let now = Instant::now();
     let order = view.orders.get(service);
     let mut rollouts = node.rollouts()?;
     let own = rollouts.report(&view, service, version, now);
     let bounds = rollouts.bounds;
+    let to = order.map(|it| &it.to);
+    let to = to.or(view.rollouts.get(service).map(|it| &it.to));
+    let old = view.usable(service);
+    let can_share = rollouts.can_share(old.filter(|it| Some(&it.software) != to).count());
     let coordination = rollouts.coordination(service, version, now);
     let desk = &mut coordination.desk;
     desk.record(&node.settings.instance, node.incarnation, own, now);
@@ -333,7 +406,6 @@
         Some(state) => desk.in_stage(state, now),
         None => (Duration::ZERO, Tally::default()),
     };
-    let to = order.map(|it| &it.to).or(newest.map(|it| &it.to));
     let upstreams = view.upstreams.values();
     let upstreams = upstreams.filter(|it| it.service == *service);
     let (new, old): (Vec<&Arc<Upstream>>, Vec<&Arc<Upstream>>) =
@@ -354,8 +426,8 @@
         answered: counts.answered(),
         is_old_idle: desk.is_old_idle(members, now),
         old_slots: old.iter().map(|it| u64::from(it.slots)).sum(),
-        new_slots: match is_step_service(&view, service) {
-            // Nothing is sent there that could prove the version.
+        new_slots: match rollouts::is_step_service(&view, service) && !can_share {
+            // Nothing may be sent there that could prove the version.
             true => 0,
             false => new.map(|it| u64::from(it.slots)).sum(),
         },
@@ -376,7 +448,7 @@
             total.exposure(),
         )
     });
-    Some(Outcome {
+    Some(Findings {
         current: newest.cloned(),
         next,
         elapsed,
@@ -386,12 +458,6 @@
     })
 }
 
-fn is_step_service(view: &View, service: &id::Service) -> bool {
-    let catalog = view.catalog.as_ref();
-    let service = catalog.and_then(|it| it.services.get(service));
-    service.is_some_and(|it| it.batch_limits.is_some())
-}
-
 /// Writes a state, and the status that operators read.
 async fn write(node: &Node, service: &id::Service, state: &State) -> Result<(), store::Error> {
     let key = rows::key(service);
@@ -418,7 +484,7 @@
     service: &id::Service,
     state: &State,
     reason: Reason,
-    outcome: &Outcome,
+    outcome: &Findings,
 ) {
     let finding = outcome.finding.as_ref();
     slog::info!(node.logger(), "rollout_stage"; "service" => service.as_str(),
--- a/crates/node/src/rollouts.rs
+++ b/crates/node/src/rollouts.rs
@@ -1,6 +1,7 @@
 //! What this instance knows of the roll-outs of services, and what it counts for them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,10 @@
 /// Time from the latest step of a coordinator for which it grants anything.
 const DESK_AGE_MAX: Duration = Duration::from_millis(700);
 
+/// Part of the exposure allowed that an unproven version of a step service may get.
+const STEP_EXPOSURE_RATIO: f64 = 0.7;
+/// Begin of the ids of calls, above those of requests.
+const CALL_IDS: u64 = 1 << 63;
 /// Time without a grant after which another instance is asked to coordinate.
 const UNGRANTED_TIME_MAX: Duration = Duration::from_millis(600);
 
@@ -54,6 +59,8 @@
     /// Since when coordinators have answered without a grant, or not at all. One that is passed over
     /// stays so for the order: going back would cost a new coordinator what it knows.
     ungranted: BTreeMap<(id::Service, id::Instance), Instant>,
+    /// Calls recorded.
+    calls: u64,
     /// When each order was seen.
     seen: BTreeMap<id::Service, (u64, Instant)>,
     /// When the upstreams appeared, as long as they may be cold.
@@ -71,6 +78,7 @@
             desks: BTreeMap::new(),
             grants: BTreeMap::new(),
             ungranted: BTreeMap::new(),
+            calls: 0,
             seen: BTreeMap::new(),
             started: BTreeMap::new(),
             cold_times: BTreeMap::new(),
@@ -268,6 +276,55 @@
         ((is_reverted && is_to) || is_unfinished) && !choice.allows(&upstream.software)
     }
 
+    /// Upstreams of step services that may get no calls. The planner spreads calls over the upstreams, so
+    /// as long as a version is unproven one of its upstreams is used.
+    pub(crate) fn withheld(&self, view: &View) -> BTreeSet<id::Upstream> {
+        let services = view.orders.keys().chain(view.rollouts.keys());
+        let services: BTreeSet<&id::Service> = services.collect();
+        let services = services.into_iter().filter(|it| is_step_service(view, it));
+        services.flat_map(|it| self.withheld_of(view, it)).collect()
+    }
+
+    fn withheld_of(&self, view: &View, service: &id::Service) -> Vec<id::Upstream> {
+        let choice = self.choose(view, service, 0.0, false);
+        let upstreams = view.upstreams.values();
+        let upstreams = upstreams.filter(|it| it.service == *service);
+        let Choice::Only {
+            to,
+            is_final: false,
+            share,
+        } = &choice
+        else {
+            let withheld = upstreams.filter(|it| !choice.allows(&it.software));
+            return withheld.map(|it| it.name.clone()).collect();
+        };
+        if *share >= 0.5 {
+            let old = upstreams.filter(|it| it.software != *to);
+            return old.map(|it| it.name.clone()).collect();
+        }
+        let (new, old): (Vec<_>, Vec<_>) = upstreams
+            .filter(|it| view.is_usable(it))
+            .partition(|it| it.software == *to);
+        let mut new: Vec<&id::Upstream> = new.into_iter().map(|it| &it.name).collect();
+        new.sort_unstable();
+        let used = usize::from(self.can_share(old.len()));
+        new.into_iter().skip(used).cloned().collect()
+    }
+
+    /// Whether one upstream of a new version beside `old` gets little enough of the traffic.
+    pub(crate) fn can_share(&self, old: usize) -> bool {
+        1.0 / (old as f64 + 1.0) <= self.bounds.exposure_share * STEP_EXPOSURE_RATIO
+    }
+
+    /// Records the begin of a call to an upstream that runs steps; returns its id.
+    pub(crate) fn record_call(&mut self, upstream: &Upstream, now: Instant) -> u64 {
+        self.calls += 1;
+        let id = CALL_IDS + self.calls;
+        self.ledger.record_request(&upstream.service);
+        self.record_send(id, upstream.service.as_str(), upstream, now);
+        id
+    }
+
     /// The coordination of an order, begun if it is not yet.
     pub(crate) fn coordination(
         &mut self,
@@ -296,6 +353,13 @@
     }
 }
 
+/// Whether a service runs steps.
+pub(crate) fn is_step_service(view: &View, service: &id::Service) -> bool {
+    let catalog = view.catalog.as_ref();
+    let service = catalog.and_then(|it| it.services.get(service));
+    service.is_some_and(|it| it.batch_limits.is_some())
+}
+
 /// Leaves the upstreams that get the share of the new version.
 pub(crate) fn keep_leaders(choice: &Choice, usable: &mut Vec<&Arc<Upstream>>) {
     let Choice::Only { share, .. } = choice else {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use base::id;
+use catalog::Phase;
 use catalog::View;
 use forwarding::path::Paths;
 use forwarding::stop::Shutdown;
@@ -538,25 +539,24 @@
         suspicion::apply_loss_changes(self, &changes);
     }
 
-    /// The view that steps are run by. The planner knows no shares, so during a roll-out of a step
-    /// service the version that may not get all traffic gets none.
+    /// Tells the owner of steps which upstreams it may use now.
+    pub(crate) fn refresh_owner(&self) {
+        let view = self.view();
+        let members = self.limits().member_count(Instant::now());
+        self.owner.configure(&self.view_of_owner(&view), members);
+    }
+
+    /// The view that steps are run by. Upstreams that a roll-out does not allow get no more calls.
     fn view_of_owner<'a>(&self, view: &'a View) -> Cow<'a, View> {
-        let catalog = view.catalog.as_ref();
-        let is_step = |it: &id::Service| {
-            let service = catalog.and_then(|catalog| catalog.services.get(it));
-            service.is_some_and(|it| it.batch_limits.is_some())
-        };
-        let Some(rollouts) = self.rollouts() else {
-            return Cow::Borrowed(view);
+        let withheld = match self.rollouts() {
+            Some(rollouts) => rollouts.withheld(view),
+            None => BTreeSet::new(),
         };
         let mut view = Cow::Borrowed(view);
-        let services = view.orders.keys().chain(view.rollouts.keys());
-        let services: BTreeSet<id::Service> = services.filter(|it| is_step(it)).cloned().collect();
-        for service in services {
-            let choice = rollouts.choose(&view, &service, 1.0, false);
-            view.to_mut()
-                .upstreams
-                .retain(|_, it| it.service != service || choice.allows(&it.software));
+        for name in withheld {
+            if let Some(upstream) = view.to_mut().upstreams.get_mut(&name) {
+                Arc::make_mut(upstream).phase = Phase::Draining;
+            }
         }
         view
     }
--- a/crates/node/tests/rollouts/main.rs
+++ b/crates/node/tests/rollouts/main.rs
@@ -27,10 +27,6 @@
 use fixture::eventually;
 
 const NODES: usize = 3;
-/// Upstreams of the new version.
-const NEW_UPSTREAMS: usize = 3;
-/// Upstreams of the old version that a test adds to the two of the site.
-const MORE_OLD: usize = 1;
 const OVER: Duration = Duration::from_secs(6);
 /// Time of an order during which an instance is killed.
 const LONG_OVER: Duration = Duration::from_secs(10);
@@ -53,6 +49,15 @@
     "x-prompt-prefix: aa:10,bb:20",
 ];
 
+/// The same with steps.
+const STEP_HEADERS: [&str; 5] = [
+    "x-model: m",
+    "x-token-count: 30,6",
+    "x-prompt-prefix: aa:10,bb:20",
+    "x-chunks: 2",
+    "x-chunk-key: k",
+];
+
 /// A service, and requests that it answers.
 #[derive(Clone, Copy, Debug)]
 struct Kind {
@@ -62,6 +67,8 @@
     events: u32,
     /// Time of an answer of the old version.
     time: Duration,
+    /// Upstreams of the old version, beside the two of the site, and of the new one.
+    upstreams: (usize, usize),
 }
 
 const READ: Kind = Kind {
@@ -70,6 +77,7 @@
     headers: &[],
     events: 0,
     time: OLD_TIME,
+    upstreams: (1, 3),
 };
 const STREAM: Kind = Kind {
     service: "engine",
@@ -77,6 +85,16 @@
     headers: &STREAM_HEADERS,
     events: EVENTS_PER_STREAM,
     time: Duration::from_millis(10),
+    upstreams: (1, 3),
+};
+/// Steps: so many upstreams that one more is within the exposure.
+const STEPS: Kind = Kind {
+    service: "steps",
+    target: "POST /draft/1",
+    headers: &STEP_HEADERS,
+    events: 0,
+    time: Duration::from_millis(30),
+    upstreams: (14, 12),
 };
 
 /// Requests at a steady rate to nodes, until dropped.
@@ -144,7 +162,7 @@
 
     async fn order_over(kind: Kind, time: Duration, over: Duration) -> Rollout {
         let mut fixture = Fixture::start_with_rollouts(NODES).await;
-        for _ in 0..MORE_OLD {
+        for _ in 0..kind.upstreams.0 {
             let added = fixture.site.add(kind.service, kind.events, kind.time).await;
             added.expect("a port for an upstream");
         }
@@ -158,7 +176,7 @@
             .put("op", &key, order.to_string().as_bytes());
         let ordered_at = Instant::now();
         tokio::time::sleep(Duration::from_millis(300)).await;
-        for _ in 0..NEW_UPSTREAMS {
+        for _ in 0..kind.upstreams.1 {
             let added = fixture
                 .site
                 .add_version(kind.service, kind.events, time, "v2")
@@ -266,6 +284,30 @@
     check_good(STREAM).await;
 }
 
+/// The same with steps, whose calls the owner spreads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_good_version_of_steps_completes() {
+    check_good(STEPS).await;
+}
+
+/// Step calls that break without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_failing_version_of_steps_is_reverted() {
+    let rollout = Rollout::order_over(STEPS, STEPS.time, OVER).await;
+    rollout.set_fault(Fault::AnswerLost);
+    let _load = Load::start(STEPS, &rollout.addresses(), "steps");
+    rollout.wait_for("reverted").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = rollout.exposure().len();
+    let left = rollout.over.saturating_sub(rollout.ordered_at.elapsed());
+    tokio::time::sleep(left).await;
+    let exposure = rollout.exposure().len();
+    assert_eq!(exposure, before, "sent after the reversal");
+    let old: usize = rollout.old.iter().map(|it| it.arrival_times().len()).sum();
+    let allowed = EXPOSURE_SHARE * (old + exposure) as f64 + EXPOSURE_EXTRA;
+    assert!(exposure as f64 <= allowed, "{exposure} beside {old}");
+}
+
 async fn check_good(kind: Kind) {
     let rollout = Rollout::order_over(kind, kind.time, OVER).await;
     let load = Load::start(kind, &rollout.addresses(), "good");
