--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -1,6 +1,8 @@
 //! Runs roll-outs: reports what this instance counts to the coordinator, and coordinates those whose
 //! coordinator this instance is.
 
+mod calls;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,8 +27,6 @@
 use rollout::stage;
 use rollout::stage::Reason;
 use rollout::stage::Situation;
-use stages::ItemFailure;
-use stages::Outcome;
 use tokio::time::Instant;
 use wire::Protocol;
 use wire::Reply;
@@ -36,6 +36,7 @@
 use crate::rollouts;
 use crate::state::Node;
 
+pub(crate) use self::calls::CallRecord;
 pub(crate) use crate::rollouts::keep_leaders;
 
 /// Interval of the reports to the coordinator, and of its decisions.
@@ -101,48 +102,6 @@
     rollouts.is_none_or(|it| !it.is_barred(view, upstream))
 }
 
-/// A call to an upstream that runs steps, counted until it is dropped.
-pub(crate) struct CallRecord {
-    node: Arc<Node>,
-    id: Option<u64>,
-}
-
-impl CallRecord {
-    /// Records the begin of a call.
-    pub(crate) fn begin(node: &Arc<Node>, upstream: &Upstream) -> CallRecord {
-        let rollouts = node.rollouts();
-        CallRecord {
-            id: rollouts.map(|mut it| it.record_call(upstream, Instant::now())),
-            node: node.clone(),
-        }
-    }
-
-    /// Records the outcome.
-    pub(crate) fn record(&self, outcome: &Outcome) {
-        let Some((id, mut rollouts)) = self.id.zip(self.node.rollouts()) else {
-            return;
-        };
-        match outcome {
-            Outcome::Done(results) if results.contains(&Err(ItemFailure::Failed)) => {
-                rollouts.ledger.record_failure(id);
-            }
-            Outcome::Done(_) => rollouts.ledger.record_answer(id, Instant::now()),
-            Outcome::Lost => rollouts.ledger.record_failure(id),
-            Outcome::Rejected | Outcome::Unsent | Outcome::Unreachable | Outcome::Interrupted => {
-                rollouts.ledger.record_not_run(id)
-            }
-        }
-    }
-}
-
-impl Drop for CallRecord {
-    fn drop(&mut self) {
-        if let Some((id, mut rollouts)) = self.id.zip(self.node.rollouts()) {
-            rollouts.ledger.record_end(id, Instant::now());
-        }
-    }
-}
-
 /// Reports and coordinates; never returns.
 pub(crate) async fn run(node: Arc<Node>) {
     if node.rollouts().is_none() {
--- a/crates/node/src/view_tracker.rs
+++ b/crates/node/src/view_tracker.rs
@@ -9,6 +9,8 @@
 //! Until then the view keeps what it knew: [`Configuration`] goes back to no older one, and upstreams
 //! that were leaving stay so.
 
+mod orders;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt::Display;
@@ -25,7 +27,6 @@
 use mirror::succession::Origin;
 use mirror::succession::Reason;
 use platform::origins;
-use platform::rollout;
 use platform::rows;
 use platform::rows::OperatorKey;
 use tokio::time::Instant;
@@ -437,7 +438,7 @@
         if let Some((service, software)) = origins::parse_software_key(&row.key) {
             return Some(self.apply_software(service, software, row.value.is_some()));
         }
-        if let Some(service) = rollout::parse_key(&row.key) {
+        if let Some(service) = platform::rollout::parse_key(&row.key) {
             return Some(self.apply_rollout(service, row));
         }
         let name = rows::parse_member_key(&row.key)?;
@@ -457,39 +458,6 @@
 }
 
 impl ViewTracker {
-    /// An order that cannot be decoded has no effect: one before it is no longer in force.
-    fn apply_order(&mut self, service: id::Service, row: &Row) -> Option<Change> {
-        let Some(value) = row.value.as_deref() else {
-            let order = self.view.orders.remove(&service);
-            return order.map(|_| Change::RolloutWithdrawn(service));
-        };
-        match rollout::decode_order(&service, row.version, value) {
-            Ok(order) => {
-                let to = order.to.clone();
-                self.view.orders.insert(service.clone(), order);
-                Some(Change::RolloutOrdered(service, to))
-            }
-            Err(err) => {
-                self.view.orders.remove(&service);
-                Some(unreadable(row, err))
-            }
-        }
-    }
-
-    fn apply_rollout(&mut self, service: id::Service, row: &Row) -> Change {
-        let Some(value) = row.value.as_deref() else {
-            self.view.rollouts.remove(&service);
-            return Change::Rollout(service);
-        };
-        match rollout::decode_state(value) {
-            Ok(state) => {
-                self.view.rollouts.insert(service.clone(), state);
-                Change::Rollout(service)
-            }
-            Err(err) => unreadable(row, err),
-        }
-    }
-
     fn apply_software(
         &mut self,
         service: id::Service,
