Forecast by fair parts, and count pieces by workspace

They now count the part of the queue that is ahead of the workspace, computed once a dispatch.

The model and the experiment gain loads with workspaces. Owners count pieces by workspace (owner.pieces, the largest eight by name) and name the workspace in steps_refused.

--- a/crates/model/src/load.rs
+++ b/crates/model/src/load.rs
@@ -74,6 +74,15 @@
     pub upstream_faults: Vec<UpstreamFault>,
 }
 
+/// How the requests divide among workspaces.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Workspaces {
+    /// Number of workspaces, which send the same number of requests outside bursts.
+    pub count: usize,
+    /// Whether all additional requests of bursts are of the first one.
+    pub first_bursts: bool,
+}
+
 /// Time step of the arrival process: each kind has at most one arrival per step.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -107,6 +116,22 @@
             .product()
     }
 
+    /// Random workspace of a request of a kind that arrives at a time.
+    pub(crate) fn workspace(
+        &self,
+        workspaces: Workspaces,
+        kind: usize,
+        time: Duration,
+        rng: &mut SmallRng,
+    ) -> usize {
+        let factor = self.rate_factor(kind, time).max(1.0);
+        let is_additional = rng.random_bool((factor - 1.0) / factor);
+        if workspaces.first_bursts && is_additional {
+            return 0;
+        }
+        rng.random_range(0..workspaces.count)
+    }
+
     /// Rate of calls that an upstream accepts at a time; `None` without a limit.
     pub(crate) fn rate_limit(
         &self,
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -21,11 +21,30 @@
     pub value_possible: f64,
 }
 
+/// Outcomes of the requests of one workspace.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorkspaceReport {
+    /// Total value of the responses.
+    pub value_earned: f64,
+    /// Total value if every request had been answered before its soft deadline.
+    pub value_possible: f64,
+}
+
+impl WorkspaceReport {
+    /// Share of the possible value that was earned, from 0 to 1.
+    #[must_use]
+    pub fn value_share(&self) -> f64 {
+        self.value_earned / self.value_possible.max(f64::MIN_POSITIVE)
+    }
+}
+
 /// Outcomes of a run.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
     /// Outcomes by kind of request, in the order of the site.
     pub kinds: Vec<KindReport>,
+    /// Outcomes by workspace; empty if the load has none.
+    pub workspaces: Vec<WorkspaceReport>,
     /// Number of calls that upstreams started to process.
     pub calls: u32,
     /// Number of pieces in these calls.
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -26,8 +26,10 @@
 use tokio::time::Instant;
 
 use crate::load::Load;
+use crate::load::Workspaces;
 use crate::report::KindReport;
 use crate::report::Report;
+use crate::report::WorkspaceReport;
 use crate::site::RequestKind;
 use crate::site::Site;
 
@@ -50,17 +52,28 @@
     Wakeup,
 }
 
+/// A request that has arrived.
+#[derive(Clone, Copy, Debug)]
+struct Arrived {
+    /// Index of its kind.
+    kind: usize,
+    /// Index of its workspace, if the load has workspaces.
+    workspace: Option<usize>,
+    at: Instant,
+}
+
 struct Model<'a> {
     site: &'a Site,
     load: &'a Load,
+    workspaces: Option<Workspaces>,
     rng: SmallRng,
     planner: Planner,
     start: Instant,
     /// Pending events by time; the sequence number keeps those of one time in order.
     events: BTreeMap<(Instant, u64), Event>,
     next_sequence: u64,
-    /// Index of the kind and arrival time of each plan in progress.
-    plans: BTreeMap<PlanId, (usize, Instant)>,
+    /// Each plan in progress.
+    plans: BTreeMap<PlanId, Arrived>,
     /// Index of the service, and of the upstream within it, by name of the upstream.
     upstreams: BTreeMap<id::Upstream, (usize, usize)>,
     /// Upstreams that are processing a call.
@@ -79,10 +92,27 @@
 /// Never: the names of upstreams that it derives from valid names of services are valid.
 #[must_use]
 pub fn run(site: &Site, load: &Load, policy: SchedulingPolicy, seed: u64) -> Report {
+    run_shared(site, load, None, policy, seed)
+}
+
+/// Simulates a load whose requests belong to `workspaces`.
+///
+/// # Panics
+///
+/// Never: the names of upstreams and workspaces that it makes are valid.
+#[must_use]
+pub fn run_shared(
+    site: &Site,
+    load: &Load,
+    workspaces: Option<Workspaces>,
+    policy: SchedulingPolicy,
+    seed: u64,
+) -> Report {
     let start = Instant::now();
     let mut model = Model {
         site,
         load,
+        workspaces,
         rng: SmallRng::seed_from_u64(seed),
         planner: Planner::with_policy(policy),
         start,
@@ -138,6 +168,8 @@
             ..KindReport::default()
         });
         self.report.kinds = reports.collect();
+        let count = self.workspaces.map_or(0, |it| it.count);
+        self.report.workspaces = vec![WorkspaceReport::default(); count];
     }
 
     fn schedule(&mut self, time: Instant, event: Event) {
@@ -161,42 +193,64 @@
 
     fn submit_request(&mut self, kind_idx: usize, now: Instant) {
         let kind = &self.site.kinds[kind_idx];
+        let time = now - self.start;
+        let workspace = self
+            .workspaces
+            .map(|it| self.load.workspace(it, kind_idx, time, &mut self.rng));
+        let arrived = Arrived {
+            kind: kind_idx,
+            workspace,
+            at: now,
+        };
         let report = &mut self.report.kinds[kind_idx];
         report.requests += 1;
         report.value_possible += kind.value.0;
-        let plan = random_plan(self.site, kind, &mut self.rng, self.next_sequence, now);
+        if let Some(report) = workspace.and_then(|it| self.report.workspaces.get_mut(it)) {
+            report.value_possible += kind.value.0;
+        }
+        let mut plan = random_plan(self.site, kind, &mut self.rng, self.next_sequence, now);
+        plan.workspace =
+            workspace.map(|it| format!("workspace-{it}").parse().expect("a valid name"));
         if plan.steps.is_empty() {
-            report.on_time += 1;
-            report.value_earned += kind.value.0;
+            self.report.kinds[kind_idx].on_time += 1;
+            self.record_value(arrived, kind.value.0);
             return;
         }
         match self.planner.submit(plan, now) {
             Ok(id) => {
-                self.plans.insert(id, (kind_idx, now));
+                self.plans.insert(id, arrived);
             }
             Err(_) => self.report.kinds[kind_idx].failed += 1,
         }
     }
 
+    fn record_value(&mut self, arrived: Arrived, value: f64) {
+        self.report.kinds[arrived.kind].value_earned += value;
+        let workspace = arrived.workspace;
+        if let Some(report) = workspace.and_then(|it| self.report.workspaces.get_mut(it)) {
+            report.value_earned += value;
+        }
+    }
+
     fn dispatch_calls(&mut self, now: Instant) {
         for call in self.planner.dispatch(now) {
             self.start_call(call, now);
         }
         for (id, result) in self.planner.take_ended() {
-            let Some((kind_idx, arrived)) = self.plans.remove(&id) else {
+            let Some(arrived) = self.plans.remove(&id) else {
                 continue;
             };
-            let kind = &self.site.kinds[kind_idx];
-            let report = &mut self.report.kinds[kind_idx];
-            let response_time = now + self.site.time_after_steps - arrived;
+            let kind = &self.site.kinds[arrived.kind];
+            let report = &mut self.report.kinds[arrived.kind];
+            let response_time = now + self.site.time_after_steps - arrived.at;
             if result.is_err() || response_time > kind.deadline {
                 report.failed += 1;
             } else if response_time > kind.soft_deadline {
                 report.late += 1;
-                report.value_earned += kind.value.1;
+                self.record_value(arrived, kind.value.1);
             } else {
                 report.on_time += 1;
-                report.value_earned += kind.value.0;
+                self.record_value(arrived, kind.value.0);
             }
             self.schedule(now + RELEASE_DELAY, Event::Release(id));
         }
@@ -246,7 +300,7 @@
         let mut results = Vec::with_capacity(call.items.len());
         for item in &call.items {
             let plan = self.plans.get(&item.plan);
-            let steps = plan.map(|it| &self.site.kinds[it.0].steps);
+            let steps = plan.map(|it| &self.site.kinds[it.kind].steps);
             let step = steps.and_then(|it| it.get(item.route_step));
             call_time += batch_limits
                 .piece_time
--- a/crates/node/src/owner.rs
+++ b/crates/node/src/owner.rs
@@ -32,6 +32,7 @@
 use stages::Refusal;
 use stages::Replica;
 use stages::Shard;
+use stages::labels::Labels;
 use stages::shard;
 use telemetry::Telemetry;
 use tokio::sync::Notify;
@@ -57,6 +58,8 @@
     balancer: EngineBalancer,
     /// The owner's share of the cold limit of each engine whose limit the owner keeps.
     cold_shares: BTreeMap<id::Upstream, cold::Share>,
+    /// Names under which the pieces of workspaces are counted.
+    labels: Labels,
     /// Slots and memory of each engine.
     engine_rooms: BTreeMap<id::Upstream, engine_memory::Room>,
     upstreams: BTreeMap<id::Upstream, Arc<Upstream>>,
@@ -348,6 +351,11 @@
             for (upstream, handle) in planner.take_unused_results() {
                 unused.entry(upstream).or_default().push(handle);
             }
+            for (workspace, pieces) in planner.take_sent() {
+                let label = state.labels.label(workspace.as_ref(), pieces);
+                let telemetry = &self.shared.telemetry;
+                telemetry.count_tagged("owner.pieces", &label, pieces);
+            }
             waiting += planner.waiting_pieces();
             plans += planner.plan_count();
             wake_times.extend(planner.next_wakeup(now));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -283,7 +283,7 @@
 ) {
     let request = prepare.request.clone();
     if suspicion::is_suspect_refused(node, &request, prepare.fingerprint) {
-        return send_refusal(node, &request, &Refusal::Failed, replies).await;
+        return send_refusal(node, &request, terms, &Refusal::Failed, replies).await;
     }
     let engines = prepare.engines.clone();
     let shard = prepare.shard.clone();
@@ -292,7 +292,7 @@
     if !prepare.steps.is_empty() {
         let mut guard = match node.owner.submit(shard.clone(), plan_from(prepare, terms)) {
             Ok(guard) => guard,
-            Err(refusal) => return send_refusal(node, &request, &refusal, replies).await,
+            Err(refusal) => return send_refusal(node, &request, terms, &refusal, replies).await,
         };
         send_reply(&replies, Reply::Steps(Progress::Accepted(guard.queue_wait))).await;
         let answer = tokio::select! {
@@ -301,7 +301,7 @@
         };
         prepared = match answer {
             Ok(prepared) => prepared,
-            Err(refusal) => return send_refusal(node, &request, &refusal, replies).await,
+            Err(refusal) => return send_refusal(node, &request, terms, &refusal, replies).await,
         };
         plan_guard = Some(guard);
     }
@@ -328,9 +328,16 @@
     }
 }
 
-async fn send_refusal(node: &Node, request: &str, refusal: &Refusal, replies: mpsc::Sender<Reply>) {
+async fn send_refusal(
+    node: &Node,
+    request: &str,
+    terms: &Terms,
+    refusal: &Refusal,
+    replies: mpsc::Sender<Reply>,
+) {
     let counts = node.paths().counts();
     slog::info!(node.logger(), "steps_refused"; "request" => request, "reason" => %refusal,
+        "workspace" => terms.workspace.as_ref().map(id::Workspace::as_str),
         "reached" => counts.reached, "unreached" => counts.unreached);
     let progress = match refusal {
         Refusal::TooLate(drain) => Progress::TooLate(*drain),
--- a/crates/stages/src/fairness.rs
+++ b/crates/stages/src/fairness.rs
@@ -6,6 +6,7 @@
 //! that of other work grows with the excess. What a workspace has used is forgotten within seconds.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use base::id;
@@ -56,6 +57,16 @@
     used: BTreeMap<Account, Usage>,
     /// Waiting pieces at the newest call of [`Ledger::tags`]; empty if they fit into one batch.
     waiting: BTreeMap<Account, usize>,
+    /// By priority, computed from `waiting`.
+    parts: BTreeMap<u8, Parts>,
+}
+
+/// See [`Ledger::queue_part`].
+#[derive(Debug)]
+struct Parts {
+    by_workspace: BTreeMap<id::Workspace, f64>,
+    /// Of a workspace that has nothing waiting, and of work without one.
+    others: f64,
 }
 
 /// Pieces of one group of demands by workspace, and how many of them were tagged.
@@ -102,6 +113,7 @@
         now: Instant,
     ) -> Option<Vec<u32>> {
         self.waiting.clear();
+        self.parts.clear();
         let pieces: usize = demands.iter().map(|it| it.pieces).sum();
         let first = demands.first()?.workspace;
         if pieces <= batch_max {
@@ -114,6 +126,7 @@
         if demands.iter().all(|it| it.workspace == first) {
             return None;
         }
+        self.update_parts(batch_max);
         self.used.retain(|_, it| it.now(now) >= USAGE_MIN);
         let mut groups: BTreeMap<(bool, u8), Group<'_>> = BTreeMap::new();
         for demand in demands {
@@ -178,6 +191,53 @@
         }
     }
 
+    /// The part of the waiting work of this and more urgent priorities that is ahead of the next piece
+    /// of a workspace, as of the newest call of [`Ledger::tags`]. Each workspace counts as if it had a
+    /// batch waiting. 1 without contention.
+    #[must_use]
+    pub fn queue_part(&self, priority: u8, workspace: Option<&id::Workspace>) -> f64 {
+        let Some(parts) = self.parts.get(&priority) else {
+            return 1.0;
+        };
+        let own = workspace.and_then(|it| parts.by_workspace.get(it));
+        own.copied().unwrap_or(parts.others)
+    }
+
+    fn update_parts(&mut self, batch_max: usize) {
+        let mut more_urgent = 0;
+        let priorities: BTreeSet<u8> = self.waiting.keys().map(|it| it.0).collect();
+        for priority in priorities {
+            let waiting = self.waiting.range((priority, None)..);
+            let waiting = waiting.take_while(|it| it.0.0 == priority);
+            let waiting: Vec<_> = waiting.map(|(account, it)| (&account.1, *it)).collect();
+            let mut sorted: Vec<usize> = waiting.iter().map(|it| it.1).collect();
+            sorted.sort_unstable();
+            let all: usize = sorted.iter().sum();
+            // Sums of the smallest, from none to all of them.
+            let sums = sorted.iter().scan(0, |sum, it| {
+                *sum += it;
+                Some(*sum)
+            });
+            let sums: Vec<usize> = std::iter::once(0).chain(sums).collect();
+            let part = |own: usize| {
+                let own = own.max(batch_max);
+                let smaller = sorted.partition_point(|it| *it < own);
+                let ahead = sums[smaller] + own * (sorted.len() - smaller);
+                (more_urgent + ahead) as f64 / (more_urgent + all).max(1) as f64
+            };
+            let none = waiting.iter().find(|it| it.0.is_none());
+            let named = waiting
+                .iter()
+                .filter_map(|(name, it)| Some(((*name).clone()?, part(*it))));
+            let parts = Parts {
+                by_workspace: named.collect(),
+                others: part(none.map_or(0, |it| it.1)),
+            };
+            self.parts.insert(priority, parts);
+            more_urgent += all;
+        }
+    }
+
     /// Pieces used lately by each workspace, over all priorities.
     #[must_use]
     pub fn usage(&self, now: Instant) -> BTreeMap<Option<id::Workspace>, f64> {
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 pub mod fairness;
 mod fleet;
+pub mod labels;
 mod plan;
 mod planner;
 mod rank;
--- a/crates/stages/src/planner.rs
+++ b/crates/stages/src/planner.rs
@@ -62,6 +62,8 @@
     policy: SchedulingPolicy,
     /// What workspaces have used of each service.
     ledgers: BTreeMap<id::Service, fairness::Ledger>,
+    /// Pieces sent since the last call of [`Planner::take_sent`], by workspace.
+    sent: BTreeMap<Option<id::Workspace>, u64>,
     /// When refused clients return.
     returns: Returns,
     last_id: u64,
--- a/crates/stages/src/planner/forecast.rs
+++ b/crates/stages/src/planner/forecast.rs
@@ -88,7 +88,7 @@
                 step,
                 progress,
                 inputs_done_at,
-                queue_ahead(queues, active, step),
+                self.fair_queue(active, step, queue_ahead(queues, active, step)),
                 now,
             );
             ends.push(end);
--- a/crates/stages/src/planner/share.rs
+++ b/crates/stages/src/planner/share.rs
@@ -1,5 +1,6 @@
 //! Applies the fair parts of workspaces to the order of waiting work and to its admission.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use base::id;
@@ -11,6 +12,7 @@
 use super::form::Candidate;
 use crate::fairness::Demand;
 use crate::plan::Plan;
+use crate::plan::Step;
 use crate::rank::SchedulingPolicy;
 use crate::returns::Refused;
 
@@ -52,6 +54,11 @@
         candidates.extend(ordered.into_iter().map(|it| it.1));
     }
 
+    /// Pieces sent since the previous call of this method, by workspace.
+    pub fn take_sent(&mut self) -> BTreeMap<Option<id::Workspace>, u64> {
+        std::mem::take(&mut self.sent)
+    }
+
     /// What the first attempt of a plan's request was ordered by, if it returns in its turn.
     pub(super) fn take_turn(&mut self, plan: &Plan, now: Instant) -> Option<Instant> {
         self.returns.take_turn(plan.fingerprint, plan.priority, now)
@@ -71,6 +78,17 @@
         let ledger = self.ledgers.entry(service.clone()).or_default();
         let plan = &active.plan;
         ledger.charge(plan.priority, plan.workspace.as_ref(), pieces, now);
+        *self.sent.entry(plan.workspace.clone()).or_default() += pieces as u64;
+    }
+
+    /// Time until a step of a plan is reached, of the `queue` time of what waits for its service.
+    pub(super) fn fair_queue(&self, active: &ActivePlan, step: &Step, queue: Duration) -> Duration {
+        let ledger = self.ledgers.get(&step.service);
+        let Some(ledger) = ledger.filter(|_| !queue.is_zero()) else {
+            return queue;
+        };
+        let plan = &active.plan;
+        queue.mul_f64(ledger.queue_part(plan.priority, plan.workspace.as_ref()))
     }
 
     /// Time until the first steps of a plan are reached, of the `drain` time of all that waits:
--- a/crates/stages/tests/fairness.rs
+++ b/crates/stages/tests/fairness.rs
@@ -280,4 +280,10 @@
     assert!((small - 0.03).abs() < 1e-9, "{small}");
     let large = ledger.part_ahead(1, Some(&names[0]), 10);
     assert!((large - 1.0).abs() < 1e-9, "{large}");
+    let parts = ["small", "absent", "large"].map(workspace);
+    let parts = parts.map(|it| ledger.queue_part(1, Some(&it)));
+    let expected = [0.02, 0.02, 1.0];
+    let differs = |(part, expected): (f64, f64)| (part - expected).abs() > 1e-9;
+    assert!(!parts.into_iter().zip(expected).any(differs), "{parts:?}");
+    assert!((ledger.queue_part(0, Some(&names[1])) - 1.0).abs() < 1e-9);
 }
--- a/crates/xtask/src/experiment.rs
+++ b/crates/xtask/src/experiment.rs
@@ -7,6 +7,7 @@
 use model::Load;
 use model::Report;
 use model::Site;
+use model::Workspaces;
 use stages::SchedulingPolicy;
 use strum::IntoEnumIterator;
 
@@ -60,6 +61,11 @@
         for pattern in &PATTERNS {
             print_pattern(site, pattern, seeds, is_detailed);
         }
+        for pattern in &PATTERNS {
+            for first_bursts in [false, true] {
+                print_shared(site, pattern, first_bursts, seeds);
+            }
+        }
     }
 }
 
@@ -81,6 +87,42 @@
     }
 }
 
+/// Number of workspaces of [`print_shared`].
+const WORKSPACES: usize = 16;
+
+/// Runs a pattern with workspaces and prints, by policy, the share of value earned in all, by the
+/// first workspace and by the others.
+fn print_shared(site: &Site, pattern: &Pattern, first_bursts: bool, seeds: u64) {
+    let bursting = if first_bursts { "by one" } else { "by all" };
+    print!("  {:<26} {bursting} of {WORKSPACES}:", pattern.name);
+    let workspaces = Some(Workspaces {
+        count: WORKSPACES,
+        first_bursts,
+    });
+    for policy in SchedulingPolicy::iter() {
+        let (mut all, mut first, mut others) = (0.0, 0.0, 0.0);
+        for seed in 1..=seeds {
+            let report = model::run_shared(site, &pattern.load(), workspaces, policy, seed);
+            let shares: Vec<f64> = report
+                .workspaces
+                .iter()
+                .map(|it| it.value_share())
+                .collect();
+            all += report.value_share();
+            first += shares[0];
+            others += shares[1..].iter().sum::<f64>() / (WORKSPACES - 1) as f64;
+        }
+        let seeds = seeds as f64;
+        print!(
+            " {policy} {:.3} ({:.3}, {:.3})",
+            all / seeds,
+            first / seeds,
+            others / seeds
+        );
+    }
+    println!();
+}
+
 impl Pattern {
     fn load(&self) -> Load {
         Load {
