--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 pub mod fairness;
 mod fleet;
+pub mod labels;
 mod plan;
 mod planner;
 pub mod pressure;
--- a/crates/stages/src/planner/forecast.rs
+++ b/crates/stages/src/planner/forecast.rs
@@ -8,6 +8,8 @@
 use super::Planner;
 use super::active::ActivePlan;
 use super::active::StepProgress;
+use super::share::fair_queue;
+use crate::fairness::Ledger;
 use crate::fleet::Fleet;
 use crate::plan::Plan;
 use crate::plan::Step;
@@ -22,27 +24,30 @@
 const LATE_WAIT_MAX_STARTED: Duration = Duration::from_millis(2_500);
 
 /// What the expected times at one service are computed from, at one point in time.
-struct ServiceTimes {
+struct ServiceTimes<'a> {
     hold_off: Duration,
     call_time: Duration,
     wait: Duration,
     /// Drain time of the waiting work that is ready and whose soft deadline has not passed, by
     /// priority, each with that of all more urgent ones.
     queues: Vec<(u8, Duration)>,
+    ledger: Option<&'a Ledger>,
 }
 
-impl ServiceTimes {
-    /// Drain time of the work that precedes one of `priority`: that of the same or a more urgent one.
-    fn queue_ahead(&self, priority: u8) -> Duration {
+impl ServiceTimes<'_> {
+    /// Drain time of the work that precedes a step of `plan`: that of the same or a more urgent
+    /// priority, without what is beyond the fair parts of other workspaces.
+    fn queue_ahead(&self, plan: &Plan) -> Duration {
         let mut queues = self.queues.iter().rev();
-        let ahead = queues.find(|it| it.0 <= priority);
-        ahead.map_or(Duration::ZERO, |it| it.1)
+        let ahead = queues.find(|it| it.0 <= plan.priority);
+        let ahead = ahead.map_or(Duration::ZERO, |it| it.1);
+        fair_queue(self.ledger, plan, ahead)
     }
 }
 
 /// [`ServiceTimes`] by queue; `None` for services that were not asked for.
-pub(super) struct Forecast {
-    times: Vec<Option<ServiceTimes>>,
+pub(super) struct Forecast<'a> {
+    times: Vec<Option<ServiceTimes<'a>>>,
     now: Instant,
 }
 
@@ -75,7 +80,7 @@
 
     /// Current times of all services, or of those of `plan`. Plans whose soft deadline has passed must
     /// have been taken out of the counts before.
-    pub(super) fn forecast(&self, plan: Option<&Plan>, now: Instant) -> Forecast {
+    pub(super) fn forecast(&self, plan: Option<&Plan>, now: Instant) -> Forecast<'_> {
         let mut times = Vec::new();
         for (service, slot) in self.backlog.services() {
             if times.len() <= slot {
@@ -83,12 +88,16 @@
             }
             let is_asked = plan.is_none_or(|it| it.steps.iter().any(|it| it.service == *service));
             let fleet = self.fleets.get(service).filter(|_| is_asked);
-            times[slot] = fleet.map(|it| self.service_times(it, slot, now));
+            let ledger = self.ledgers.get(service);
+            times[slot] = fleet.map(|it| ServiceTimes {
+                ledger,
+                ..self.service_times(it, slot, now)
+            });
         }
         Forecast { times, now }
     }
 
-    fn service_times(&self, fleet: &Fleet, slot: usize, now: Instant) -> ServiceTimes {
+    fn service_times(&self, fleet: &Fleet, slot: usize, now: Instant) -> ServiceTimes<'_> {
         let concurrent_pieces = fleet.limits.batch_max.max(1) * fleet.accepting_count(now).max(1);
         let time_per_piece = fleet.full_call_time() / concurrent_pieces as u32;
         let mut total = Duration::ZERO;
@@ -102,18 +111,19 @@
             call_time: fleet.average_call_time().max(fleet.nominal_time(1)),
             wait: fleet.average_wait_time(),
             queues: queues.collect(),
+            ledger: None,
         }
     }
 }
 
-impl Forecast {
+impl Forecast<'_> {
     /// Expected time of the response if everything that is ready is sent now.
     pub(super) fn expected_end(&self, active: &ActivePlan) -> Instant {
         let mut ends: Vec<Instant> = Vec::with_capacity(active.steps.len());
         let mut last = self.now;
         for (step, progress) in active.plan.steps.iter().zip(&active.steps) {
             let inputs_done_at = step.after.iter().map(|it| ends[*it]).max();
-            let end = self.expected_step_end(progress, inputs_done_at, active.plan.priority);
+            let end = self.expected_step_end(&active.plan, progress, inputs_done_at);
             ends.push(end);
             last = last.max(end);
         }
@@ -122,9 +132,9 @@
 
     fn expected_step_end(
         &self,
+        plan: &Plan,
         progress: &StepProgress,
         inputs_done_at: Option<Instant>,
-        priority: u8,
     ) -> Instant {
         let now = self.now;
         if progress.is_done() {
@@ -137,9 +147,7 @@
             return now;
         };
         match inputs_done_at {
-            Some(at) if at > now => {
-                at + times.wait.max(times.queue_ahead(priority)) + times.call_time
-            }
+            Some(at) if at > now => at + times.wait.max(times.queue_ahead(plan)) + times.call_time,
             _ => now + times.hold_off + times.call_time,
         }
     }
