Let the soak order roll-outs

In half of its runs operators order a roll-out of the plain service, half of them to a version that fails every request. Whatever else happens, such a version must not be reported complete.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -47,6 +47,9 @@
     /// requests in 4 s.
     #[strum(to_string = "{0} got {1} requests in 4 s, more than it announced")]
     OverLimit(String, usize),
+    /// A roll-out to a version that fails every request is complete.
+    #[strum(to_string = "a roll-out to a version that fails all requests is complete")]
+    BadVersionComplete,
     /// A stream has events of two software versions.
     #[strum(to_string = "stream {0} has events of two software versions")]
     Joined(String),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -48,6 +48,8 @@
     Replace(&'static str),
     /// Deregisters the oldest engine, which serves on. Has no end.
     Retire,
+    /// Orders a roll-out of the plain service. Has no end.
+    OrderRollout { is_bad: bool },
 }
 
 impl Fault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod limit;
 mod poison;
+mod rollouts;
 mod run;
 mod versions;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -37,6 +37,7 @@
 use crate::fault::Fault;
 use crate::limit::Limit;
 use crate::poison;
+use crate::rollouts;
 use crate::versions;
 use crate::versions::Engines;
 
@@ -144,6 +145,11 @@
     let releases = versions::generate(&mut own_rng, options.load_duration, &faults);
     faults.extend(releases);
     faults.extend(fault::generate_returns(&mut own_rng, options.load_duration));
+    let order = rollouts::generate(&mut own_rng, options.load_duration);
+    let has_bad_order = order
+        .as_ref()
+        .is_some_and(|it| it.fault == Fault::OrderRollout { is_bad: true });
+    faults.extend(order);
     faults.sort_by_key(|it| it.at);
     let crashes = poison::start(&run.site.store, &mut rng).await?;
     let targets = run.targets();
@@ -168,6 +174,9 @@
     }
     run.violations.extend(limit.end());
     run.recover_and_check().await?;
+    if has_bad_order {
+        run.violations.extend(rollouts::check(&run.site));
+    }
     run.violations
         .extend(check::check_requests(&run.site, &requests));
     let sent = poison.await.wrap_err("the poison client failed")?;
@@ -241,7 +250,7 @@
             RetryLimit::AMPLE,
         );
         let settings = self.options.dir.join(format!("{name}.yaml"));
-        std::fs::write(&settings, text)?;
+        std::fs::write(&settings, rollouts::extend_settings(&text))?;
         let daemon = Daemon::start(&name, &self.options.program, &settings, &self.options.dir)?;
         Ok(NodeProcess {
             name,
@@ -342,6 +351,7 @@
             Fault::Release(version) => self.engines.release(&mut self.site, version).await?,
             Fault::Replace(version) => self.engines.replace(&mut self.site, version).await?,
             Fault::Retire => self.engines.retire(&self.site),
+            Fault::OrderRollout { is_bad } => rollouts::order(&mut self.site, *is_bad).await?,
         }
         Ok(())
     }
@@ -385,7 +395,8 @@
             | Fault::Configure
             | Fault::Release(_)
             | Fault::Replace(_)
-            | Fault::Retire => {}
+            | Fault::Retire
+            | Fault::OrderRollout { .. } => {}
         }
         Ok(())
     }
