--- a/crates/rollout/tests/whole.rs
+++ b/crates/rollout/tests/whole.rs
@@ -459,10 +459,14 @@
     fault_of_both_is_none_of_one: Kind::BothFail;
 }
 
-fn troubles() -> impl Strategy<Value = Troubles> {
+/// Bound on the lateness of news in ticks, half a second.
+const LATE_MAX: u64 = 20;
+
+/// Troubles with news that are late by less than `late_max` ticks.
+fn troubles(late_max: u64) -> impl Strategy<Value = Troubles> {
     let kill = proptest::option::of(0..460_u64);
     let restart = proptest::option::of(20..200_u64);
-    (kill, restart, 0.0..0.5, 0..20_u64).prop_map(
+    (kill, restart, 0.0..0.5, 0..late_max).prop_map(
         |(kill_at, restart_every, cut_share, news_ticks)| Troubles {
             kill_at,
             restart_every,
@@ -487,18 +491,41 @@
         from in 0.0..0.7,
         is_slow: bool,
         count in prop::sample::select(&COUNTS[..3]),
-        troubles in troubles(),
+        troubles in troubles(LATE_MAX),
         seed: u64,
     ) {
         let kind = if is_slow { Kind::Slow(from) } else { Kind::Failing(from) };
         check_bad(kind, count, troubles, seed);
     }
 
+    /// The same for a version that turns bad near the deadline.
+    #[test]
+    fn exposure_is_bounded_near_the_end(
+        from in 0.7..0.95,
+        is_slow: bool,
+        count in prop::sample::select(&COUNTS[..3]),
+        troubles in troubles(LATE_MAX),
+        seed: u64,
+    ) {
+        let kind = if is_slow { Kind::Slow(from) } else { Kind::Failing(from) };
+        check_bad(kind, count, troubles, seed);
+    }
+
+    /// A good version while news come up to a second late.
+    #[test]
+    fn good_completes_with_news_a_second_late(
+        count in prop::sample::select(&COUNTS[..3]),
+        troubles in troubles(2 * LATE_MAX),
+        seed: u64,
+    ) {
+        check_good(Kind::Good, count, troubles, seed);
+    }
+
     /// A good version under the same troubles, and no send to the old one after completion.
     #[test]
     fn good_completes_in_trouble(
         count in prop::sample::select(&COUNTS[..3]),
-        troubles in troubles(),
+        troubles in troubles(LATE_MAX),
         seed: u64,
     ) {
         check_good(Kind::Good, count, troubles, seed);
