Require good answers before a roll-out goes on

What callers would have seen: an order for a version that fails every request was reported complete, as 15 requests in 3.3 s had brought it one answer, a failure.

Cause: a stage counted as proved with a fifth of the answers that its share would bring, rounded down, failures among them; with hardly any traffic that is none. Evidence against a version needs three bad answers, so it was not found bad either.

Now each stage needs at least four answers more than failures. A service with less traffic stays at its stage and is reverted at the deadline.

--- a/crates/node/src/liveness.rs
+++ b/crates/node/src/liveness.rs
@@ -34,6 +34,7 @@
 const SUSPICION_MIN: Duration = Duration::from_millis(250);
 /// Longest time for which a peer is suspected; the row of a dead peer lapses soon after.
 const SUSPICION_MAX: Duration = Duration::from_secs(2);
+
 #[derive(Debug, Default)]
 struct PeerStatus {
     /// Incarnation that the connection belongs to; 0 before the first call.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -383,6 +383,7 @@
         is_bad: finding.is_some(),
         requests: counts.requests,
         answered: counts.answered(),
+        failures: counts.failures(),
         is_old_idle: desk.is_old_idle(members, now),
         old_slots: old.iter().map(|it| u64::from(it.slots)).sum(),
         new_slots: match rollouts::is_step_service(&view, service) && !can_share {
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -34,6 +34,8 @@
 const END_DELAY: Duration = Duration::from_secs(10);
 /// Answers that prove enough for the next stage, whatever the traffic.
 const ANSWERS_ENOUGH: f64 = 8.0;
+/// Fewest answers that prove enough. A service with less traffic stays at its stage.
+const ANSWERS_MIN: f64 = 4.0;
 /// Part of the expected answers that proves enough.
 const ANSWERS_RATIO: f64 = 0.2;
 /// Room of the new version, relative to the old one's, with which it can carry the traffic.
@@ -80,8 +82,10 @@
     pub is_bad: bool,
     /// Requests to the service since the stage began.
     pub requests: u64,
-    /// Answers of the new version since the stage began.
+    /// Answers and failures of the new version since the stage began.
     pub answered: u64,
+    /// The failures among them.
+    pub failures: u64,
     /// Whether nothing is under way at the old version and no instance sends there any more.
     pub is_old_idle: bool,
     /// Slots of the registered upstreams of the old version.
@@ -189,8 +193,11 @@
     }
     let proportion = share(&now.bounds, order, stage, now.elapsed, now.requests, 0);
     let expected = proportion * now.requests as f64;
-    let needed = (expected * ANSWERS_RATIO).floor().min(ANSWERS_ENOUGH);
-    let is_proved = now.answered as f64 >= needed && now.new_slots > 0;
+    let needed = (expected * ANSWERS_RATIO)
+        .floor()
+        .clamp(ANSWERS_MIN, ANSWERS_ENOUGH);
+    let good = now.answered.saturating_sub(now.failures);
+    let is_proved = good as f64 >= needed && now.new_slots > 0;
     let has_room = now.new_slots as f64 >= now.old_slots as f64 * ROOM_RATIO_MIN;
     let Stage::Step(step) = stage else {
         let is_over = now.in_stage >= whole_time(&now.bounds, order.over);
--- a/crates/rollout/tests/whole.rs
+++ b/crates/rollout/tests/whole.rs
@@ -344,6 +344,7 @@
             is_bad: finding.is_some(),
             requests: counts.requests,
             answered: counts.answered(),
+            failures: counts.failures(),
             is_old_idle: desk.is_old_idle(alive, now),
             old_slots: UPSTREAMS as u64,
             new_slots: UPSTREAMS as u64,
