Tell equal upstreams apart by the id of the request

Requests of the same content went to the same step upstream whenever several were equally good: broke ties by a hash of the fingerprint, which all requests of one content share. Tests of node that wait for an arrival at each step upstream failed (a_busy_step_upstream_gets_no_requests, a_leaving_step_upstream_gets_no_requests, three of endless), and a new version of a step service got no calls (a_good_version_of_steps_completes). The id of the request differs, and is looked up only where an upstream is chosen.

--- a/crates/stages/src/planner/form.rs
+++ b/crates/stages/src/planner/form.rs
@@ -28,8 +28,6 @@
 /// Waiting pieces of one step that are ready to be sent.
 pub(super) struct Candidate {
     pub(super) plan: PlanId,
-    /// Differs between the requests of different owners.
-    fingerprint: id::Fingerprint,
     step: usize,
     pub(super) rank: Rank,
     pub(super) waiting: usize,
@@ -84,7 +82,6 @@
             };
             candidates.push(Candidate {
                 plan: *id,
-                fingerprint: active.plan.fingerprint,
                 step: *idx,
                 rank: self.rank(active, end),
                 waiting: progress.waiting_count(),
@@ -232,7 +229,9 @@
                 .iter()
                 .filter(|it| it.has_capacity(0, size, capacity, now))
                 .filter(|it| candidate.may_run_in(&it.replica.zone, now));
-            let fingerprint = candidate.fingerprint.0.to_le_bytes();
+            // Requests of the same content differ in their ids.
+            let plan = self.plans.get(&candidate.plan);
+            let request = plan.map_or("", |it| it.plan.request.as_str());
             let best = eligible.min_by_key(|it| {
                 let zone = candidate.preferred_zone.as_ref();
                 (
@@ -241,7 +240,7 @@
                     speed_class(it.slowdown(now)),
                     it.reserved_bytes,
                     // Several owners may choose by the same news.
-                    hash::hash_bytes([&fingerprint[..], it.replica.name.as_str().as_bytes()]),
+                    hash::hash_strs([request, it.replica.name.as_str()]),
                 )
             });
             if let Some(state) = best {
