Log when an instance begins and ceases to read the store

`store_reading` names, for each table, the role, the age of the rows and whether the instance reads; `rows_source_left` the preferred source that was left, after what wait.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -99,13 +99,19 @@
     let mut backoff = Backoff::new();
     let mut recoveries = node.watch_store_recoveries();
     let mut eras = client.watch_era();
+    let mut was_reading = None;
     loop {
         recoveries.mark_unchanged();
         eras.mark_unchanged();
-        if node.store_copy().mirror.synced_version(table).is_some()
-            && !is_reader(&node)
-            && node.is_fresh()
-        {
+        let has_role = is_reader(&node);
+        let is_synced = node.store_copy().mirror.synced_version(table).is_some();
+        let is_reading = !is_synced || has_role || !node.is_fresh();
+        if was_reading.replace(is_reading) != Some(is_reading) {
+            slog::info!(node.logger(), "store_reading"; "table" => %table, "is_reading" => is_reading,
+                "is_reader" => has_role, "is_synced" => is_synced,
+                "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
+        }
+        if !is_reading {
             tokio::time::sleep(FRESH_CHECK_INTERVAL).await;
             continue;
         }
@@ -262,7 +268,14 @@
             tokio::time::sleep(FRESH_CHECK_INTERVAL).await;
             continue;
         };
+        let asked_at = Instant::now();
         if !fetch_peer_rows(&node, &member).await {
+            // The preferred source only: without the store, sources are left many times a second.
+            if next == idx {
+                slog::info!(node.logger(), "rows_source_left"; "instance" => %member.instance,
+                    "waited_ms" => asked_at.elapsed().as_millis() as u64,
+                    "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
+            }
             next += 1;
             tokio::time::sleep(PEER_PAUSE).await;
         }
