--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -73,6 +73,25 @@
         Node::start_from(name, &text.replace("bounds:\n", bounds), Link::default())
     }
 
+    /// Starts a node of a deployment in which changes of the configuration and of upstreams take effect
+    /// within `timeout`.
+    pub(crate) fn start_bounded(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        timeout: Duration,
+    ) -> Node {
+        let ports = site::reserve_ports().expect("ports");
+        let text = site::settings(name, zone, store, ports, RetryLimit::AMPLE);
+        let millis = timeout.as_millis();
+        let bounds = format!("drain_ms: {millis}\n  config_ms: {millis}\n");
+        Node::start_from(
+            name,
+            &text.replace("drain_ms: 2000\n", &bounds),
+            Link::default(),
+        )
+    }
+
     fn start_with(
         name: &str,
         zone: &str,
