Keep lost instances out of the tree of rows until they answer

A suspicion ran out after 0.25 to 2 s, whether or not the instance had answered. Now an instance that did not answer in time has no place in the tree until it answers a ping or starts again; the top of the tree is pinged twice a second.

--- a/crates/mirror/src/tree.rs
+++ b/crates/mirror/src/tree.rs
@@ -73,6 +73,12 @@
     order
 }
 
+/// Number of instances at the top of the tree: the readers, and the relays if there are any.
+#[must_use]
+pub fn top_count(members: usize) -> usize {
+    reader_count(members) + relay_count(members)
+}
+
 fn rotate_by_hash(order: &mut [id::Instance], own: &id::Instance) {
     if !order.is_empty() {
         let start = hash::hash_strs([own.as_str()]) % order.len() as u64;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -63,6 +63,8 @@
 const PEER_AGE_RATIO_MAX: f64 = 0.7;
 /// Pause between a peer without fresh rows and the next one.
 const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// Interval at which the top of the tree is checked for instances that answer again.
+const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which following starts again with the preferred peer.
 const PEER_RESET_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -387,13 +389,14 @@
     reader_position(node).map_or(others_delay, |it| WRITE_DELAY * it as u32)
 }
 
-/// Instances that are not suspected, in the order in which they become readers of the store.
+/// Instances that have answered their latest request, in the order in which they become readers of
+/// the store.
 fn reader_order(node: &Node) -> Vec<id::Instance> {
     let view = node.view();
     let members = view.members.values().map(Arc::as_ref);
     let order = ownership::preference_order(READER_KEY, members);
-    let names = order.into_iter().map(|it| it.instance.clone());
-    names.filter(|it| !node.peers.is_suspected(it)).collect()
+    let present = order.into_iter().filter(|it| !node.peers.is_lost(it));
+    present.map(|it| it.instance.clone()).collect()
 }
 
 fn is_reader(node: &Node) -> bool {
@@ -406,6 +409,28 @@
     node.view().members.get(sources.get(idx)?).cloned()
 }
 
+/// Pings the instances at the top of the tree that have not answered for a while; never returns. They
+/// have no place in the tree until they do.
+pub async fn check_returns(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(RETURN_CHECK_INTERVAL).await;
+        let view = node.view();
+        let members = view.members.values().map(Arc::as_ref);
+        let order = ownership::preference_order(READER_KEY, members);
+        let top = tree::top_count(order.len());
+        // Twice as many, as they take the places of those that are lost.
+        let top = order.into_iter().take(2 * top);
+        let lost =
+            top.filter(|it| node.peers.is_lost(it) && !node.peers.is_suspected(&it.instance));
+        let checks = lost.map(|member| async {
+            if !node.peers.is_alive(member).await {
+                node.peers.record_silence(member).await;
+            }
+        });
+        futures_util::future::join_all(checks).await;
+    }
+}
+
 /// Waits until the store is known to hold a row of the members' table, for at most
 /// [`CONFIRM_TIMEOUT`].
 async fn wait_until_seen(node: &Node, key: &str, value: &[u8]) {
--- a/crates/node/src/liveness.rs
+++ b/crates/node/src/liveness.rs
@@ -99,6 +99,15 @@
         until.is_some_and(|it| it > Instant::now())
     }
 
+    /// Whether a member has answered nothing since it last did not answer in time, however long ago.
+    /// A process that has started since is not lost.
+    #[must_use]
+    pub fn is_lost(&self, member: &Member) -> bool {
+        let statuses = self.statuses();
+        let status = statuses.get(&member.instance);
+        status.is_some_and(|it| it.timeouts > 0 && it.incarnation == member.incarnation)
+    }
+
     /// Sends a request to a member and returns the stream of its replies.
     ///
     /// # Errors
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -143,6 +143,10 @@
             follow::follow_peer(node.clone(), idx)
         });
     }
+    let return_node = node.clone();
+    supervisor.spawn("returns", RestartPolicy::Always, move || {
+        follow::check_returns(return_node.clone())
+    });
     let (era_node, era_store) = (node.clone(), store.clone());
     supervisor.spawn("era", RestartPolicy::Always, move || {
         follow::watch_era(era_node.clone(), era_store.clone())
