Date what an answer about the rows proves by when it was made

Callers were served by a configuration that others had left, for longer than an instance takes to look for itself: the age of rows was counted from the moment at which an answer was handled.

An answer now proves that rows were complete at the latest moment that cannot be after it was made: the send of the call and the time for which the store or the other instance held it, which a new message tells (protocol version 4; builds before it are asked and answered as before). Times include those for which the machine was suspended. A long poll is also answered once the other instance has newer proof, so that ages do not grow by the phase of each poll. A time-out of this process' own stall no longer counts in full against another instance.

--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -334,7 +334,8 @@
                 | Request::Tunnel(_)
                 | Request::Updates(_)
                 | Request::Schedule(_)
-                | Request::Rollout(_) => return,
+                | Request::Rollout(_)
+                | Request::Follow(_) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -8,6 +8,7 @@
 //! performs no I/O.
 
 pub mod era;
+pub mod freshness;
 pub mod succession;
 pub mod tree;
 
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -9,6 +9,7 @@
 use catalog::View;
 use forwarding::poison::Source;
 use mirror::Table;
+use mirror::freshness::Proof;
 use mirror::tree;
 use mirror::tree::Role;
 use platform::rows;
@@ -18,10 +19,14 @@
 use wire::Protocol;
 use wire::Reply;
 use wire::Request;
+use wire::message::Follow;
 use wire::message::News;
+use wire::message::TablesUpdate;
 use wire::tls::Identity;
 use wire::tls::Pem;
 
+use crate::clock;
+use crate::patience;
 use crate::quota;
 use crate::state::Node;
 use crate::suspicion;
@@ -32,6 +37,9 @@
 /// Each answer confirms that the rows of its table are complete, so this bounds how long an
 /// unresponsive store, or a response that was lost, goes unnoticed.
 const BOUNDED_FEED_WAIT: Duration = Duration::from_millis(700);
+/// Time after a call from which on changes that it brings are followed by a call that confirms that
+/// there are no others.
+const LATE_NEWS_MIN: Duration = Duration::from_millis(200);
 /// First pause after a failed call; doubled after each further failure.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 /// Longest pause of an instance that reads the store for others, so that a recovery of the store is
@@ -56,8 +64,9 @@
 const FRESH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of other instances that are followed concurrently.
 const PEERS_FOLLOWED: usize = 2;
-/// Timeout for the answer of another instance to a request for rows.
-const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest long poll at another instance, and time beyond that for its answer.
+const PEER_POLL: Duration = Duration::from_millis(400);
+const PEER_SLACK: Duration = Duration::from_millis(500);
 /// If a peer's rows are older than this fraction of [`Node::fresh_age_max`], the next peer is
 /// asked.
 const PEER_AGE_RATIO_MAX: f64 = 0.7;
@@ -102,6 +111,7 @@
     let mut recoveries = node.watch_store_recoveries();
     let mut eras = client.watch_era();
     let mut was_reading = None;
+    let mut has_late_news = false;
     loop {
         recoveries.mark_unchanged();
         eras.mark_unchanged();
@@ -121,13 +131,14 @@
         }
         let outcome = tokio::select! {
             biased;
-            outcome = poll_table(&node, &client, table) => outcome,
+            outcome = poll_table(&node, &client, table, has_late_news) => outcome,
             // The store may never answer a call that was sent before it recovered.
             _ = recoveries.changed() => continue,
             _ = eras.changed() => continue,
         };
+        has_late_news = matches!(outcome, Ok(Outcome::LateNews));
         match outcome {
-            Ok(()) => {
+            Ok(_) => {
                 backoff.reset();
                 record_store_answer(&node);
                 continue;
@@ -151,7 +162,21 @@
     }
 }
 
-async fn poll_table(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
+/// What a call to the store brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// Nothing that needs another call at once.
+    Confirmed,
+    /// Changes, some time after the call: what else changed before the answer is not known.
+    LateNews,
+}
+
+async fn poll_table(
+    node: &Node,
+    client: &store::Client,
+    table: Table,
+    has_late_news: bool,
+) -> Result<Outcome, store::Error> {
     let (position, is_outdated) = {
         let mirror = &node.store_copy().mirror;
         let is_outdated = mirror.is_unverified(table) || mirror.era(table) < client.era();
@@ -160,30 +185,42 @@
     let Some(position) = position.filter(|_| !is_outdated) else {
         return read_table(node, client, table).await;
     };
+    let must_confirm = has_late_news || !node.is_table_fresh(table);
     let wait = match table {
         // The answer confirms at once that the rows are complete, or brings what they lack.
-        Table::Operators | Table::Upstreams if !node.is_table_fresh(table) => Duration::ZERO,
+        Table::Operators | Table::Upstreams if must_confirm => Duration::ZERO,
         Table::Operators => BOUNDED_FEED_WAIT,
         Table::Upstreams => BOUNDED_FEED_WAIT.saturating_sub(batch_delay(node)),
         Table::Members => FEED_WAIT,
     };
+    let sent_at = clock::now_with_suspension();
     let batch = client.feed(table, position, wait).await?;
     let has_news = !batch.rows.is_empty();
     if !node.apply_table_changes(table, batch) {
         return check_era(node, client, table);
     }
-    node.record_table_complete(table);
+    let now = clock::now_with_suspension();
+    let elapsed = now.saturating_duration_since(sent_at);
+    // The store answers a call without changes when the time to wait is over.
+    let waited = match has_news || elapsed < wait {
+        true => Duration::ZERO,
+        false => wait,
+    };
+    node.record_store_proof(table, Proof::by_store(sent_at, waited, now));
     if has_news && table != Table::Operators {
         tokio::time::sleep(batch_delay(node)).await;
     }
-    Ok(())
+    Ok(match has_news && elapsed > LATE_NEWS_MIN {
+        true => Outcome::LateNews,
+        false => Outcome::Confirmed,
+    })
 }
 
 /// Tells rows of a later era, after which the table is read in full, from a late response.
-fn check_era(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
+fn check_era(node: &Node, client: &store::Client, table: Table) -> Result<Outcome, store::Error> {
     let era = node.store_copy().mirror.era(table);
     if era < client.era() {
-        return Ok(());
+        return Ok(Outcome::Confirmed);
     }
     let reason = format!("an earlier era than {era}");
     Err(store::Error::Protocol(reason))
@@ -198,13 +235,19 @@
         .mul_f64(ratio.min(BATCH_DELAY_RATIO_MAX))
 }
 
-async fn read_table(node: &Node, client: &store::Client, table: Table) -> Result<(), store::Error> {
+async fn read_table(
+    node: &Node,
+    client: &store::Client,
+    table: Table,
+) -> Result<Outcome, store::Error> {
+    let sent_at = clock::now_with_suspension();
     let batch = client.read(table).await?;
     if !node.apply_table_snapshot(table, batch) {
         return check_era(node, client, table);
     }
-    node.record_table_complete(table);
-    Ok(())
+    let now = clock::now_with_suspension();
+    node.record_store_proof(table, Proof::by_store(sent_at, Duration::ZERO, now));
+    Ok(Outcome::Confirmed)
 }
 
 /// Logs each return of the store from an older copy of its rows; never returns.
@@ -273,7 +316,9 @@
             continue;
         };
         let asked_at = Instant::now();
-        if !fetch_peer_rows(&node, &member).await {
+        let is_fresh = node.is_fresh();
+        let proof = fetch_peer_rows(&node, &member, is_fresh, PEER_POLL).await;
+        if !proof.is_some_and(|it| is_useful(&node, it)) {
             // The preferred source only: without the store, sources are left many times a second.
             if next == idx {
                 slog::info!(node.logger(), "rows_source_left"; "instance" => %member.instance,
@@ -286,48 +331,81 @@
     }
 }
 
-/// Fetches newer rows and losses from another instance; returns whether its rows are fresh enough
-/// to keep following it.
-async fn fetch_peer_rows(node: &Node, member: &Member) -> bool {
+/// Whether the rows of the instance that gave a proof are fresh enough to keep following it.
+fn is_useful(node: &Node, proof: Proof) -> bool {
+    let age = clock::now_with_suspension().saturating_duration_since(proof.at());
+    age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX)
+}
+
+/// Fetches newer rows and losses from another instance; returns what its answer proves.
+async fn fetch_peer_rows(
+    node: &Node,
+    member: &Member,
+    is_fresh: bool,
+    wait: Duration,
+) -> Option<Proof> {
+    let sent_at = clock::now_with_suspension();
+    let age = node.rows_age();
     let reply = async {
         let request = |protocol| match protocol {
             Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
             Protocol::V2 | Protocol::V3 => Request::Updates(node.store_copy().mirror.positions()),
+            Protocol::V4 => Request::Follow(Box::new(Follow {
+                positions: node.store_copy().mirror.positions(),
+                age,
+                is_fresh,
+                wait,
+            })),
         };
         let mut replies = node.peers.open_with(member, request).await.ok()?;
         replies.next().await
     };
-    match tokio::time::timeout(PEER_TIMEOUT, reply).await {
-        Ok(Some(Reply::Updates(update))) => {
+    let timeout = wait + PEER_SLACK;
+    match patience::within(timeout, reply).await {
+        Some(Some(Reply::Followed(followed))) => {
             node.peers.record_answer(&member.instance);
-            for table in update.tables {
-                node.merge_update(table);
-            }
-            merge_news(node, update.news)
+            merge_update(node, followed.update, sent_at, followed.waited)
         }
-        Ok(Some(Reply::Rows(update))) => {
+        Some(Some(Reply::Updates(update))) => {
             node.peers.record_answer(&member.instance);
-            if !needs_unverified(node) {
-                let news = News {
-                    age: None,
-                    ..update.news
-                };
-                return merge_news(node, news);
+            merge_update(node, *update, sent_at, Duration::ZERO)
+        }
+        Some(Some(Reply::Rows(update))) => {
+            node.peers.record_answer(&member.instance);
+            if needs_unverified(node) {
+                node.merge_unverified(update.rows);
+                return merge_news(node, update.news, sent_at, Duration::ZERO);
             }
-            node.merge_unverified(update.rows);
-            merge_news(node, update.news)
+            let news = News {
+                age: None,
+                ..update.news
+            };
+            merge_news(node, news, sent_at, Duration::ZERO)
         }
-        Err(_) => {
+        None => {
             if node.peers.record_silence(member).await {
                 slog::warn!(node.logger(), "reader_lost"; "instance" => %member.instance,
-                    "waited_ms" => PEER_TIMEOUT.as_millis() as u64);
+                    "waited_ms" => timeout.as_millis() as u64);
             }
-            false
+            None
         }
-        Ok(_) => false,
+        Some(_) => None,
     }
 }
 
+/// Merges the answer of another instance, which held the request of `sent_at` for `waited`.
+fn merge_update(
+    node: &Node,
+    update: TablesUpdate,
+    sent_at: Instant,
+    waited: Duration,
+) -> Option<Proof> {
+    for table in update.tables {
+        node.merge_update(table);
+    }
+    merge_news(node, update.news, sent_at, waited)
+}
+
 /// Whether rows of unknown era are better than none. Instances of earlier builds know no eras and
 /// may hold rows that the store has lost, so their rows are used only by an instance that the store
 /// does not answer, and not after a return of the store that it knows of.
@@ -336,20 +414,18 @@
     copy.is_store_failing() && !copy.mirror.has_replaced()
 }
 
-/// Merges what another instance tells beside its rows; returns whether these are fresh enough to keep
-/// following it.
-fn merge_news(node: &Node, news: News) -> bool {
+/// Merges what another instance tells beside its rows; returns what its answer proves.
+fn merge_news(node: &Node, news: News, sent_at: Instant, waited: Duration) -> Option<Proof> {
     quota::news::merge(node, &news.rate_limits);
     suspicion::merge_losses(node, &news.losses, Source::Peer);
     // An answer outweighs losses regardless of which came first, so it is applied last.
     for (fingerprint, age) in news.cleared {
         suspicion::record_success(node, fingerprint, age, Source::Peer);
     }
-    let Some(age) = news.age else {
-        return false;
-    };
-    node.record_complete(age);
-    age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX)
+    let now = clock::now_with_suspension();
+    let proof = Proof::by_instance(sent_at, waited, news.age?, now)?;
+    node.record_instance_proof(proof);
+    Some(proof)
 }
 
 /// Indices for [`follow_peer`], one per peer that is followed concurrently.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,6 +18,8 @@
 use tokio::time::Instant;
 use wire::Reply;
 use wire::Request;
+use wire::message::Follow;
+use wire::message::Followed;
 use wire::message::News;
 use wire::message::RowsUpdate;
 use wire::message::TablesUpdate;
@@ -27,6 +29,7 @@
 use wire::steps::Terms;
 use wire::tunnel;
 
+use crate::clock;
 use crate::detour;
 use crate::quota;
 use crate::rollout;
@@ -45,6 +48,9 @@
 /// to take it to be unavailable, and wait for the age of the rows rather than for rows.
 const ROWS_POLL_AFTER_GAP_MAX: Duration = Duration::from_millis(100);
 
+/// By how much later the rows of this instance must have been complete for that to be news.
+const PROOF_STEP: Duration = Duration::from_millis(200);
+
 /// Handles the requests of other instances.
 pub struct Handler(pub Weak<Node>);
 
@@ -72,6 +78,7 @@
                 }
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
                 Request::Updates(positions) => serve_updates(&node, &positions, replies).await,
+                Request::Follow(follow) => serve_follow(&node, *follow, replies).await,
                 Request::Losses(losses) => suspicion::merge_losses(&node, &losses, Source::Peer),
                 Request::Ping => send_reply(&replies, Reply::Done).await,
                 Request::Admit(admit) => quota::lease::serve_admit(&node, *admit, replies).await,
@@ -198,26 +205,63 @@
     send_reply(&replies, Reply::Steps(progress)).await;
 }
 
-/// Waits until the rows differ from those that `has_rows` was told of, for at most [`ROWS_POLL_MAX`],
-/// less shortly after a gap, or until the rows of this instance are no longer fresh; then returns
-/// everything else to tell. `None` if the requester has gone.
+/// When a long poll for rows is answered though there are none.
+#[derive(Clone, Copy, Debug)]
+struct Poll {
+    deadline: Instant,
+    /// Also once the rows of this instance are fresh or not, other than this.
+    answers_unless_fresh: bool,
+    /// Also once the rows of this instance were complete later than at this time; by
+    /// [`clock::now_with_suspension`].
+    answers_after: Option<Instant>,
+}
+
+impl Poll {
+    /// The poll of a requester that does not tell its state.
+    fn begin(node: &Node) -> Poll {
+        let wait = match node.has_gap_ended() {
+            true => ROWS_POLL_AFTER_GAP_MAX,
+            false => ROWS_POLL_MAX,
+        };
+        Poll {
+            deadline: Instant::now() + wait,
+            answers_unless_fresh: true,
+            answers_after: None,
+        }
+    }
+
+    /// Whether to answer although there are no rows.
+    fn is_due(&self, node: &Node) -> bool {
+        let is_later = || {
+            self.answers_after
+                .is_some_and(|it| node.complete_at() > Some(it))
+        };
+        Instant::now() >= self.deadline
+            || node.is_fresh() != self.answers_unless_fresh
+            || is_later()
+    }
+}
+
+/// Waits until the rows differ from those that `has_rows` was told of, or the poll ends; then returns
+/// everything else to tell, and a time at or before which it was put together. `None` if the requester
+/// has gone.
 async fn wait_for_news(
     node: &Arc<Node>,
+    poll: Poll,
     has_rows: impl Fn(&Mirror) -> bool,
     replies: &mpsc::Sender<Reply>,
-) -> Option<News> {
-    let poll_max = match node.has_gap_ended() {
-        true => ROWS_POLL_AFTER_GAP_MAX,
-        false => ROWS_POLL_MAX,
-    };
-    let poll_deadline = Instant::now() + poll_max;
+) -> Option<(Instant, News)> {
     let mut view = node.watch_view();
+    let mut proofs = node.watch_proofs();
     let mut limits = node.quota_wakers.subscribe();
     let first_change = *limits.borrow_and_update();
+    let mut may_have_rows = true;
     loop {
         view.mark_unchanged();
-        let has_news = has_rows(&node.store_copy().mirror) || *limits.borrow() != first_change;
-        if has_news || Instant::now() >= poll_deadline || !node.is_fresh() {
+        proofs.mark_unchanged();
+        let has_rows = may_have_rows && has_rows(&node.store_copy().mirror);
+        if has_rows || *limits.borrow() != first_change || poll.is_due(node) {
+            let told_at = clock::now_with_suspension();
             let now = Instant::now();
             let (losses, cleared) = {
                 let quarantine = &node.limits().quarantine;
@@ -226,19 +270,22 @@
                     quarantine.recently_cleared(now),
                 )
             };
-            return Some(News {
+            let news = News {
                 age: node.rows_age(),
                 losses,
                 cleared,
                 rate_limits: quota::news::recent_observations(node),
-            });
+            };
+            return Some((told_at, news));
         }
         tokio::select! {
-            changed = tokio::time::timeout_at(poll_deadline, view.changed()) => {
+            changed = tokio::time::timeout_at(poll.deadline, view.changed()) => {
                 if matches!(changed, Ok(Err(_))) {
                     return None;
                 }
+                may_have_rows = true;
             }
+            _ = proofs.changed() => may_have_rows = view.has_changed().unwrap_or(true),
             _ = limits.changed() => {}
             () = replies.closed() => return None,
         }
@@ -252,7 +299,8 @@
     replies: mpsc::Sender<Reply>,
 ) {
     let has_rows = |mirror: &Mirror| !mirror.rows_since(positions).is_empty();
-    let Some(news) = wait_for_news(node, has_rows, &replies).await else {
+    let poll = Poll::begin(node);
+    let Some((_, news)) = wait_for_news(node, poll, has_rows, &replies).await else {
         return;
     };
     let rows = node.store_copy().mirror.rows_since(positions);
@@ -266,24 +314,49 @@
     positions: &[mirror::Position],
     replies: mpsc::Sender<Reply>,
 ) {
-    let has_rows = |mirror: &Mirror| !mirror.updates_since(positions).is_empty();
-    let Some(mut news) = wait_for_news(node, has_rows, &replies).await else {
-        return;
-    };
-    let tables = {
-        let mirror = &node.store_copy().mirror;
-        // The age tells how long ago the rows were complete, in their era.
-        let bounded = positions
-            .iter()
-            .filter(|it| BOUNDED_TABLES.contains(&it.table));
-        let mut bounded = bounded.map(|it| (it.table, it.era));
-        if bounded.any(|(table, era)| era > mirror.era(table) || mirror.is_unverified(table)) {
-            news.age = None;
-        }
-        mirror.updates_since(positions)
+    let poll = Poll::begin(node);
+    if let Some((_, update)) = wait_for_updates(node, poll, positions, &replies).await {
+        send_reply(&replies, Reply::Updates(Box::new(update))).await;
+    }
+}
+
+/// Answers an instance that follows this one or looks for fresh rows.
+async fn serve_follow(node: &Arc<Node>, follow: Follow, replies: mpsc::Sender<Reply>) {
+    let asked_at = clock::now_with_suspension();
+    let poll = Poll {
+        deadline: Instant::now() + follow.wait.min(ROWS_POLL_MAX),
+        answers_unless_fresh: follow.is_fresh,
+        answers_after: follow
+            .age
+            .and_then(|it| Some(asked_at.checked_sub(it)? + PROOF_STEP)),
     };
-    let update = TablesUpdate { tables, news };
-    send_reply(&replies, Reply::Updates(Box::new(update))).await;
+    let update = wait_for_updates(node, poll, &follow.positions, &replies).await;
+    if let Some((told_at, update)) = update {
+        let waited = told_at.saturating_duration_since(asked_at);
+        let followed = Followed { update, waited };
+        send_reply(&replies, Reply::Followed(Box::new(followed))).await;
+    }
+}
+
+async fn wait_for_updates(
+    node: &Arc<Node>,
+    poll: Poll,
+    positions: &[mirror::Position],
+    replies: &mpsc::Sender<Reply>,
+) -> Option<(Instant, TablesUpdate)> {
+    let has_rows = |mirror: &Mirror| !mirror.updates_since(positions).is_empty();
+    let (told_at, mut news) = wait_for_news(node, poll, has_rows, replies).await?;
+    let mirror = &node.store_copy().mirror;
+    // The age tells how long ago the rows were complete, in their era.
+    let bounded = positions
+        .iter()
+        .filter(|it| BOUNDED_TABLES.contains(&it.table));
+    let mut bounded = bounded.map(|it| (it.table, it.era));
+    if bounded.any(|(table, era)| era > mirror.era(table) || mirror.is_unverified(table)) {
+        news.age = None;
+    }
+    let tables = mirror.updates_since(positions);
+    Some((told_at, TablesUpdate { tables, news }))
 }
 
 /// Takes the origins of streams that another instance began into custody.
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -209,7 +209,7 @@
     };
     let request = |protocol| match protocol {
         Protocol::V1 | Protocol::V2 => Request::Ping,
-        Protocol::V3 => Request::Rollout(Box::new(wire::message::Rollout {
+        Protocol::V3 | Protocol::V4 => Request::Rollout(Box::new(wire::message::Rollout {
             service: service.clone(),
             instance: node.settings.instance.clone(),
             incarnation: node.incarnation,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,6 +25,8 @@
 use mirror::Row;
 use mirror::Table;
 use mirror::Update;
+use mirror::freshness::Freshness;
+use mirror::freshness::Proof;
 use mirror::succession::Origin;
 use platform::settings::Settings;
 use platform::store;
@@ -78,10 +80,9 @@
     pub mirror: Mirror,
     /// Builds the view from the rows.
     pub tracker: ViewTracker,
-    /// When the rows of each table were last known to be complete.
-    complete_at: BTreeMap<Table, Instant>,
-    /// Time for which the machine had been suspended when the operators' rows were last confirmed.
-    suspended_before: Duration,
+    /// When the rows were last known to be complete, by [`clock::now_with_suspension`]: rows of a
+    /// machine that was suspended have aged meanwhile.
+    freshness: Freshness,
     /// When the rows last became fresh again.
     gap_ended_at: Option<Instant>,
     /// Whether this instance's latest call to the store failed.
@@ -95,15 +96,10 @@
         self.is_store_failing
     }
 
-    /// When the rows of all [`BOUNDED_TABLES`] were last known to be complete.
-    fn complete_at(&self) -> Option<Instant> {
-        let tables = BOUNDED_TABLES.iter().map(|it| self.complete_at.get(it));
-        tables.min().flatten().copied()
-    }
-
-    fn age(&self, now: Instant) -> Option<Duration> {
-        let complete_at = self.complete_at();
-        complete_at.map(|it| now.saturating_duration_since(it))
+    /// Time since the rows of all [`BOUNDED_TABLES`] were last known to be complete.
+    fn age(&self) -> Option<Duration> {
+        self.freshness
+            .age(&BOUNDED_TABLES, clock::now_with_suspension())
     }
 }
 
@@ -128,6 +124,8 @@
     view: watch::Sender<Arc<View>>,
     store_recoveries: watch::Sender<u64>,
     store_copy: Mutex<StoreCopy>,
+    /// Counts the proofs that the rows were complete at a later time than was known.
+    proofs: watch::Sender<u64>,
     limits: Mutex<Limits>,
     quotas: Mutex<Quotas>,
     paths: Mutex<Paths>,
@@ -182,6 +180,7 @@
             view: watch::Sender::new(Arc::default()),
             store_recoveries: watch::Sender::new(0),
             store_copy: Mutex::default(),
+            proofs: watch::Sender::default(),
             shard_waits: Mutex::default(),
             owner_holds: Mutex::default(),
             shutdown: Arc::default(),
@@ -233,7 +232,12 @@
     /// Time since the store or another instance last confirmed that the rows are complete.
     #[must_use]
     pub fn rows_age(&self) -> Option<Duration> {
-        self.store_copy().age(Instant::now())
+        self.store_copy().age()
+    }
+
+    /// When the rows were last known to be complete, by [`clock::now_with_suspension`].
+    pub(crate) fn complete_at(&self) -> Option<Instant> {
+        self.store_copy().freshness.complete_at(&BOUNDED_TABLES)
     }
 
     /// Whether the age of the rows is below [`Node::fresh_age_max`].
@@ -244,9 +248,9 @@
 
     /// Whether the age of the rows of a table is below [`Node::fresh_age_max`], or not bounded.
     pub(crate) fn is_table_fresh(&self, table: Table) -> bool {
-        let complete_at = self.store_copy().complete_at.get(&table).copied();
-        !BOUNDED_TABLES.contains(&table)
-            || complete_at.is_some_and(|it| it.elapsed() < self.fresh_age_max())
+        let now = clock::now_with_suspension();
+        let age = self.store_copy().freshness.age(&[table], now);
+        !BOUNDED_TABLES.contains(&table) || age.is_some_and(|it| it < self.fresh_age_max())
     }
 
     /// Age below which rows count as fresh.
@@ -272,10 +276,9 @@
         if copy.tracker.is_configuration_uncertain() {
             return true;
         }
-        let complete_at = copy.complete_at.get(&Table::Operators);
-        let age = complete_at.map(Instant::elapsed);
-        let suspended = clock::time_suspended().saturating_sub(copy.suspended_before);
-        age.is_none_or(|it| it + suspended >= self.settings.bounds.config_timeout)
+        let now = clock::now_with_suspension();
+        let age = copy.freshness.age(&[Table::Operators], now);
+        age.is_none_or(|it| it >= self.settings.bounds.config_timeout)
     }
 
     /// Records whether the store answered a call of this instance; returns whether that differs
@@ -287,46 +290,51 @@
         is_change
     }
 
-    /// Records that the rows of all [`BOUNDED_TABLES`] were complete `age` ago, as another instance
-    /// tells.
-    pub fn record_complete(&self, age: Duration) {
-        self.record_tables_complete(&BOUNDED_TABLES, age);
+    /// Records what another instance proves of all [`BOUNDED_TABLES`].
+    pub(crate) fn record_instance_proof(&self, proof: Proof) {
+        self.update_freshness(|copy| copy.freshness.record(&BOUNDED_TABLES, proof));
     }
 
     /// Records that the store has confirmed the rows of a table.
-    pub(crate) fn record_table_complete(&self, table: Table) {
+    pub(crate) fn record_store_proof(&self, table: Table, proof: Proof) {
         if BOUNDED_TABLES.contains(&table) {
-            self.record_tables_complete(&[table], Duration::ZERO);
+            self.update_freshness(|copy| copy.freshness.record(&[table], proof));
         }
     }
 
-    fn record_tables_complete(&self, tables: &[Table], age: Duration) {
-        let complete_at = {
+    fn update_freshness(&self, record: impl FnOnce(&mut StoreCopy)) {
+        let (age, is_later) = {
             let mut copy = self.store_copy();
             let now = Instant::now();
             // A gap that ends now may not have been noticed.
             self.update_age(&mut copy, now);
-            let was_stale = copy.age(now).is_some_and(|it| it >= self.fresh_age_max());
-            if let Some(complete_at) = now.checked_sub(age) {
-                for table in tables {
-                    let known = copy.complete_at.entry(*table).or_insert(complete_at);
-                    *known = complete_at.max(*known);
-                }
-            }
+            let was_stale = copy.age().is_some_and(|it| it >= self.fresh_age_max());
+            let complete_at = copy.freshness.complete_at(&BOUNDED_TABLES);
+            record(&mut copy);
             self.update_age(&mut copy, now);
-            if was_stale && copy.age(now).is_some_and(|it| it < self.fresh_age_max()) {
+            let age = copy.age();
+            if was_stale && age.is_some_and(|it| it < self.fresh_age_max()) {
                 copy.gap_ended_at = Some(now);
             }
-            if tables.contains(&Table::Operators) {
-                copy.suspended_before = clock::time_suspended();
-            }
-            copy.complete_at()
+            (
+                age,
+                copy.freshness.complete_at(&BOUNDED_TABLES) > complete_at,
+            )
         };
+        if is_later {
+            self.proofs.send_modify(|it| *it += 1);
+        }
+        let complete_at = age.and_then(|it| Instant::now().checked_sub(it));
         if let Some(complete_at) = complete_at {
             self.limits().confirm_members(complete_at);
         }
     }
 
+    /// Subscribes to the count of proofs that the rows were complete at a later time than was known.
+    pub(crate) fn watch_proofs(&self) -> watch::Receiver<u64> {
+        self.proofs.subscribe()
+    }
+
     /// Locks the limits and statistics. The guard must not be held across an await.
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
@@ -522,7 +530,7 @@
             if changes.is_empty() {
                 return;
             }
-            age = copy.age(now);
+            age = copy.age();
             (changes, copy.tracker.view())
         };
         for change in &changes {
@@ -576,7 +584,7 @@
 
     /// Updates the age of the rows, and logs the beginning and the end of a gap.
     fn update_age(&self, copy: &mut StoreCopy, now: Instant) {
-        let age = copy.age(now);
+        let age = copy.age();
         if let Some(state) = copy.tracker.set_age(age, now) {
             slog::info!(self.logger(), "{}", state; "age_ms" => age.map(|it| it.as_millis() as u64),
                 "is_store_failing" => copy.is_store_failing, "lapsed" => copy.tracker.lapsed_count());
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -74,6 +74,8 @@
     /// Tells the coordinator of a roll-out what the sender has counted; since
     /// [`crate::Protocol::V3`].
     Rollout(Box<Rollout>),
+    /// Like [`Request::Updates`], with the state of the requester; since [`crate::Protocol::V4`].
+    Follow(Box<Follow>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -115,6 +117,8 @@
     /// What the coordinator of a roll-out allows; `None` if the receiver is not the coordinator, or
     /// cannot tell what is allowed.
     Rollout(Option<rollout::choice::Grant>),
+    /// Answer to [`Request::Follow`].
+    Followed(Box<Followed>),
 }
 
 /// Counts of an instance for the coordinator of a roll-out.
@@ -143,6 +147,35 @@
     pub remaining: Duration,
 }
 
+/// Long poll for what the requester's copies of the tables lack. Answered once there are changes, once
+/// the receiver's copies were complete at a later time, once the rows of one are fresh and those of the
+/// other are not, or after `wait`.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follow {
+    /// Position of the requester in each table.
+    pub positions: Vec<mirror::Position>,
+    /// Time since the requester's copies were known to be complete; `None` if they never were.
+    #[serde_as(as = "Option<Bounded>")]
+    pub age: Option<Duration>,
+    /// Whether the rows of the requester are fresh.
+    pub is_fresh: bool,
+    /// Longest time to wait for an answer.
+    #[serde_as(as = "Bounded")]
+    pub wait: Duration,
+}
+
+/// What the requester of [`Request::Follow`] may not know yet.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Followed {
+    /// Changes of the tables, and news as of the answer.
+    pub update: TablesUpdate,
+    /// Time from the arrival of the request to the answer.
+    #[serde_as(as = "Bounded")]
+    pub waited: Duration,
+}
+
 /// What the requester of [`Request::Rows`] may not know yet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RowsUpdate {
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -17,6 +17,9 @@
     /// Adds [`crate::Request::Schedule`].
     #[strum(serialize = "catkinvane/3")]
     V3,
+    /// Adds [`crate::Request::Follow`].
+    #[strum(serialize = "catkinvane/4")]
+    V4,
 }
 
 impl Protocol {
