Look for rows at the instances that have the store, and let those stand in for readers

Callers on deployments of 20 instances and more could be served by an older configuration for good while the store turned most instances away: readers keep their role, as the others reach them and cannot tell that the store does not answer them; whoever notices that its rows are old asks the others in one order, the same for all and from its start again after 3 s, so that few instances which have the store, far behind in it, are never asked. And each instance read the store itself only when its rows were 1.7 s old, every time anew.

Now an instance whose rows are old asks one of twelve others at random, which differ for each, and first those that are known to read the store: answers tell the latest of them. Who reads the store because its rows were old goes on to do so, until enough instances ahead of it in the order do. The decisions are pure (mirror::search, mirror::duty); the simulation of 1 to 350 instances uses them, with times for messages, silent and refused calls, and asserts also that ages never fall short.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -7,8 +7,10 @@
 //! those of a later one replace the table as a whole. The mirror stores values as opaque bytes and
 //! performs no I/O.
 
+pub mod duty;
 pub mod era;
 pub mod freshness;
+pub mod search;
 pub mod succession;
 pub mod tree;
 
--- a/crates/mirror/src/tree.rs
+++ b/crates/mirror/src/tree.rs
@@ -79,6 +79,17 @@
     reader_count(members) + relay_count(members)
 }
 
+/// Number of the first [`sources`] that are one level above `own`.
+#[must_use]
+pub fn level_count(order: &[id::Instance], own: &id::Instance) -> usize {
+    let relays = relay_count(order.len());
+    match role(order, own) {
+        Role::Follower if relays > 0 => relays,
+        Role::Reader => reader_count(order.len()).saturating_sub(1),
+        _ => reader_count(order.len()),
+    }
+}
+
 fn rotate_by_hash(order: &mut [id::Instance], own: &id::Instance) {
     if !order.is_empty() {
         let start = hash::hash_strs([own.as_str()]) % order.len() as u64;
--- a/crates/mirror/tests/tree.rs
+++ b/crates/mirror/tests/tree.rs
@@ -1,41 +1,62 @@
-//! Simulation of the distribution tree with 1 to 350 instances, any of which may be lost.
+//! Simulation of how rows spread over 1 to 350 instances, any of which may be lost or turned away by the
+//! store.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use base::id;
+use mirror::Table;
+use mirror::duty::Duty;
+use mirror::freshness::Freshness;
+use mirror::freshness::Proof;
+use mirror::search::Search;
 use mirror::tree;
 use mirror::tree::Role;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::proptest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
 
 /// Largest deployment that the users plan, in instances.
 const MEMBERS_MAX: usize = 350;
-/// Number of sources that each instance polls at once.
-const SOURCES_POLLED: usize = 2;
+/// Number of searches of each instance.
+const SEARCHES: usize = 2;
 /// Time step of the simulation.
-const TICK_MS: u64 = 100;
-/// Time after which a change feed without changes returns.
-const FEED_TIMEOUT_MS: u64 = 700;
-/// Time within which a source answers a poll, even without changes.
-const LONG_POLL_MS: u64 = 400;
-/// The same shortly after a gap of the source's own rows, and for how long after it.
-const LONG_POLL_AFTER_GAP_MS: u64 = 100;
-const GAP_NEWS_MS: u64 = 1_000;
-/// Time after which an unanswered poll is abandoned and its source suspected.
-const REQUEST_TIMEOUT_MS: u64 = 900;
-const SUSPICION_MS: u64 = 1_000;
+const TICK: Duration = Duration::from_millis(20);
+/// Time after which a change feed without changes returns, and after which a feed that is not answered
+/// is given up.
+const FEED_TIMEOUT: Duration = Duration::from_millis(700);
+const FEED_SLACK: Duration = Duration::from_millis(500);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time within which a source answers a poll, even without changes: one of the tree, another one, and
+/// while the rows are outdated.
+const TREE_POLL: Duration = Duration::from_millis(400);
+const FOUND_POLL: Duration = Duration::from_millis(200);
+const SEARCH_POLL: Duration = Duration::from_millis(100);
+/// By how much later the rows of a source must have been complete for an answer at once.
+const PROOF_STEP: Duration = Duration::from_millis(200);
+/// Time beyond that after which a poll is given up and its source suspected.
+const PEER_SLACK: Duration = Duration::from_millis(500);
+const SUSPICION: Duration = Duration::from_secs(1);
+/// Longest time that a message or its handling takes, one way.
+const TRANSIT_MAX: Duration = Duration::from_millis(60);
 /// Age of a source's rows, as a fraction of the freshness period, from which on the next source is
-/// polled instead.
+/// polled instead; the age for sources outside the tree that bring nothing newer.
 const FRESH_FRACTION: f64 = 0.7;
+const FOUND_AGE_MAX: Duration = Duration::from_millis(800);
 /// Part of the propagation bound reserved for an instance that has to read the store itself.
-const READ_TIME_MS: u64 = 700;
+const READ_TIME: Duration = Duration::from_millis(700);
 /// Age of the rows from which on an instance takes the store to be away.
-const OUTAGE_MS: u64 = 2_500;
+const OUTAGE: Duration = Duration::from_millis(2_500);
 /// Time before that by which it begins to read for itself.
-const OUTAGE_RESERVE_MS: u64 = 800;
-/// Longest time until an instance notices that its rows are no longer fresh.
-const CHECK_MS: u64 = 250;
+const OUTAGE_RESERVE: Duration = Duration::from_millis(800);
+/// How much longer a follower waits before that.
+const OWN_READ_DELAY: std::ops::Range<u64> = 50..200;
+const TABLES: [Table; 1] = [Table::Operators];
 
 fn order(count: usize) -> Vec<id::Instance> {
     let names = (0..count).map(|it| format!("n{it}"));
@@ -49,199 +70,430 @@
 }
 
 /// The users' bound on the time within which a change reaches all of `members` instances.
-fn propagation_bound_ms(members: usize) -> u64 {
-    match members {
-        0..=16 => 2_000,
-        17..=100 => 3_000,
-        _ => 4_000,
-    }
+fn propagation_bound(members: usize) -> Duration {
+    Duration::from_secs(match members {
+        0..=16 => 2,
+        17..=100 => 3,
+        _ => 4,
+    })
 }
 
 /// Age below which the rows of an instance count as fresh.
-fn fresh_age_max_ms(members: usize) -> u64 {
-    let by_bound = propagation_bound_ms(members) - READ_TIME_MS;
-    by_bound.min(OUTAGE_MS - OUTAGE_RESERVE_MS)
+fn fresh_age_max(members: usize) -> Duration {
+    let by_bound = propagation_bound(members) - READ_TIME;
+    by_bound.min(OUTAGE - OUTAGE_RESERVE)
+}
+
+/// What the store does with the calls of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Access {
+    #[default]
+    Served,
+    Refused,
+    Silent,
+}
+
+/// An answer of an instance that is on its way.
+#[derive(Clone, Debug)]
+struct Answer {
+    arrives_at: Instant,
+    /// When the rows that it brings were complete in truth.
+    complete_at: Instant,
+    waited: Duration,
+    age: Option<Duration>,
+    has_change: bool,
+    readers: Vec<(id::Instance, Duration)>,
+}
+
+/// A response of the store.
+#[derive(Clone, Copy, Debug)]
+struct Response {
+    made_at: Instant,
+    arrives_at: Instant,
+    /// Whether it brings the change, and whether it was made because of that.
+    has_change: bool,
+    is_news: bool,
+}
+
+/// A call to the store.
+#[derive(Clone, Debug)]
+struct Call {
+    sent_at: Instant,
+    wait: Duration,
+    response: Option<Response>,
 }
 
-/// State of a simulated instance; times in milliseconds.
-#[derive(Clone, Default)]
+/// A poll of a source.
+#[derive(Clone, Debug)]
+struct Poll {
+    source: usize,
+    sent_at: Instant,
+    arrives_at: Instant,
+    ends_at: Instant,
+    gives_up_at: Instant,
+    /// Until when the requester's rows are known to be complete, as the source takes it.
+    complete_at: Instant,
+    is_fresh: bool,
+    answer: Option<Answer>,
+}
+
+/// One search of an instance.
+#[derive(Clone, Debug)]
+struct Slot {
+    search: Search,
+    poll: Option<Poll>,
+    resumes_at: Instant,
+}
+
+/// A simulated instance.
+#[derive(Clone, Debug)]
 struct Instance {
     is_lost: bool,
-    /// Whether the store turns it away.
-    is_refused: bool,
-    /// When its rows became fresh again.
-    fresh_since: u64,
+    access: Access,
     has_change: bool,
-    /// When its rows were last known to be complete.
-    complete_at: u64,
-    feed_ends_at: u64,
-    /// For each poll: the source's index, and when the request was sent.
-    pending: [Option<(usize, u64)>; SOURCES_POLLED],
-    source_offsets: [usize; SOURCES_POLLED],
+    /// When its rows were complete in truth.
+    complete_at: Instant,
+    freshness: Freshness,
+    duty: Duty,
+    call: Option<Call>,
+    calls_at: Instant,
+    own_read_delay: Duration,
+    slots: Vec<Slot>,
     /// Suspected instances, and until when they are left out.
-    suspected: Vec<(usize, u64)>,
-}
-
-impl Instance {
-    /// Records that the rows were complete `at`.
-    fn confirm(&mut self, at: u64, now: u64, fresh_age_max: u64) {
-        let was_fresh = now - self.complete_at < fresh_age_max;
-        self.complete_at = self.complete_at.max(at);
-        if !was_fresh && now - self.complete_at < fresh_age_max {
-            self.fresh_since = now;
-        }
-    }
+    suspected: Vec<(usize, Instant)>,
 }
 
 /// A deployment in which the store takes a change at some time.
 struct Simulation {
     names: Vec<id::Instance>,
-    /// Sources, by index, of each instance that suspects no other.
-    sources: Vec<Vec<usize>>,
     instances: Vec<Instance>,
-    now: u64,
-    is_changed: bool,
+    rng: SmallRng,
+    now: Instant,
+    changed_at: Option<Instant>,
     /// Number of calls to the store, and the largest number of concurrent requests to one instance.
     store_calls: u64,
     concurrent_requests_max: usize,
 }
 
 impl Simulation {
-    fn new(count: usize) -> Simulation {
-        let names = order(count);
-        let indices = |own| indices(&tree::sources(names.clone(), own));
+    fn new(count: usize, seed: u64) -> Simulation {
+        let now = Instant::now() + Duration::from_secs(60);
+        let slots = (0..SEARCHES).map(|it| Slot {
+            search: Search::new(it),
+            poll: None,
+            resumes_at: now,
+        });
+        let mut freshness = Freshness::default();
+        freshness.record(&TABLES, Proof::by_store(now, Duration::ZERO, now));
+        let instance = Instance {
+            is_lost: false,
+            access: Access::Served,
+            has_change: false,
+            complete_at: now,
+            freshness,
+            duty: Duty::default(),
+            call: None,
+            calls_at: now,
+            own_read_delay: Duration::ZERO,
+            slots: slots.collect(),
+            suspected: Vec::new(),
+        };
         Simulation {
-            sources: names.iter().map(indices).collect(),
-            names,
-            instances: vec![Instance::default(); count],
-            now: 0,
-            is_changed: false,
+            names: order(count),
+            instances: vec![instance; count],
+            rng: SmallRng::seed_from_u64(seed),
+            now,
+            changed_at: None,
             store_calls: 0,
             concurrent_requests_max: 0,
         }
     }
 
-    fn visible_to(&self, idx: usize) -> Vec<id::Instance> {
-        let suspected = &self.instances[idx].suspected;
-        let is_suspected = |it: usize| {
-            suspected
-                .iter()
-                .any(|(suspect, until)| *suspect == it && *until > self.now)
-        };
-        let visible = (0..self.names.len()).filter(|it| !is_suspected(*it));
-        visible.map(|it| self.names[it].clone()).collect()
+    fn transit(&mut self) -> Duration {
+        self.rng.random_range(Duration::ZERO..TRANSIT_MAX)
     }
 
-    fn suspects_none(&self, idx: usize) -> bool {
-        let suspected = &self.instances[idx].suspected;
-        suspected.iter().all(|it| it.1 <= self.now)
+    fn order_of(&self, idx: usize) -> Vec<id::Instance> {
+        let suspected = self.instances[idx].suspected.iter();
+        let suspected = suspected.filter(|it| it.1 > self.now);
+        let suspected: BTreeSet<usize> = suspected.map(|it| it.0).collect();
+        let names = self.names.iter().enumerate();
+        let present = names.filter(|(it, _)| !suspected.contains(it));
+        present.map(|it| it.1.clone()).collect()
     }
 
-    fn source(&self, idx: usize, position: usize) -> Option<usize> {
-        if self.suspects_none(idx) {
-            return self.sources[idx].get(position).copied();
-        }
-        let sources = tree::sources(self.visible_to(idx), &self.names[idx]);
-        indices(&sources).get(position).copied()
+    fn age(&self, idx: usize) -> Duration {
+        let freshness = &self.instances[idx].freshness;
+        freshness.age(&TABLES, self.now).expect("a proof")
     }
 
-    fn role(&self, idx: usize) -> Role {
-        if self.suspects_none(idx) {
-            return tree::role(&self.names, &self.names[idx]);
-        }
-        tree::role(&self.visible_to(idx), &self.names[idx])
+    fn is_fresh(&self, idx: usize) -> bool {
+        self.age(idx) < fresh_age_max(self.names.len())
+    }
+
+    fn has_changed(&self, at: Instant) -> bool {
+        self.changed_at.is_some_and(|it| it <= at)
     }
 
     fn tick(&mut self) {
-        self.now += TICK_MS;
+        self.now += TICK;
         for idx in 0..self.instances.len() {
-            if self.instances[idx].is_lost {
-                continue;
+            if !self.instances[idx].is_lost {
+                self.follow_store(idx);
             }
-            self.follow_store(idx);
-            for poll in 0..SOURCES_POLLED {
-                self.poll_source(idx, poll);
+            for slot in 0..SEARCHES {
+                self.follow_source(idx, slot);
             }
         }
         let mut requests = vec![0; self.instances.len()];
         for instance in self.instances.iter().filter(|it| !it.is_lost) {
-            for (source, _) in instance.pending.iter().flatten() {
-                requests[*source] += 1;
+            for poll in instance.slots.iter().filter_map(|it| it.poll.as_ref()) {
+                requests[poll.source] += 1;
             }
         }
         let most = requests.into_iter().max().unwrap_or_default();
         self.concurrent_requests_max = self.concurrent_requests_max.max(most);
+        // No instance takes its rows to be newer than they are.
+        for instance in &self.instances {
+            let believed_at = instance.freshness.complete_at(&TABLES);
+            assert!(believed_at.is_none_or(|it| it <= instance.complete_at));
+        }
+    }
+
+    /// Whether an instance reads the store, and whether because its rows are outdated.
+    fn reads_store(&mut self, idx: usize) -> (bool, bool) {
+        let instance = &self.instances[idx];
+        let is_plain = instance.suspected.is_empty() && !instance.duty.has_begun();
+        let is_below = idx >= tree::top_count(self.names.len());
+        if is_plain && is_below && self.is_fresh(idx) {
+            return (false, false);
+        }
+        let (order, own, now) = (self.order_of(idx), self.names[idx].clone(), self.now);
+        let role = tree::role(&order, &own);
+        if role == Role::Reader || self.instances[idx].duty.is_active(&order, &own, now) {
+            return (true, false);
+        }
+        let delay = match role {
+            Role::Follower => self.instances[idx].own_read_delay,
+            Role::Reader | Role::Relay => Duration::ZERO,
+        };
+        let is_outdated = self.age(idx) >= fresh_age_max(self.names.len()) + delay;
+        (is_outdated, is_outdated)
     }
 
     fn follow_store(&mut self, idx: usize) {
-        let role = self.role(idx);
-        let age = self.now - self.instances[idx].complete_at;
-        let is_fresh = age < fresh_age_max_ms(self.names.len());
-        if self.instances[idx].is_refused || role != Role::Reader && is_fresh {
+        let now = self.now;
+        if let Some(call) = self.instances[idx].call.clone() {
+            return self.await_call(idx, &call);
+        }
+        if now < self.instances[idx].calls_at {
             return;
         }
-        let (now, is_changed) = (self.now, self.is_changed);
-        let fresh_age_max = fresh_age_max_ms(self.names.len());
+        let (reads, is_outdated) = self.reads_store(idx);
+        if !reads {
+            return;
+        }
+        self.store_calls += 1;
+        let wait = match self.is_fresh(idx) {
+            true => FEED_TIMEOUT,
+            false => Duration::ZERO,
+        };
         let instance = &mut self.instances[idx];
-        let has_new_change = is_changed && !instance.has_change;
-        if now >= instance.feed_ends_at || has_new_change {
-            self.store_calls += 1;
-            instance.confirm(now, now, fresh_age_max);
-            instance.has_change = is_changed;
-            instance.feed_ends_at = now + FEED_TIMEOUT_MS;
+        instance.call = Some(Call {
+            sent_at: now,
+            wait,
+            response: None,
+        });
+        if is_outdated && instance.access == Access::Served {
+            instance.duty.begin();
         }
     }
 
-    fn poll_source(&mut self, idx: usize, poll: usize) {
+    fn await_call(&mut self, idx: usize, call: &Call) {
         let now = self.now;
-        let fresh_age_max = fresh_age_max_ms(self.names.len());
-        let Some((source_idx, sent_at)) = self.instances[idx].pending[poll] else {
-            let position = poll + self.instances[idx].source_offsets[poll];
-            let Some(source_idx) = self.source(idx, position) else {
-                self.instances[idx].source_offsets[poll] = 0;
-                return;
-            };
-            self.instances[idx].pending[poll] = Some((source_idx, now));
+        let ends_at = call.sent_at + call.wait;
+        if let Some(response) = call.response {
+            if now >= response.arrives_at {
+                self.end_call(idx, call, response);
+            }
             return;
+        }
+        let is_news = self.has_changed(now) && !self.instances[idx].has_change;
+        let access = self.instances[idx].access;
+        if access == Access::Served && (is_news || now >= ends_at) {
+            let arrives_at = now + self.transit();
+            let response = Response {
+                made_at: now,
+                arrives_at,
+                has_change: self.has_changed(now),
+                is_news,
+            };
+            let known = self.instances[idx].call.as_mut().expect("a call");
+            known.response = Some(response);
+        } else if access == Access::Refused || now >= ends_at + FEED_SLACK {
+            let instance = &mut self.instances[idx];
+            instance.call = None;
+            instance.calls_at = now + RETRY_PAUSE;
+            instance.duty.end();
+        }
+    }
+
+    fn end_call(&mut self, idx: usize, call: &Call, response: Response) {
+        let (now, name) = (self.now, self.names[idx].clone());
+        let delay = Duration::from_millis(self.rng.random_range(OWN_READ_DELAY));
+        let instance = &mut self.instances[idx];
+        let waited = match response.is_news || now < call.sent_at + call.wait {
+            true => Duration::ZERO,
+            false => call.wait,
         };
-        let (is_lost, has_change, complete_at) = {
-            let source = &self.instances[source_idx];
-            (source.is_lost, source.has_change, source.complete_at)
+        let proof = Proof::by_store(call.sent_at, waited, now);
+        instance.complete_at = response.made_at.max(instance.complete_at);
+        instance.has_change |= response.has_change;
+        instance.freshness.record(&TABLES, proof);
+        instance.duty.record_reader(name, proof.at(), now);
+        instance.call = None;
+        instance.calls_at = now;
+        instance.own_read_delay = delay;
+    }
+
+    fn follow_source(&mut self, idx: usize, slot: usize) {
+        let Some(poll) = self.instances[idx].slots[slot].poll.clone() else {
+            if !self.instances[idx].is_lost
+                && self.now >= self.instances[idx].slots[slot].resumes_at
+            {
+                self.send_poll(idx, slot);
+            }
+            return;
         };
-        let fresh_since = self.instances[source_idx].fresh_since;
-        let instance = &mut self.instances[idx];
-        if is_lost {
-            if now >= sent_at + REQUEST_TIMEOUT_MS {
-                instance.suspected.push((source_idx, now + SUSPICION_MS));
-                instance.pending[poll] = None;
+        match &poll.answer {
+            None => self.answer_poll(idx, slot, &poll),
+            Some(answer) if self.now >= answer.arrives_at && !self.instances[idx].is_lost => {
+                self.take_answer(idx, slot, &poll, answer);
             }
+            Some(_) => {}
+        }
+        if self.now >= poll.gives_up_at && self.instances[idx].slots[slot].poll.is_some() {
+            let until = self.now + SUSPICION;
+            self.instances[idx].suspected.push((poll.source, until));
+            self.leave(idx, slot);
+        }
+    }
+
+    fn send_poll(&mut self, idx: usize, slot: usize) {
+        let (order, own, now) = (self.order_of(idx), self.names[idx].clone(), self.now);
+        let is_fresh = self.is_fresh(idx);
+        let complete_at = self.instances[idx].freshness.complete_at(&TABLES);
+        let outdated_since = complete_at.filter(|_| !is_fresh);
+        let readers = self.instances[idx].duty.sources(outdated_since, now);
+        let transit = self.transit();
+        let age = self.age(idx);
+        let state = &mut self.instances[idx].slots[slot];
+        let source = state
+            .search
+            .source(order, &own, &readers, is_fresh, &mut self.rng);
+        let Some(source) = source else {
+            state.search.restart();
+            return;
+        };
+        let wait = match (is_fresh, state.search.is_in_tree()) {
+            (false, _) => SEARCH_POLL,
+            (true, true) => TREE_POLL,
+            (true, false) => FOUND_POLL,
+        };
+        state.poll = Some(Poll {
+            source: indices(&[source])[0],
+            sent_at: now,
+            arrives_at: now + transit,
+            ends_at: now + transit + wait,
+            gives_up_at: now + wait + PEER_SLACK,
+            complete_at: now + transit - age,
+            is_fresh,
+            answer: None,
+        });
+    }
+
+    fn answer_poll(&mut self, idx: usize, slot: usize, poll: &Poll) {
+        let now = self.now;
+        let source = &self.instances[poll.source];
+        let has_news = source.has_change && !self.instances[idx].has_change;
+        let proven_at = source.freshness.complete_at(&TABLES);
+        let is_later = proven_at > Some(poll.complete_at + PROOF_STEP);
+        let is_due = now >= poll.ends_at || self.is_fresh(poll.source) != poll.is_fresh || is_later;
+        if source.is_lost || now < poll.arrives_at || !has_news && !is_due {
             return;
         }
-        let has_new_change = has_change && !instance.has_change;
-        // A source answers at once when its own rows are no longer fresh.
-        let is_source_fresh = now - complete_at < fresh_age_max;
-        let long_poll = match now - fresh_since < GAP_NEWS_MS {
-            true => LONG_POLL_AFTER_GAP_MS,
-            false => LONG_POLL_MS,
+        let readers = source.duty.readers(now).into_iter();
+        let readers = readers.map(|it| (it.0, now.saturating_duration_since(it.1)));
+        let answer = Answer {
+            arrives_at: now,
+            complete_at: source.complete_at,
+            waited: now.saturating_duration_since(poll.arrives_at),
+            age: source.freshness.age(&TABLES, now),
+            has_change: source.has_change,
+            readers: readers.collect(),
         };
-        if has_new_change || !is_source_fresh || now >= sent_at + long_poll {
-            instance.has_change |= has_change;
-            instance.confirm(complete_at, now, fresh_age_max);
-            instance.pending[poll] = None;
-            let is_stale = (now - complete_at) as f64 >= fresh_age_max as f64 * FRESH_FRACTION;
-            instance.source_offsets[poll] = if is_stale {
-                instance.source_offsets[poll] + 1
-            } else {
-                0
-            };
+        let arrives_at = now + self.transit();
+        let state = &mut self.instances[idx].slots[slot];
+        state.poll.as_mut().expect("a poll").answer = Some(Answer {
+            arrives_at,
+            ..answer
+        });
+    }
+
+    fn take_answer(&mut self, idx: usize, slot: usize, poll: &Poll, answer: &Answer) {
+        let now = self.now;
+        let age = answer.age.expect("a proof");
+        let proof = Proof::by_instance(poll.sent_at, answer.waited, age, now).expect("a proof");
+        let had_proof = self.instances[idx].freshness.complete_at(&TABLES);
+        let instance = &mut self.instances[idx];
+        instance.has_change |= answer.has_change;
+        instance.complete_at = answer.complete_at.max(instance.complete_at);
+        instance.freshness.record(&TABLES, proof);
+        for (name, age) in &answer.readers {
+            let at = Proof::by_instance(poll.sent_at, answer.waited, *age, now);
+            instance
+                .duty
+                .record_reader(name.clone(), at.expect("a proof").at(), now);
+        }
+        let age = now.saturating_duration_since(proof.at());
+        let is_useful = match instance.slots[slot].search.is_in_tree() {
+            true => age < fresh_age_max(self.names.len()).mul_f64(FRESH_FRACTION),
+            false => age < FOUND_AGE_MAX || Some(proof.at()) > had_proof && self.is_fresh(idx),
+        };
+        match is_useful {
+            true => self.instances[idx].slots[slot].poll = None,
+            false => self.leave(idx, slot),
         }
     }
 
-    fn run(&mut self, until: u64) {
+    fn leave(&mut self, idx: usize, slot: usize) {
+        let now = self.now;
+        let state = &mut self.instances[idx].slots[slot];
+        let sent_at = state.poll.take().expect("a poll").sent_at;
+        state.search.leave();
+        state.resumes_at = now.max(sent_at + SEARCH_POLL);
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
         while self.now < until {
             self.tick();
         }
     }
+
+    /// Writes a change and checks that it is known in time at all instances that are left.
+    fn check_change(&mut self) {
+        self.changed_at = Some(self.now);
+        for instance in &mut self.instances {
+            instance.has_change = false;
+        }
+        let members = self.names.len();
+        self.run(propagation_bound(members));
+        for (idx, instance) in self.instances.iter().enumerate() {
+            let is_known = instance.is_lost || instance.has_change;
+            assert!(is_known, "instance {idx} of {members}");
+        }
+    }
 }
 
 proptest! {
@@ -259,9 +511,10 @@
         lost in vec(any::<proptest::sample::Index>(), 0..40),
         above in 0..25_usize,
         gap in 0..1_500_u64,
+        seed in any::<u64>(),
     ) {
-        let mut simulation = Simulation::new(members);
-        simulation.run(4_000);
+        let mut simulation = Simulation::new(members, seed);
+        simulation.run(Duration::from_secs(4));
         // The instances at the top of the tree, and arbitrary others.
         let lost: BTreeSet<usize> = lost.iter().map(|it| it.index(members)).chain(0..above).collect();
         for idx in lost {
@@ -269,13 +522,34 @@
                 instance.is_lost = true;
             }
         }
-        let start = simulation.now + gap / TICK_MS * TICK_MS;
-        simulation.run(start);
-        simulation.is_changed = true;
-        simulation.run(start + propagation_bound_ms(members));
-        for (idx, instance) in simulation.instances.iter().enumerate() {
-            assert!(instance.is_lost || instance.has_change, "instance {idx} of {members}");
+        simulation.run(Duration::from_millis(gap));
+        simulation.check_change();
+    }
+
+    /// Guards against readers that keep their role without the store, and against instances that never
+    /// ask the few that have it.
+    #[test]
+    fn a_change_is_known_in_time_wherever_few_have_the_store(
+        members in 2..=MEMBERS_MAX,
+        served in vec(any::<proptest::sample::Index>(), 2..10),
+        is_silent in any::<bool>(),
+        gap in 0..4_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let mut simulation = Simulation::new(members, seed);
+        simulation.run(Duration::from_secs(4));
+        let served: BTreeSet<usize> = served.iter().map(|it| it.index(members)).collect();
+        for (idx, instance) in simulation.instances.iter_mut().enumerate() {
+            instance.access = match (served.contains(&idx), is_silent) {
+                (true, _) => Access::Served,
+                (false, true) => Access::Silent,
+                (false, false) => Access::Refused,
+            };
         }
+        simulation.run(Duration::from_millis(gap));
+        simulation.check_change();
+        simulation.run(Duration::from_secs(1));
+        simulation.check_change();
     }
 }
 
@@ -295,20 +569,21 @@
         refused in vec(any::<proptest::sample::Index>(), 0..40),
         above in 0..=4_usize,
         gap in 0..1_500_u64,
+        seed in any::<u64>(),
     ) {
-        let mut simulation = Simulation::new(members);
-        simulation.run(4_000 + gap / TICK_MS * TICK_MS);
+        let mut simulation = Simulation::new(members, seed);
+        simulation.run(Duration::from_secs(4) + Duration::from_millis(gap));
         // The readers, and up to a third of all.
         let others = refused.iter().take(members / 3).map(|it| it.index(members));
         for idx in others.chain(0..above) {
-            simulation.instances[idx].is_refused = true;
+            simulation.instances[idx].access = Access::Refused;
         }
-        let until = simulation.now + 10_000;
+        let until = simulation.now + Duration::from_secs(10);
         while simulation.now < until {
             simulation.tick();
-            let ages = simulation.instances.iter().map(|it| simulation.now - it.complete_at);
-            let oldest = ages.max().unwrap_or_default();
-            assert!(oldest + CHECK_MS < OUTAGE_MS, "{oldest} ms old, of {members} instances");
+            let oldest = (0..members).map(|it| simulation.age(it)).max();
+            let oldest = oldest.expect("an instance");
+            assert!(oldest < OUTAGE, "{oldest:?} old, of {members} instances");
         }
     }
 }
@@ -318,10 +593,10 @@
 #[test]
 fn store_calls_and_requests_per_instance_are_bounded() {
     for members in [1, 2, 7, 16, 64, 65, 80, 195, MEMBERS_MAX] {
-        let mut simulation = Simulation::new(members);
-        simulation.run(4_000);
+        let mut simulation = Simulation::new(members, 1);
+        simulation.run(Duration::from_secs(4));
         let before = simulation.store_calls;
-        simulation.run(14_000);
+        simulation.run(Duration::from_secs(10));
         let per_second = (simulation.store_calls - before) as f64 / 10.0;
         // Four readers, each with a feed that returns every 0.7 s.
         assert!(
@@ -336,6 +611,29 @@
     }
 }
 
+/// Guards against instances that all go on to read the store once those above them have lost it.
+#[test]
+fn store_calls_stay_bounded_once_the_readers_have_lost_the_store() {
+    for members in [7, 16, 64, 87, 195, MEMBERS_MAX] {
+        let mut simulation = Simulation::new(members, 1);
+        simulation.run(Duration::from_secs(4));
+        for instance in &mut simulation.instances[..4] {
+            instance.access = Access::Refused;
+        }
+        simulation.run(Duration::from_secs(6));
+        let before = simulation.store_calls;
+        simulation.run(Duration::from_secs(10));
+        let per_second = (simulation.store_calls - before) as f64 / 10.0;
+        // Four readers that try twice a second, four that stand in for them, and as many again that
+        // do not know of the four yet.
+        let per_second_max = 4.0 / 0.5 + 8.0 / 0.7 + 0.5;
+        assert!(
+            per_second <= per_second_max,
+            "{members}: {per_second} store calls a second"
+        );
+    }
+}
+
 /// Guards against a relay that follows instances below it in the tree and would not receive any
 /// changes.
 #[test]
@@ -346,7 +644,7 @@
             let role = tree::role(&order, own);
             let sources = tree::sources(order.clone(), own);
             assert_eq!(sources.len(), members - 1);
-            let above = sources.iter().take(SOURCES_POLLED.min(members - 1));
+            let above = sources.iter().take(SEARCHES.min(members - 1));
             for source in above.filter(|_| role != Role::Reader) {
                 assert_ne!(tree::role(&order, source), Role::Follower, "{members}");
                 assert!(role == Role::Follower || tree::role(&order, source) == Role::Reader);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -10,6 +10,7 @@
 use forwarding::poison::Source;
 use mirror::Table;
 use mirror::freshness::Proof;
+use mirror::search::Search;
 use mirror::tree;
 use mirror::tree::Role;
 use platform::rows;
@@ -60,18 +61,27 @@
 const READ_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Key whose preference order of the members determines which of them read the store.
 const READER_KEY: &str = "store";
-/// Interval at which an instance that follows others checks that its rows are still fresh.
+/// Longest time until an instance that follows others checks that its rows are still fresh.
 const FRESH_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// A follower reads the store itself when its rows have been outdated for a random time within this
+/// range, so that most hear from those that did.
+const OWN_READ_DELAY_MIN: Duration = Duration::from_millis(50);
+const OWN_READ_DELAY_MAX: Duration = Duration::from_millis(200);
 /// Number of other instances that are followed concurrently.
 const PEERS_FOLLOWED: usize = 2;
-/// Longest long poll at another instance, and time beyond that for its answer.
-const PEER_POLL: Duration = Duration::from_millis(400);
+/// Time beyond that of a long poll for the answer of another instance to a request for rows.
 const PEER_SLACK: Duration = Duration::from_millis(500);
-/// If a peer's rows are older than this fraction of [`Node::fresh_age_max`], the next peer is
-/// asked.
+/// Longest long poll at the level above in the tree, and at other instances: there an answer without
+/// changes passes through more instances, each of which adds to the age of the rows.
+const TREE_POLL: Duration = Duration::from_millis(400);
+const FOUND_POLL: Duration = Duration::from_millis(200);
+/// Longest poll while the rows are outdated, after which another instance is asked.
+const SEARCH_POLL: Duration = Duration::from_millis(100);
+/// If the rows of a peer in the tree are older than this fraction of [`Node::fresh_age_max`], the next
+/// peer is asked.
 const PEER_AGE_RATIO_MAX: f64 = 0.7;
-/// Pause between a peer without fresh rows and the next one.
-const PEER_PAUSE: Duration = Duration::from_millis(100);
+/// The same for other peers that bring no newer proof: they may follow this instance.
+const FOUND_AGE_MAX: Duration = Duration::from_millis(800);
 /// Interval at which the top of the tree is checked for instances that answer again.
 const RETURN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which following starts again with the preferred peer.
@@ -115,20 +125,18 @@
     loop {
         recoveries.mark_unchanged();
         eras.mark_unchanged();
-        let has_role = is_reader(&node);
-        let is_synced = node.store_copy().mirror.synced_version(table).is_some();
-        let is_reading = !is_synced || has_role || !node.is_fresh();
-        if was_reading.replace(is_reading) != Some(is_reading) {
-            slog::info!(node.logger(), "store_reading"; "table" => %table, "is_reading" => is_reading,
-                "is_reader" => has_role, "is_synced" => is_synced,
+        let reason = reading_reason(&node, table);
+        if was_reading.replace(reason) != Some(reason) {
+            slog::info!(node.logger(), "store_reading"; "table" => %table,
+                "because" => reason.map(|it| it.to_string()),
                 "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
         }
-        if !is_reading {
+        let Some(reason) = reason else {
             // The failures before were those of another time.
             backoff.reset();
-            tokio::time::sleep(FRESH_CHECK_INTERVAL).await;
+            wait_until_outdated(&node).await;
             continue;
-        }
+        };
         let outcome = tokio::select! {
             biased;
             outcome = poll_table(&node, &client, table, has_late_news) => outcome,
@@ -141,6 +149,9 @@
             Ok(_) => {
                 backoff.reset();
                 record_store_answer(&node);
+                if reason == Reason::Outdated {
+                    node.store_copy().duty.begin();
+                }
                 continue;
             }
             Err(store::Error::Compacted) => {
@@ -150,10 +161,10 @@
             }
             Err(err) => record_store_failure(&node, table, &err),
         }
-        let pause_max = if is_reader(&node) {
-            RETRY_MAX_READER
-        } else {
-            RETRY_MAX_OTHERS
+        node.store_copy().duty.end();
+        let pause_max = match reason {
+            Reason::Role => RETRY_MAX_READER,
+            _ => RETRY_MAX_OTHERS,
         };
         tokio::select! {
             () = backoff.wait(pause_max) => {}
@@ -162,6 +173,52 @@
     }
 }
 
+/// Why this instance reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Reason {
+    /// The table was not read yet, or has to be read again.
+    Unsynced,
+    /// It is a reader of the tree.
+    Role,
+    /// It stands in for the readers.
+    Duty,
+    /// Others bring no fresh rows.
+    Outdated,
+}
+
+fn reading_reason(node: &Node, table: Table) -> Option<Reason> {
+    if node.store_copy().mirror.synced_version(table).is_none() {
+        return Some(Reason::Unsynced);
+    }
+    let own = &node.settings.instance;
+    let order = reader_order(node);
+    if tree::role(&order, own) == Role::Reader {
+        return Some(Reason::Role);
+    }
+    let now = clock::now_with_suspension();
+    if node.store_copy().duty.is_active(&order, own, now) {
+        return Some(Reason::Duty);
+    }
+    (!node.is_fresh()).then_some(Reason::Outdated)
+}
+
+/// Waits until the rows are outdated, for a follower a moment longer, and at most for
+/// [`FRESH_CHECK_INTERVAL`] while they are fresh.
+async fn wait_until_outdated(node: &Node) {
+    let age = node.rows_age().unwrap_or_default();
+    let remaining = node.fresh_age_max().saturating_sub(age);
+    if remaining > FRESH_CHECK_INTERVAL {
+        return tokio::time::sleep(FRESH_CHECK_INTERVAL).await;
+    }
+    let own = &node.settings.instance;
+    let delay = match tree::role(&reader_order(node), own) {
+        Role::Follower => rand::random_range(OWN_READ_DELAY_MIN..OWN_READ_DELAY_MAX),
+        Role::Reader | Role::Relay => Duration::ZERO,
+    };
+    tokio::time::sleep(remaining + delay).await;
+}
+
 /// What a call to the store brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -303,38 +360,51 @@
 
 /// Keeps the rows up to date from other instances, preferring the `idx`-th in order; never returns.
 pub async fn follow_peer(node: Arc<Node>, idx: usize) {
-    let mut next = idx;
+    let mut search = Search::new(idx);
     let mut reset_at = Instant::now();
     loop {
         if reset_at.elapsed() > PEER_RESET_INTERVAL {
-            next = idx;
+            search.restart();
             reset_at = Instant::now();
         }
-        let Some(member) = row_source(&node, next) else {
-            next = idx;
+        let is_fresh = node.is_fresh();
+        let Some(member) = row_source(&node, &mut search, is_fresh) else {
+            search.restart();
             tokio::time::sleep(FRESH_CHECK_INTERVAL).await;
             continue;
         };
+        let wait = match (is_fresh, search.is_in_tree()) {
+            (false, _) => SEARCH_POLL,
+            (true, true) => TREE_POLL,
+            (true, false) => FOUND_POLL,
+        };
         let asked_at = Instant::now();
-        let is_fresh = node.is_fresh();
-        let proof = fetch_peer_rows(&node, &member, is_fresh, PEER_POLL).await;
-        if !proof.is_some_and(|it| is_useful(&node, it)) {
-            // The preferred source only: without the store, sources are left many times a second.
-            if next == idx {
-                slog::info!(node.logger(), "rows_source_left"; "instance" => %member.instance,
-                    "waited_ms" => asked_at.elapsed().as_millis() as u64,
-                    "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
-            }
-            next += 1;
-            tokio::time::sleep(PEER_PAUSE).await;
+        let complete_at = node.complete_at();
+        let proof = fetch_peer_rows(&node, &member, is_fresh, wait).await;
+        let is_in_tree = search.is_in_tree();
+        if proof.is_some_and(|it| is_useful(&node, it, complete_at, is_in_tree)) {
+            continue;
         }
+        // The preferred source only: without the store, sources are left many times a second.
+        if search.is_at_preferred() {
+            slog::info!(node.logger(), "rows_source_left"; "instance" => %member.instance,
+                "waited_ms" => asked_at.elapsed().as_millis() as u64,
+                "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
+        }
+        search.leave();
+        let pause = SEARCH_POLL.saturating_sub(asked_at.elapsed());
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// Whether the rows of the instance that gave a proof are fresh enough to keep following it.
-fn is_useful(node: &Node, proof: Proof) -> bool {
+/// Whether to keep following the instance that gave a proof, when the rows were known to be complete
+/// at `complete_at` before.
+fn is_useful(node: &Node, proof: Proof, complete_at: Option<Instant>, is_in_tree: bool) -> bool {
     let age = clock::now_with_suspension().saturating_duration_since(proof.at());
-    age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX)
+    match is_in_tree {
+        true => age < node.fresh_age_max().mul_f64(PEER_AGE_RATIO_MAX),
+        false => age < FOUND_AGE_MAX || Some(proof.at()) > complete_at && node.is_fresh(),
+    }
 }
 
 /// Fetches newer rows and losses from another instance; returns what its answer proves.
@@ -364,7 +434,13 @@
     match patience::within(timeout, reply).await {
         Some(Some(Reply::Followed(followed))) => {
             node.peers.record_answer(&member.instance);
-            merge_update(node, followed.update, sent_at, followed.waited)
+            let (waited, now) = (followed.waited, clock::now_with_suspension());
+            for (reader, age) in followed.readers {
+                if let Some(proof) = Proof::by_instance(sent_at, waited, age, now) {
+                    node.record_reader(reader, proof.at());
+                }
+            }
+            merge_update(node, followed.update, sent_at, waited)
         }
         Some(Some(Reply::Updates(update))) => {
             node.peers.record_answer(&member.instance);
@@ -475,14 +551,13 @@
     present.map(|it| it.instance.clone()).collect()
 }
 
-fn is_reader(node: &Node) -> bool {
-    tree::role(&reader_order(node), &node.settings.instance) == Role::Reader
-}
-
-/// The `idx`-th instance, in order of preference, to fetch rows from.
-fn row_source(node: &Node, idx: usize) -> Option<Arc<Member>> {
-    let sources = tree::sources(reader_order(node), &node.settings.instance);
-    node.view().members.get(sources.get(idx)?).cloned()
+/// The instance to fetch rows from.
+fn row_source(node: &Node, search: &mut Search, is_fresh: bool) -> Option<Arc<Member>> {
+    let own = &node.settings.instance;
+    let readers = node.reading_sources();
+    let order = reader_order(node);
+    let source = search.source(order, own, &readers, is_fresh, &mut rand::rng())?;
+    node.view().members.get(&source).cloned()
 }
 
 /// Pings the instances at the top of the tree that have not answered for a while; never returns. They
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -333,7 +333,11 @@
     let update = wait_for_updates(node, poll, &follow.positions, &replies).await;
     if let Some((told_at, update)) = update {
         let waited = told_at.saturating_duration_since(asked_at);
-        let followed = Followed { update, waited };
+        let followed = Followed {
+            update,
+            waited,
+            readers: node.readers(),
+        };
         send_reply(&replies, Reply::Followed(Box::new(followed))).await;
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -25,6 +25,7 @@
 use mirror::Row;
 use mirror::Table;
 use mirror::Update;
+use mirror::duty::Duty;
 use mirror::freshness::Freshness;
 use mirror::freshness::Proof;
 use mirror::succession::Origin;
@@ -83,6 +84,8 @@
     /// When the rows were last known to be complete, by [`clock::now_with_suspension`]: rows of a
     /// machine that was suspended have aged meanwhile.
     freshness: Freshness,
+    /// Whether this instance stands in for the readers of the store.
+    pub(crate) duty: Duty,
     /// When the rows last became fresh again.
     gap_ended_at: Option<Instant>,
     /// Whether this instance's latest call to the store failed.
@@ -299,6 +302,7 @@
     pub(crate) fn record_store_proof(&self, table: Table, proof: Proof) {
         if BOUNDED_TABLES.contains(&table) {
             self.update_freshness(|copy| copy.freshness.record(&[table], proof));
+            self.record_reader(self.settings.instance.clone(), proof.at());
         }
     }
 
@@ -335,6 +339,31 @@
         self.proofs.subscribe()
     }
 
+    /// Records that the store answered an instance, by [`clock::now_with_suspension`].
+    pub(crate) fn record_reader(&self, instance: id::Instance, at: Instant) {
+        let now = clock::now_with_suspension();
+        let duty = &mut self.store_copy().duty;
+        duty.record_reader(instance, at, now);
+    }
+
+    /// Instances that read the store and are worth asking for rows.
+    pub(crate) fn reading_sources(&self) -> Vec<id::Instance> {
+        let is_fresh = self.is_fresh();
+        let copy = self.store_copy();
+        let complete_at = copy.freshness.complete_at(&BOUNDED_TABLES);
+        let outdated_since = complete_at.filter(|_| !is_fresh);
+        copy.duty
+            .sources(outdated_since, clock::now_with_suspension())
+    }
+
+    /// Instances that read the store, with the time since the latest response to each.
+    pub(crate) fn readers(&self) -> Vec<(id::Instance, Duration)> {
+        let now = clock::now_with_suspension();
+        let readers = self.store_copy().duty.readers(now).into_iter();
+        let age = |at| now.saturating_duration_since(at);
+        readers.map(|(name, at)| (name, age(at))).collect()
+    }
+
     /// Locks the limits and statistics. The guard must not be held across an await.
     pub fn limits(&self) -> MutexGuard<'_, Limits> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -174,6 +174,9 @@
     /// Time from the arrival of the request to the answer.
     #[serde_as(as = "Bounded")]
     pub waited: Duration,
+    /// Instances that read the store, with the time since the latest response to each.
+    #[serde_as(as = "Vec<(_, Bounded)>")]
+    pub readers: Vec<(id::Instance, Duration)>,
 }
 
 /// What the requester of [`Request::Rows`] may not know yet.
