--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -14,6 +14,7 @@
 use platform_standin::site::Site;
 use platform_standin::upstream::Fault;
 use platform_standin::upstream::RecordedRequest;
+use serde_json::json;
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
 use tokio::net::TcpStream;
@@ -164,6 +165,34 @@
     }
 }
 
+/// Writes configuration `version` with a route of its own.
+pub(crate) fn configure_route(site: &Site, version: u64) {
+    let prefix = format!("/v{version}/");
+    let route = json!([{"name": prefix, "host": "site.example", "prefix": prefix,
+        "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
+        "service": "ledger", "attempts": 2}]);
+    site.configure(version, route);
+}
+
+/// Whether a node serves the route of [`configure_route`].
+pub(crate) async fn serves_route(client_address: SocketAddr, version: u64) -> bool {
+    status(client_address, &format!("/v{version}/")).await == 200
+}
+
+/// Status of a node's response to a read under `prefix`.
+pub(crate) async fn status(client_address: SocketAddr, prefix: &str) -> u16 {
+    let key = format!("authorization: Bearer {API_KEY}");
+    let headers = [
+        key.as_str(),
+        "host: site.example",
+        "x-request-id: q",
+        "x-deadline-ms: 1500",
+    ];
+    let target = format!("GET {prefix}x");
+    let response = client::send_request(client_address, &target, &headers, b"").await;
+    response.status
+}
+
 /// Polls `condition` until it holds. Panics after `timeout`, naming `what` was waited for.
 pub(crate) async fn eventually<F: Future<Output = bool>>(
     what: &str,
--- a/crates/node/tests/it/returns.rs
+++ b/crates/node/tests/it/returns.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use platform_standin::client;
-use platform_standin::site::API_KEY;
 use platform_standin::store::Copy;
 use platform_standin::store::Gate;
 use platform_standin::store::Mode;
@@ -13,6 +12,7 @@
 use crate::fixture::Fixture;
 use crate::fixture::Node;
 use crate::fixture::eventually;
+use crate::fixture::status;
 
 /// The users' bound on the time until a configuration is in force at all instances.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
@@ -35,26 +35,12 @@
     fixture.site.configure(version, routes.collect());
 }
 
-async fn status(node: &Node, path: &str) -> u16 {
-    let key = format!("authorization: Bearer {API_KEY}");
-    let headers = [
-        key.as_str(),
-        "host: site.example",
-        "x-request-id: q",
-        "x-deadline-ms: 1500",
-    ];
-    let target = format!("GET {path}x");
-    client::send_request(node.client_address, &target, &headers, b"")
-        .await
-        .status
-}
-
 /// Waits until every node serves `path`, no longer than a change may take.
 async fn wait_until_served(nodes: &[Node], path: &str) {
     for (idx, node) in nodes.iter().enumerate() {
         let what = format!("{path} served at node {idx}");
         eventually(&what, CONFIG_TIMEOUT, || async {
-            status(node, path).await == 200
+            status(node.client_address, path).await == 200
         })
         .await;
     }
@@ -105,7 +91,7 @@
     let deadline = tokio::time::Instant::now() + Duration::from_secs(3);
     while tokio::time::Instant::now() < deadline {
         for node in &fixture.nodes {
-            assert_eq!(status(node, "/lost/").await, 200);
+            assert_eq!(status(node.client_address, "/lost/").await, 200);
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
@@ -172,7 +158,7 @@
 async fn an_instance_with_old_rows_denies_nothing_for_good() {
     let fixture = Fixture::start(1).await;
     let node = &fixture.nodes[0];
-    assert_eq!(status(node, "/unknown/").await, 404);
+    assert_eq!(status(node.client_address, "/unknown/").await, 404);
     fixture.site.store.set_mode(Mode::Silent);
     tokio::time::sleep(CONFIG_TIMEOUT + Duration::from_millis(800)).await;
     let response = fixture.send("GET /unknown/x", "r1", &[]).await;
@@ -181,9 +167,9 @@
     let headers = ["authorization: Bearer other", "x-request-id: r2"];
     let response = client::send_request(node.client_address, "GET /read/x", &headers, b"").await;
     assert_eq!(response.status, 503);
-    assert_eq!(status(node, "/read/").await, 200);
+    assert_eq!(status(node.client_address, "/read/").await, 200);
     fixture.site.store.set_mode(Mode::Up);
-    let is_denied = || async { status(node, "/unknown/").await == 404 };
+    let is_denied = || async { status(node.client_address, "/unknown/").await == 404 };
     let timeout = CONTACT_TIME + CONFIG_TIMEOUT;
     eventually("a final answer", timeout, is_denied).await;
 }
@@ -205,7 +191,7 @@
         fixture
     };
     for node in &fixture.nodes {
-        assert_eq!(status(node, "/read/").await, 200);
+        assert_eq!(status(node.client_address, "/read/").await, 200);
     }
 }
 
@@ -227,14 +213,14 @@
     let before = runs(&fixture);
     for _ in 0..20 {
         for node in &fixture.nodes {
-            assert_eq!(status(node, "/read/").await, 200);
+            assert_eq!(status(node.client_address, "/read/").await, 200);
         }
     }
     assert_eq!(runs(&fixture), before, "requests in the evacuated zone");
     fixture.site.store.put("op", "evacuate/a", b"{}");
     fixture.site.store.delete("op", "evacuate/a");
     let is_used = || async {
-        status(&fixture.nodes[0], "/read/").await;
+        status(fixture.nodes[0].client_address, "/read/").await;
         runs(&fixture) > before
     };
     eventually("the zone used again", CONFIG_TIMEOUT, is_used).await;
@@ -255,14 +241,14 @@
     let before = (runs(0), runs(1));
     for _ in 0..20 {
         for node in &fixture.nodes {
-            status(node, "/read/").await;
+            status(node.client_address, "/read/").await;
         }
     }
     assert_eq!((runs(0), runs(1)), before);
     // It was not gone for good.
     fixture.site.register(1, "ready");
     let is_used = || async {
-        status(&fixture.nodes[0], "/read/").await;
+        status(fixture.nodes[0].client_address, "/read/").await;
         runs(1) > before.1
     };
     eventually("the upstream used again", CONFIG_TIMEOUT, is_used).await;
@@ -310,8 +296,8 @@
     eventually("ready", Duration::from_secs(20), || node.is_ready()).await;
     fixture.nodes.push(node);
     for node in &fixture.nodes {
-        assert_eq!(status(node, "/lost/").await, 404);
-        assert_eq!(status(node, "/added/").await, 200);
+        assert_eq!(status(node.client_address, "/lost/").await, 404);
+        assert_eq!(status(node.client_address, "/added/").await, 200);
     }
     // The order of the store holds from then on.
     configure(&fixture, number + 1, &["/kept/", "/next/"]);
@@ -342,7 +328,7 @@
     let checked = async {
         loop {
             for node in &fixture.nodes {
-                assert_eq!(status(node, "/fifth/").await, 200);
+                assert_eq!(status(node.client_address, "/fifth/").await, 200);
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/node/tests/it/store_paths.rs
+++ b/crates/node/tests/it/store_paths.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform_standin::client;
 use platform_standin::proxy::Proxy;
-use platform_standin::site::API_KEY;
 use platform_standin::site::Site;
 use platform_standin::store::Gate;
-use serde_json::json;
 
 use crate::fixture::Fixture;
 use crate::fixture::Node;
+use crate::fixture::configure_route;
 use crate::fixture::eventually;
+use crate::fixture::serves_route;
 
 /// The users' bound on the time until a configuration is in force at all instances, and by how much
 /// it is longer while the store turns some away.
@@ -22,28 +21,6 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 const NODES: usize = 6;
 
-/// Writes configuration `version` with a route of its own.
-fn configure(site: &Site, version: u64) {
-    let prefix = format!("/v{version}/");
-    let route = json!([{"name": prefix, "host": "site.example", "prefix": prefix,
-        "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
-        "service": "ledger", "attempts": 2}]);
-    site.configure(version, route);
-}
-
-async fn serves(node: &Node, version: u64) -> bool {
-    let key = format!("authorization: Bearer {API_KEY}");
-    let headers = [
-        key.as_str(),
-        "host: site.example",
-        "x-request-id: q",
-        "x-deadline-ms: 1500",
-    ];
-    let target = format!("GET /v{version}/x");
-    let response = client::send_request(node.client_address, &target, &headers, b"").await;
-    response.status == 200
-}
-
 /// Starts nodes, each with its own way to the store.
 async fn start_gated() -> (Fixture, Vec<Arc<Gate>>) {
     let site = Site::start().await.expect("ports for the site");
@@ -70,15 +47,21 @@
         let (fixture, gates) = start_gated().await;
         let closed = gates.iter().enumerate().filter(|it| it.0 != served);
         closed.for_each(|it| it.1.close());
-        configure(&fixture.site, 2);
+        configure_route(&fixture.site, 2);
         for node in &fixture.nodes {
             let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
-            eventually("configuration 2", timeout, || serves(node, 2)).await;
+            eventually("configuration 2", timeout, || {
+                serves_route(node.client_address, 2)
+            })
+            .await;
         }
-        configure(&fixture.site, 3);
+        configure_route(&fixture.site, 3);
         for node in &fixture.nodes {
             let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
-            eventually("configuration 3", timeout, || serves(node, 3)).await;
+            eventually("configuration 3", timeout, || {
+                serves_route(node.client_address, 3)
+            })
+            .await;
         }
     }
 }
@@ -92,10 +75,13 @@
     let fixture = Fixture::start_at(site, NODES).await;
     for version in 2..5 {
         proxy.silence_open_connections();
-        configure(&fixture.site, version);
+        configure_route(&fixture.site, version);
         for node in &fixture.nodes {
             let timeout = CONTACT_TIME + CONFIG_TIMEOUT;
-            eventually("the configuration", timeout, || serves(node, version)).await;
+            eventually("the configuration", timeout, || {
+                serves_route(node.client_address, version)
+            })
+            .await;
         }
     }
 }
@@ -105,7 +91,7 @@
 async fn start_beside_others_that_are_behind() -> Fixture {
     let (mut fixture, gates) = start_gated().await;
     gates.iter().for_each(|it| it.close());
-    configure(&fixture.site, 2);
+    configure_route(&fixture.site, 2);
     let newcomer = Node::start("n9", "a", fixture.site.store_address);
     eventually("ready", Duration::from_secs(20), || newcomer.is_ready()).await;
     fixture.nodes.push(newcomer);
@@ -118,7 +104,7 @@
     let fixture = start_beside_others_that_are_behind().await;
     let newcomer = fixture.nodes.last().expect("a node");
     for _ in 0..60 {
-        assert!(serves(newcomer, 2).await);
+        assert!(serves_route(newcomer.client_address, 2).await);
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
@@ -130,6 +116,9 @@
     let fixture = start_beside_others_that_are_behind().await;
     for node in &fixture.nodes {
         let timeout = CONFIG_TIMEOUT + OUTER_TIMEOUT;
-        eventually("configuration 2", timeout, || serves(node, 2)).await;
+        eventually("configuration 2", timeout, || {
+            serves_route(node.client_address, 2)
+        })
+        .await;
     }
 }
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -14,19 +14,18 @@
 
 use base::id;
 use catalog::Member;
-use platform_standin::client;
-use platform_standin::site::API_KEY;
 use platform_standin::site::Site;
 use platform_standin::store::Gate;
 use platform_standin::store::Mode;
-use serde_json::json;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use fixture::Fixture;
 use fixture::Node;
+use fixture::configure_route;
 use fixture::eventually;
+use fixture::serves_route;
 
 /// Time from a fault to the change.
 const FAULT_LEAD: Duration = Duration::from_millis(300);
@@ -99,26 +98,17 @@
         }
     }
 
-    /// Writes a configuration with a route of its own.
-    fn configure(&mut self) {
-        self.version += 1;
-        let prefix = format!("/v{}/", self.version);
-        let route = json!([{"name": prefix, "host": "site.example", "prefix": prefix,
-            "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
-            "service": "ledger", "attempts": 2}]);
-        self.fixture.site.configure(self.version, route);
-    }
-
     /// Writes a configuration and waits until the nodes serve it, at most `timeout`. Returns the time
     /// at each node; `None` for those that do not serve it.
     async fn change(&mut self, timeout: Duration) -> Vec<Option<Duration>> {
-        self.configure();
+        self.version += 1;
+        configure_route(&self.fixture.site, self.version);
         let start = Instant::now();
         let mut polls = JoinSet::new();
         for node in &self.fixture.nodes {
             let (address, version) = (node.client_address, self.version);
             let is_served = async move {
-                while !serves(address, version).await {
+                while !serves_route(address, version).await {
                     tokio::time::sleep(POLL_INTERVAL).await;
                 }
                 start.elapsed()
@@ -137,19 +127,6 @@
     }
 }
 
-async fn serves(address: SocketAddr, version: u64) -> bool {
-    let key = format!("authorization: Bearer {API_KEY}");
-    let headers = [
-        key.as_str(),
-        "host: site.example",
-        "x-request-id: q",
-        "x-deadline-ms: 1500",
-    ];
-    let target = format!("GET /v{version}/x");
-    let response = client::send_request(address, &target, &headers, b"").await;
-    response.status == 200
-}
-
 /// Indices of the nodes in the order in which they become readers of the store.
 fn reader_order(names: &[String]) -> Vec<usize> {
     let member = |name: &String| Member {
@@ -232,7 +209,7 @@
             deployment.add(&format!("m{round}-{idx}"), timeout).await;
         }
         for node in &deployment.fixture.nodes {
-            let is_served = || serves(node.client_address, deployment.version);
+            let is_served = || serves_route(node.client_address, deployment.version);
             eventually("the configuration", START_TIMEOUT, is_served).await;
         }
         tokio::time::sleep(SETTLE_TIME).await;
