Begin no duty to read the store by the long poll of the members' table

That poll lasts up to 8 s. Its end began a duty although the rows had been fresh again for seconds; with few known readers the instance then read the store for them without need. Found by reading the change; what it cost callers or the store was not measured. The field that tells a requester's state is named by that.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -149,7 +149,8 @@
             Ok(_) => {
                 backoff.reset();
                 record_store_answer(&node);
-                if reason == Reason::Outdated {
+                // The long poll of the members' table may have ended seconds after the rows were fresh.
+                if reason == Reason::Outdated && table != Table::Members {
                     node.store_copy().duty.begin();
                 }
                 continue;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -209,8 +209,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Poll {
     deadline: Instant,
-    /// Also once the rows of this instance are fresh or not, other than this.
-    answers_unless_fresh: bool,
+    /// Whether the requester's rows are fresh. Also answered once those of this instance differ in that.
+    is_requester_fresh: bool,
     /// Also once the rows of this instance were complete later than at this time; by
     /// [`clock::now_with_suspension`].
     answers_after: Option<Instant>,
@@ -225,7 +225,7 @@
         };
         Poll {
             deadline: Instant::now() + wait,
-            answers_unless_fresh: true,
+            is_requester_fresh: true,
             answers_after: None,
         }
     }
@@ -236,9 +236,7 @@
             self.answers_after
                 .is_some_and(|it| node.complete_at() > Some(it))
         };
-        Instant::now() >= self.deadline
-            || node.is_fresh() != self.answers_unless_fresh
-            || is_later()
+        Instant::now() >= self.deadline || node.is_fresh() != self.is_requester_fresh || is_later()
     }
 }
 
@@ -325,7 +323,7 @@
     let asked_at = clock::now_with_suspension();
     let poll = Poll {
         deadline: Instant::now() + follow.wait.min(ROWS_POLL_MAX),
-        answers_unless_fresh: follow.is_fresh,
+        is_requester_fresh: follow.is_fresh,
         answers_after: follow
             .age
             .and_then(|it| Some(asked_at.checked_sub(it)? + PROOF_STEP)),
