Log how many bytes of rows came from where, and which answers were given up

Whether a configuration is late because its bytes do not arrive in time (H1 of large-configurations.md) or because they are handled late (H2) could not be told from the logs: a failed call to the store was logged only if the one before had not failed, and an answer that was given up not at all.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -8,6 +8,7 @@
 use catalog::Member;
 use catalog::View;
 use forwarding::poison::Source;
+use mirror::Row;
 use mirror::Table;
 use mirror::freshness::Proof;
 use mirror::search::Search;
@@ -254,6 +255,7 @@
     let sent_at = clock::now_with_suspension();
     let batch = client.feed(table, position, wait).await?;
     let has_news = !batch.rows.is_empty();
+    log_received(node, "store", &batch.rows, sent_at);
     if !node.apply_table_changes(table, batch) {
         return check_era(node, client, table);
     }
@@ -274,6 +276,25 @@
     })
 }
 
+/// Logs the rows that an answer to a request of `sent_at` brought.
+fn log_received<'a>(
+    node: &Node,
+    source: &str,
+    rows: impl IntoIterator<Item = &'a Row>,
+    sent_at: Instant,
+) {
+    let (count, bytes) = rows.into_iter().fold((0, 0), |(count, bytes), row| {
+        let value = row.value.as_ref().map_or(0, Vec::len);
+        (count + 1, bytes + value)
+    });
+    if count == 0 {
+        return;
+    }
+    let elapsed = clock::now_with_suspension().saturating_duration_since(sent_at);
+    slog::info!(node.logger(), "rows_received"; "source" => source, "rows" => count,
+        "bytes" => bytes, "elapsed_ms" => elapsed.as_millis() as u64);
+}
+
 /// Tells rows of a later era, after which the table is read in full, from a late response.
 fn check_era(node: &Node, client: &store::Client, table: Table) -> Result<Outcome, store::Error> {
     let era = node.store_copy().mirror.era(table);
@@ -300,6 +321,7 @@
 ) -> Result<Outcome, store::Error> {
     let sent_at = clock::now_with_suspension();
     let batch = client.read(table).await?;
+    log_received(node, "store", &batch.rows, sent_at);
     if !node.apply_table_snapshot(table, batch) {
         return check_era(node, client, table);
     }
@@ -333,6 +355,8 @@
 
 fn record_store_failure(node: &Node, table: Table, err: &store::Error) {
     node.telemetry.count("store.failures", 1);
+    slog::info!(node.logger(), "store_call_failed"; "table" => %table, "reason" => %err,
+        "age_ms" => node.rows_age().map(|it| it.as_millis() as u64));
     if node.record_store_call(false) {
         slog::warn!(node.logger(), "store_lost"; "table" => %table, "reason" => %err);
     }
@@ -435,6 +459,8 @@
     match patience::within(timeout, reply).await {
         Some(Some(Reply::Followed(followed))) => {
             node.peers.record_answer(&member.instance);
+            let rows = followed.update.tables.iter().flat_map(|it| &it.rows);
+            log_received(node, member.instance.as_str(), rows, sent_at);
             let (waited, now) = (followed.waited, clock::now_with_suspension());
             for (reader, age) in followed.readers {
                 if let Some(proof) = Proof::by_instance(sent_at, waited, age, now) {
@@ -460,6 +486,8 @@
             merge_news(node, news, sent_at, Duration::ZERO)
         }
         None => {
+            slog::info!(node.logger(), "rows_given_up"; "instance" => %member.instance,
+                "waited_ms" => timeout.as_millis() as u64);
             if node.peers.record_silence(member).await {
                 slog::warn!(node.logger(), "reader_lost"; "instance" => %member.instance,
                     "waited_ms" => timeout.as_millis() as u64);
