--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -167,11 +167,19 @@
 
 /// Writes configuration `version` with a route of its own.
 pub(crate) fn configure_route(site: &Site, version: u64) {
-    let prefix = format!("/v{version}/");
-    let route = json!([{"name": prefix, "host": "site.example", "prefix": prefix,
-        "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
-        "service": "ledger", "attempts": 2}]);
-    site.configure(version, route);
+    configure_routes(site, version, 0);
+}
+
+/// The same, with other routes that stay.
+pub(crate) fn configure_routes(site: &Site, version: u64, others: usize) {
+    let others = (0..others).map(|it| format!("/o{it}/"));
+    let prefixes = others.chain([format!("/v{version}/")]);
+    let routes = prefixes.map(|prefix| {
+        json!({"name": prefix, "host": "site.example", "prefix": prefix,
+            "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
+            "service": "ledger", "attempts": 2})
+    });
+    site.configure(version, routes.collect());
 }
 
 /// Whether a node serves the route of [`configure_route`].
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -23,7 +23,7 @@
 
 use fixture::Fixture;
 use fixture::Node;
-use fixture::configure_route;
+use fixture::configure_routes;
 use fixture::eventually;
 use fixture::serves_route;
 
@@ -32,6 +32,8 @@
 /// Time after a start or a change in which an instance settles.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// A fifth of a link of 10 Mbit/s, in bytes per second.
+const SLOW_LINK_RATE: usize = 250_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Held by the running test: the nodes of two would take turns on the processors.
@@ -53,6 +55,8 @@
     names: Vec<String>,
     gates: Vec<Arc<Gate>>,
     version: u64,
+    /// Routes of the configuration that stay.
+    other_routes: usize,
 }
 
 impl Deployment {
@@ -63,6 +67,7 @@
             names: Vec::new(),
             gates: Vec::new(),
             version: 1,
+            other_routes: 0,
         };
         for idx in 0..instances {
             deployment
@@ -102,7 +107,7 @@
     /// at each node; `None` for those that do not serve it.
     async fn change(&mut self, timeout: Duration) -> Vec<Option<Duration>> {
         self.version += 1;
-        configure_route(&self.fixture.site, self.version);
+        configure_routes(&self.fixture.site, self.version, self.other_routes);
         let start = Instant::now();
         let mut polls = JoinSet::new();
         for node in &self.fixture.nodes {
@@ -215,3 +220,23 @@
         tokio::time::sleep(SETTLE_TIME).await;
     }
 }
+
+/// Guards against limits that end the transfer of a large configuration while its bytes arrive: it was
+/// begun again and again, and was in force nowhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_configuration_is_in_force_over_slow_links() {
+    let _turn = TURN.lock().await;
+    let instances = 20;
+    let mut deployment = Deployment::start(instances).await;
+    deployment.other_routes = 1_400;
+    for gate in &deployment.gates {
+        gate.limit_rate(SLOW_LINK_RATE);
+    }
+    for _ in 0..3 {
+        let timeout = config_timeout(instances);
+        let times = deployment.change(timeout).await;
+        let late = times.iter().filter(|it| it.is_none()).count();
+        assert_eq!(late, 0, "nodes without the configuration after {timeout:?}");
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
+}
