Wait for an answer with rows as long as its bytes arrive

Cause: the limit of a request for rows, 0.5 s beyond its long poll, covered the transfer of the answer. Instances that were merely sending were suspected and left the tree.

--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -148,7 +148,7 @@
         // A task of neither process, so that it forwards replies for as long as both processes
         // live.
         tokio::spawn(forwarder.run(server_replies, client_sender));
-        Ok(Replies(client_replies))
+        Ok(Replies::new(client_replies, Arc::default()))
     }
 }
 
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -22,13 +22,14 @@
 use wire::Reply;
 use wire::Request;
 use wire::message::Follow;
+use wire::message::Followed;
 use wire::message::News;
 use wire::message::TablesUpdate;
 use wire::tls::Identity;
 use wire::tls::Pem;
 
 use crate::clock;
-use crate::patience;
+use crate::liveness::Answer;
 use crate::quota;
 use crate::state::Node;
 use crate::suspicion;
@@ -441,39 +442,30 @@
 ) -> Option<Proof> {
     let sent_at = clock::now_with_suspension();
     let age = node.rows_age();
-    let reply = async {
-        let request = |protocol| match protocol {
-            Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
-            Protocol::V2 | Protocol::V3 => Request::Updates(node.store_copy().mirror.positions()),
-            Protocol::V4 => Request::Follow(Box::new(Follow {
-                positions: node.store_copy().mirror.positions(),
-                age,
-                is_fresh,
-                wait,
-            })),
-        };
-        let mut replies = node.peers.open_with(member, request).await.ok()?;
-        replies.next().await
+    let follow = || {
+        Box::new(Follow {
+            positions: node.store_copy().mirror.positions(),
+            age,
+            is_fresh,
+            wait,
+        })
+    };
+    let request = |protocol| match protocol {
+        Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
+        Protocol::V2 | Protocol::V3 => Request::Updates(node.store_copy().mirror.positions()),
+        Protocol::V4 => Request::Follow(follow()),
     };
     let timeout = wait + PEER_SLACK;
-    match patience::within(timeout, reply).await {
-        Some(Some(Reply::Followed(followed))) => {
+    match node.peers.fetch(member, timeout, request).await {
+        Answer::Given(Reply::Followed(followed)) => {
             node.peers.record_answer(&member.instance);
-            let rows = followed.update.tables.iter().flat_map(|it| &it.rows);
-            log_received(node, member.instance.as_str(), rows, sent_at);
-            let (waited, now) = (followed.waited, clock::now_with_suspension());
-            for (reader, age) in followed.readers {
-                if let Some(proof) = Proof::by_instance(sent_at, waited, age, now) {
-                    node.record_reader(reader, proof.at());
-                }
-            }
-            merge_update(node, followed.update, sent_at, waited)
+            merge_followed(node, member, *followed, sent_at)
         }
-        Some(Some(Reply::Updates(update))) => {
+        Answer::Given(Reply::Updates(update)) => {
             node.peers.record_answer(&member.instance);
             merge_update(node, *update, sent_at, Duration::ZERO)
         }
-        Some(Some(Reply::Rows(update))) => {
+        Answer::Given(Reply::Rows(update)) => {
             node.peers.record_answer(&member.instance);
             if needs_unverified(node) {
                 node.merge_unverified(update.rows);
@@ -485,7 +477,7 @@
             };
             merge_news(node, news, sent_at, Duration::ZERO)
         }
-        None => {
+        Answer::Slow => {
             slog::info!(node.logger(), "rows_given_up"; "instance" => %member.instance,
                 "waited_ms" => timeout.as_millis() as u64);
             if node.peers.record_silence(member).await {
@@ -494,8 +486,26 @@
             }
             None
         }
-        Some(_) => None,
+        Answer::Given(_) | Answer::Lost => None,
+    }
+}
+
+/// Merges the answer of an instance to a request of `sent_at`; returns what it proves.
+fn merge_followed(
+    node: &Node,
+    member: &Member,
+    followed: Followed,
+    sent_at: Instant,
+) -> Option<Proof> {
+    let rows = followed.update.tables.iter().flat_map(|it| &it.rows);
+    log_received(node, member.instance.as_str(), rows, sent_at);
+    let (waited, now) = (followed.waited, clock::now_with_suspension());
+    for (reader, age) in followed.readers {
+        if let Some(proof) = Proof::by_instance(sent_at, waited, age, now) {
+            node.record_reader(reader, proof.at());
+        }
     }
+    merge_update(node, followed.update, sent_at, waited)
 }
 
 /// Merges the answer of another instance, which held the request of `sent_at` for `waited`.
--- a/crates/node/src/liveness.rs
+++ b/crates/node/src/liveness.rs
@@ -8,12 +8,15 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::id;
 use catalog::Member;
 use tokio::time::Instant;
 use wire::Protocol;
+use wire::Reply;
 use wire::Request;
 use wire::peer;
 use wire::tunnel;
@@ -65,7 +68,7 @@
 pub enum Answer<T> {
     /// It was answered.
     Given(T),
-    /// The member answers pings, but did not answer the request in time.
+    /// The member may be alive, but did not answer the request in time.
     Slow,
     /// The member answers nothing, or the connection has broken.
     Lost,
@@ -141,6 +144,31 @@
         Ok(replies)
     }
 
+    /// Sends the request that `request` makes for the protocol that the member speaks, and returns its
+    /// first reply. [`Answer::Slow`] if nothing of the reply has arrived for `limit`: a large one takes
+    /// longer as long as its bytes arrive.
+    pub async fn fetch(
+        &self,
+        member: &Member,
+        limit: Duration,
+        request: impl FnOnce(Protocol) -> Request,
+    ) -> Answer<Reply> {
+        let received: OnceLock<Arc<AtomicUsize>> = OnceLock::new();
+        let reply = async {
+            let mut replies = self.open_with(member, request).await.ok()?;
+            received.get_or_init(|| replies.received());
+            replies.next().await
+        };
+        let count = || {
+            let received = received.get().map(|it| it.load(Ordering::Relaxed));
+            received.unwrap_or_default()
+        };
+        match patience::while_receiving(limit, count, reply).await {
+            Some(reply) => reply.map_or(Answer::Lost, Answer::Given),
+            None => Answer::Slow,
+        }
+    }
+
     /// Opens a tunnel through a member.
     ///
     /// # Errors
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,8 @@
 //! Postcard frames with a 4-byte little-endian length prefix.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -44,6 +47,18 @@
 ///
 /// Fails if the stream breaks, or a frame is too large or malformed.
 pub async fn read<T: DeserializeOwned>(stream: &mut quinn::RecvStream) -> Result<Option<T>, Error> {
+    read_counted(stream, &AtomicUsize::new(0)).await
+}
+
+/// Like [`read`], adding the bytes of the message to `received` as they arrive.
+///
+/// # Errors
+///
+/// As for [`read`].
+pub async fn read_counted<T: DeserializeOwned>(
+    stream: &mut quinn::RecvStream,
+    received: &AtomicUsize,
+) -> Result<Option<T>, Error> {
     let mut length = [0; 4];
     match stream.read_exact(&mut length).await {
         Ok(()) => {}
@@ -55,10 +70,14 @@
         return Err(Error::TooLarge(length));
     }
     let mut body = vec![0; length];
-    stream
-        .read_exact(&mut body)
-        .await
-        .map_err(|err| Error::Stream(err.to_string()))?;
+    let mut rest = body.as_mut_slice();
+    while !rest.is_empty() {
+        let read = stream.read(rest).await;
+        let read = read.map_err(|err| Error::Stream(err.to_string()))?;
+        let count = read.ok_or_else(|| Error::Stream("it ends within a frame".to_owned()))?;
+        received.fetch_add(count, Ordering::Relaxed);
+        rest = &mut rest[count..];
+    }
     postcard::from_bytes(&body)
         .map(Some)
         .map_err(Error::Malformed)
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,8 @@
 //! Traits for sending requests to other processes and serving theirs, independent of the transport.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use futures_util::future::BoxFuture;
 use tokio::sync::mpsc;
@@ -28,12 +30,28 @@
 
 /// Stream of the replies to one request. Dropping it closes the sender that the peer's handler
 /// holds.
-pub struct Replies(pub mpsc::Receiver<Reply>);
+pub struct Replies {
+    receiver: mpsc::Receiver<Reply>,
+    received: Arc<AtomicUsize>,
+}
 
 impl Replies {
+    /// Replies that arrive through `receiver`. `received` counts the bytes of those that are not there
+    /// as a whole yet.
+    #[must_use]
+    pub fn new(receiver: mpsc::Receiver<Reply>, received: Arc<AtomicUsize>) -> Replies {
+        Replies { receiver, received }
+    }
+
+    /// The count of bytes that have arrived, which a large reply raises before it is complete.
+    #[must_use]
+    pub fn received(&self) -> Arc<AtomicUsize> {
+        self.received.clone()
+    }
+
     /// The next reply; `None` after the last one or if the stream failed.
     pub async fn next(&mut self) -> Option<Reply> {
-        self.0.recv().await
+        self.receiver.recv().await
     }
 }
 
--- a/crates/wire/src/quic.rs
+++ b/crates/wire/src/quic.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
@@ -145,8 +146,9 @@
         // Fails only if the stream is already closed.
         let _ = send.finish();
         let (replies, receiver) = mpsc::channel(peer::REPLY_BUFFER);
-        tokio::spawn(receive(recv, replies));
-        Ok((protocol, Replies(receiver)))
+        let received = Arc::new(AtomicUsize::new(0));
+        tokio::spawn(receive(recv, replies, received.clone()));
+        Ok((protocol, Replies::new(receiver, received)))
     }
 }
 
@@ -187,10 +189,14 @@
 }
 
 /// Forwards replies from the stream to the channel until either ends.
-async fn receive(mut recv: quinn::RecvStream, replies: mpsc::Sender<Reply>) {
+async fn receive(
+    mut recv: quinn::RecvStream,
+    replies: mpsc::Sender<Reply>,
+    received: Arc<AtomicUsize>,
+) {
     loop {
         let read = tokio::select! {
-            read = codec::read::<Reply>(&mut recv) => read,
+            read = codec::read_counted::<Reply>(&mut recv, &received) => read,
             () = replies.closed() => break,
         };
         let Ok(Some(reply)) = read else {
