Send large rows between instances compressed, and what has changed only

Cause: the configuration is one row, and a reader or relay sent it whole to up to 32 others with each change: 276 KB, 7 s of its link of 10 Mbit/s. All proofs of the rows' age wait behind it, so that rows count as outdated and every instance reads the store itself. Change: mirror::pack. Instances keep the former values of large rows, and tell which version they hold; an answer has the difference, or the compressed value. Protocol version 5; peers of earlier builds get whole rows. Values of another era are no base.

--- a/crates/dispatcher/src/node.rs
+++ b/crates/dispatcher/src/node.rs
@@ -335,7 +335,8 @@
                 | Request::Updates(_)
                 | Request::Schedule(_)
                 | Request::Rollout(_)
-                | Request::Follow(_) => return,
+                | Request::Follow(_)
+                | Request::FollowPacked(..) => return,
             };
             // Sending fails only if the requester has gone.
             let _ = replies.send(reply).await;
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duty;
 pub mod era;
 pub mod freshness;
+pub mod pack;
 pub mod search;
 pub mod succession;
 pub mod tree;
@@ -23,6 +24,10 @@
 
 pub use era::Era;
 
+use pack::Held;
+use pack::History;
+use pack::Packed;
+
 /// A mirrored table.
 #[derive(
     Clone,
@@ -144,6 +149,7 @@
     lost: BTreeMap<String, Vec<u8>>,
     /// Whether rows of unknown era were merged.
     is_unverified: bool,
+    history: History,
 }
 
 /// The local replica of all tables.
@@ -171,6 +177,11 @@
         Some(synced.max(self.newest_version()))
     }
 
+    /// Whether a replica at `position` needs the whole table.
+    fn needs_all(&self, position: Position) -> bool {
+        position.era < self.era() || position.version < self.pruned_version
+    }
+
     /// Keeps the newer version of each row; returns those that were new.
     fn merge(&mut self, rows: Vec<Row>) -> Vec<Row> {
         // An unknown row that is not above it was deleted since, and arrives late.
@@ -192,7 +203,9 @@
                 deleted_version: live_version.filter(|_| row.value.is_none()),
             };
             self.lost.remove(&row.key);
-            self.rows.insert(row.key.clone(), entry);
+            if let Some(former) = self.rows.insert(row.key.clone(), entry) {
+                self.history.keep(&row.key, former.version, former.value);
+            }
             changed_rows.push(row);
         }
         self.prune_tombstones();
@@ -487,22 +500,31 @@
         Effect::Merged(changed)
     }
 
+    /// Whether a replica at `positions` lacks anything.
+    #[must_use]
+    pub fn has_updates_since(&self, positions: &[Position]) -> bool {
+        let mut known = self.tables.iter().filter(|it| !it.1.is_unverified);
+        known.any(|(table, content)| {
+            let position = position_of(*table, positions);
+            content.era.is_some_and(|era| position.era <= era)
+                && match content.needs_all(position) {
+                    true => content.synced_version.is_some(),
+                    false => content.newest_version() > position.version,
+                }
+        })
+    }
+
     /// What a replica at `positions` lacks.
     #[must_use]
     pub fn updates_since(&self, positions: &[Position]) -> Vec<Update> {
         let known = self.tables.iter().filter(|it| !it.1.is_unverified);
         let updates = known.filter_map(|(table, content)| {
-            let position = positions.iter().find(|it| it.table == *table);
-            let position = position.copied().unwrap_or(Position {
-                table: *table,
-                era: Era::default(),
-                version: 0,
-            });
+            let position = position_of(*table, positions);
             let era = content.era?;
             if position.era > era {
                 return None;
             }
-            let is_full = position.era < era || position.version < content.pruned_version;
+            let is_full = content.needs_all(position);
             let update = Update {
                 table: *table,
                 era,
@@ -521,6 +543,89 @@
         updates.collect()
     }
 
+    /// The large rows, of which other replicas send only what has changed.
+    #[must_use]
+    pub fn held(&self) -> Vec<Held> {
+        let rows = self.tables.iter().flat_map(|(table, content)| {
+            let large = content.rows.iter();
+            let large = large.filter(|it| pack::is_large(it.1.value.as_deref()));
+            large.map(|(key, entry)| Held {
+                table: *table,
+                key: key.clone(),
+                version: entry.version,
+            })
+        });
+        rows.collect()
+    }
+
+    /// Takes the large rows out of updates, and packs them for a replica at `positions` that holds
+    /// `held`. Those that cannot be packed stay.
+    pub fn pack(
+        &mut self,
+        updates: &mut [Update],
+        positions: &[Position],
+        held: &[Held],
+    ) -> Vec<Packed> {
+        let mut packed = Vec::new();
+        for update in updates {
+            let Some(content) = self.tables.get_mut(&update.table) else {
+                continue;
+            };
+            // Versions of another era may be those of other values.
+            let mut position = positions.iter().filter(|it| it.table == update.table);
+            let is_same_era = position.any(|it| it.era == update.era);
+            let held = if is_same_era { held } else { &[] };
+            update.rows.retain(|row| {
+                let value = row.value.as_deref().filter(|it| pack::is_large(Some(it)));
+                let Some(value) = value else {
+                    return true;
+                };
+                let known = held
+                    .iter()
+                    .find(|it| it.table == row.table && it.key == row.key);
+                let known = known.map(|it| it.version);
+                let row = Held {
+                    table: row.table,
+                    key: row.key.clone(),
+                    version: row.version,
+                };
+                let result = content.history.pack(row, value, known);
+                let is_packed = result.is_ok();
+                packed.extend(result);
+                !is_packed
+            });
+        }
+        packed
+    }
+
+    /// Puts packed rows back into the updates that they were taken out of.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one cannot be unpacked. The updates lack rows then and must not be merged.
+    pub fn unpack(&self, updates: &mut [Update], packed: Vec<Packed>) -> Result<(), pack::Error> {
+        let none = Content::default();
+        for packed in packed {
+            let update = updates.iter_mut().find(|it| it.table == packed.row.table);
+            let Some(update) = update else {
+                continue;
+            };
+            let content = self.tables.get(&update.table).unwrap_or(&none);
+            if let Some(base) = packed.base
+                && (content.era != Some(update.era) || content.is_unverified)
+            {
+                return Err(pack::Error::NoBase(base));
+            }
+            let present = content.rows.get(&packed.row.key);
+            let present = present.and_then(|it| Some((it.version, it.value.as_deref()?)));
+            update.rows.push(content.history.unpack(packed, present)?);
+        }
+        for update in updates {
+            update.rows.sort_by_key(|it| it.version);
+        }
+        Ok(())
+    }
+
     /// Rows above the newest version that a replica which knows no eras holds of each table, oldest
     /// version first.
     #[must_use]
@@ -534,3 +639,13 @@
         rows
     }
 }
+
+/// The position in a table; the first one if there is none.
+fn position_of(table: Table, positions: &[Position]) -> Position {
+    let position = positions.iter().find(|it| it.table == table);
+    position.copied().unwrap_or(Position {
+        table,
+        era: Era::default(),
+        version: 0,
+    })
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -454,6 +454,10 @@
         Protocol::V1 => Request::Rows(node.store_copy().mirror.newest_versions()),
         Protocol::V2 | Protocol::V3 => Request::Updates(node.store_copy().mirror.positions()),
         Protocol::V4 => Request::Follow(follow()),
+        Protocol::V5 => {
+            let held = node.store_copy().mirror.held();
+            Request::FollowPacked(follow(), held)
+        }
     };
     let timeout = wait + PEER_SLACK;
     match node.peers.fetch(member, timeout, request).await {
@@ -461,6 +465,17 @@
             node.peers.record_answer(&member.instance);
             merge_followed(node, member, *followed, sent_at)
         }
+        Answer::Given(Reply::FollowedPacked(mut followed, packed)) => {
+            node.peers.record_answer(&member.instance);
+            let tables = &mut followed.update.tables;
+            let unpacked = node.store_copy().mirror.unpack(tables, packed);
+            if let Err(err) = unpacked {
+                slog::info!(node.logger(), "rows_not_unpacked"; "reason" => %err,
+                    "instance" => %member.instance);
+                return None;
+            }
+            merge_followed(node, member, *followed, sent_at)
+        }
         Answer::Given(Reply::Updates(update)) => {
             node.peers.record_answer(&member.instance);
             merge_update(node, *update, sent_at, Duration::ZERO)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 use forwarding::poison::Source;
 use futures_util::future::BoxFuture;
 use mirror::Mirror;
+use mirror::pack::Held;
 use stages::Plan;
 use stages::Prepared;
 use stages::Refusal;
@@ -78,7 +79,10 @@
                 }
                 Request::Rows(positions) => serve_rows(&node, &positions, replies).await,
                 Request::Updates(positions) => serve_updates(&node, &positions, replies).await,
-                Request::Follow(follow) => serve_follow(&node, *follow, replies).await,
+                Request::Follow(follow) => serve_follow(&node, *follow, None, replies).await,
+                Request::FollowPacked(follow, held) => {
+                    serve_follow(&node, *follow, Some(held), replies).await;
+                }
                 Request::Losses(losses) => suspicion::merge_losses(&node, &losses, Source::Peer),
                 Request::Ping => send_reply(&replies, Reply::Done).await,
                 Request::Admit(admit) => quota::lease::serve_admit(&node, *admit, replies).await,
@@ -318,8 +322,14 @@
     }
 }
 
-/// Answers an instance that follows this one or looks for fresh rows.
-async fn serve_follow(node: &Arc<Node>, follow: Follow, replies: mpsc::Sender<Reply>) {
+/// Answers an instance that follows this one or looks for fresh rows. Large rows are packed for one
+/// that tells which of them it holds.
+async fn serve_follow(
+    node: &Arc<Node>,
+    follow: Follow,
+    held: Option<Vec<Held>>,
+    replies: mpsc::Sender<Reply>,
+) {
     let asked_at = clock::now_with_suspension();
     let poll = Poll {
         deadline: Instant::now() + follow.wait.min(ROWS_POLL_MAX),
@@ -329,15 +339,23 @@
             .and_then(|it| Some(asked_at.checked_sub(it)? + PROOF_STEP)),
     };
     let update = wait_for_updates(node, poll, &follow.positions, &replies).await;
-    if let Some((told_at, update)) = update {
-        let waited = told_at.saturating_duration_since(asked_at);
-        let followed = Followed {
-            update,
-            waited,
-            readers: node.readers(),
-        };
-        send_reply(&replies, Reply::Followed(Box::new(followed))).await;
-    }
+    let Some((told_at, update)) = update else {
+        return;
+    };
+    let mut followed = Box::new(Followed {
+        update,
+        waited: told_at.saturating_duration_since(asked_at),
+        readers: node.readers(),
+    });
+    let reply = match held {
+        Some(held) => {
+            let mirror = &mut node.store_copy().mirror;
+            let packed = mirror.pack(&mut followed.update.tables, &follow.positions, &held);
+            Reply::FollowedPacked(followed, packed)
+        }
+        None => Reply::Followed(followed),
+    };
+    send_reply(&replies, reply).await;
 }
 
 async fn wait_for_updates(
@@ -346,7 +364,7 @@
     positions: &[mirror::Position],
     replies: &mpsc::Sender<Reply>,
 ) -> Option<(Instant, TablesUpdate)> {
-    let has_rows = |mirror: &Mirror| !mirror.updates_since(positions).is_empty();
+    let has_rows = |mirror: &Mirror| mirror.has_updates_since(positions);
     let (told_at, mut news) = wait_for_news(node, poll, has_rows, replies).await?;
     let mirror = &node.store_copy().mirror;
     // The age tells how long ago the rows were complete, in their era.
--- a/crates/node/src/prepare.rs
+++ b/crates/node/src/prepare.rs
@@ -297,7 +297,7 @@
         let prepare = prepare_request.to_message();
         match protocol {
             Protocol::V1 | Protocol::V2 => Request::Prepare(Box::new(prepare)),
-            Protocol::V3 | Protocol::V4 => Request::Schedule(Box::new(Schedule {
+            Protocol::V3 | Protocol::V4 | Protocol::V5 => Request::Schedule(Box::new(Schedule {
                 prepare,
                 terms: prepare_request.terms.clone(),
             })),
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -209,12 +209,14 @@
     };
     let request = |protocol| match protocol {
         Protocol::V1 | Protocol::V2 => Request::Ping,
-        Protocol::V3 | Protocol::V4 => Request::Rollout(Box::new(wire::message::Rollout {
-            service: service.clone(),
-            instance: node.settings.instance.clone(),
-            incarnation: node.incarnation,
-            report,
-        })),
+        Protocol::V3 | Protocol::V4 | Protocol::V5 => {
+            Request::Rollout(Box::new(wire::message::Rollout {
+                service: service.clone(),
+                instance: node.settings.instance.clone(),
+                incarnation: node.incarnation,
+                report,
+            }))
+        }
     };
     let reply = async {
         let mut replies = node.peers.open_with(coordinator, request).await.ok()?;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -76,6 +76,9 @@
     Rollout(Box<Rollout>),
     /// Like [`Request::Updates`], with the state of the requester; since [`crate::Protocol::V4`].
     Follow(Box<Follow>),
+    /// Like [`Request::Follow`], with the large rows that the requester holds; since
+    /// [`crate::Protocol::V5`].
+    FollowPacked(Box<Follow>, Vec<mirror::pack::Held>),
 }
 
 /// A reply. A dispatch and the steps of a request get several, of which the last one tells the
@@ -119,6 +122,8 @@
     Rollout(Option<rollout::choice::Grant>),
     /// Answer to [`Request::Follow`].
     Followed(Box<Followed>),
+    /// Answer to [`Request::FollowPacked`], with the large rows that the updates lack.
+    FollowedPacked(Box<Followed>, Vec<mirror::pack::Packed>),
 }
 
 /// Counts of an instance for the coordinator of a roll-out.
--- a/crates/wire/src/protocol.rs
+++ b/crates/wire/src/protocol.rs
@@ -20,6 +20,9 @@
     /// Adds [`crate::Request::Follow`].
     #[strum(serialize = "catkinvane/4")]
     V4,
+    /// Adds [`crate::Request::FollowPacked`].
+    #[strum(serialize = "catkinvane/5")]
+    V5,
 }
 
 impl Protocol {
