--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -25,6 +25,8 @@
     Compact,
     /// Sets a fault of the connections between nodes and store.
     StorePath(proxy::Mode),
+    /// The same for all nodes but one.
+    OtherStorePaths(usize, proxy::Mode),
     /// Sets a fault of an upstream.
     Upstream(usize, upstream::Fault),
     /// Sets a fault of the connections to an upstream.
@@ -35,6 +37,8 @@
     Evacuate(&'static str),
     /// Writes a newer version of the configuration. Has no end.
     Configure,
+    /// Writes a configuration with [`LARGE_ROUTES`] routes more, which later ones keep. Has no end.
+    ConfigureLarge,
     /// Copies the store. Has no end.
     CopyStore,
     /// Lets the store come back from its last copy. Operators write again what it lost, or go on from
@@ -55,7 +59,10 @@
 impl Fault {
     /// Whether nodes cannot reach the store meanwhile.
     pub(crate) fn is_of_store(&self) -> bool {
-        matches!(self, Fault::Store(_) | Fault::StorePath(_))
+        matches!(
+            self,
+            Fault::Store(_) | Fault::StorePath(_) | Fault::OtherStorePaths(..)
+        )
     }
 }
 
@@ -71,6 +78,40 @@
 const MIN_DURATION: Duration = Duration::from_millis(200);
 pub(crate) const MAX_DURATION: Duration = Duration::from_millis(2_500);
 
+/// Routes of a large configuration.
+pub(crate) const LARGE_ROUTES: usize = 1_400;
+
+/// Generates a large configuration and changes of it, which reach the nodes through few, in half of the
+/// runs; sorted by start.
+pub(crate) fn generate_changes(
+    rng: &mut SmallRng,
+    load_duration: Duration,
+    nodes: usize,
+) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    if rng.random_bool(0.5) {
+        return faults;
+    }
+    let mut at = load_duration.mul_f64(rng.random_range(0.05..0.3));
+    let mut add = |rng: &mut SmallRng, fault| {
+        let duration = random_duration(rng);
+        faults.push(ScheduledFault {
+            at,
+            duration,
+            fault,
+        });
+        at += duration / 2;
+    };
+    add(rng, Fault::ConfigureLarge);
+    let served = rng.random_range(0..nodes);
+    let mode = random_variant(rng);
+    add(rng, Fault::OtherStorePaths(served, mode));
+    for _ in 0..rng.random_range(1..4) {
+        add(rng, Fault::Configure);
+    }
+    faults
+}
+
 /// Generates the faults of a run, sorted by start.
 pub(crate) fn generate(
     rng: &mut SmallRng,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -99,11 +99,14 @@
 struct Run {
     options: Options,
     site: Site,
-    store_proxy: Proxy,
+    /// The way of each node to the store.
+    store_proxies: Vec<Proxy>,
     upstream_proxies: Vec<Proxy>,
     nodes: Vec<NodeProcess>,
     engines: Engines,
     config_version: u64,
+    /// Routes that all further configurations have beside the usual ones.
+    other_routes: usize,
     /// Copy of the store, and the version of the configuration in it.
     store_copy: Option<(Copy, u64)>,
     /// Runs of poison requests sent before this time are exempt from their bound, because nodes may
@@ -150,6 +153,11 @@
         .as_ref()
         .is_some_and(|it| it.fault == Fault::OrderRollout { is_bad: true });
     faults.extend(order);
+    faults.extend(fault::generate_changes(
+        &mut own_rng,
+        options.load_duration,
+        options.node_count,
+    ));
     faults.sort_by_key(|it| it.at);
     let crashes = poison::start(&run.site.store, &mut rng).await?;
     let targets = run.targets();
@@ -195,7 +203,10 @@
     async fn start(options: &Options) -> eyre::Result<Run> {
         std::fs::create_dir_all(&options.dir)?;
         let mut site = Site::start().await?;
-        let store_proxy = Proxy::start(site.store_address).await?;
+        let mut store_proxies = Vec::new();
+        for _ in 0..options.node_count {
+            store_proxies.push(Proxy::start(site.store_address).await?);
+        }
         let mut upstream_proxies = Vec::new();
         for idx in 0..site.upstreams.len() {
             let proxy = Proxy::start(site.upstreams[idx].2).await?;
@@ -207,11 +218,12 @@
         let mut run = Run {
             options: options.clone(),
             site,
-            store_proxy,
+            store_proxies,
             upstream_proxies,
             nodes: Vec::new(),
             engines,
             config_version: 1,
+            other_routes: 0,
             store_copy: None,
             store_excused_until: Arc::new(Mutex::new(Instant::now())),
             violations: Vec::new(),
@@ -245,7 +257,7 @@
         let text = site::settings(
             &name,
             zone,
-            self.store_proxy.address,
+            self.store_proxies[idx].address,
             ports,
             RetryLimit::AMPLE,
         );
@@ -328,7 +340,13 @@
             }
             Fault::StorePath(mode) => {
                 self.excuse_store();
-                self.store_proxy.set_mode(*mode);
+                self.store_proxies.iter().for_each(|it| it.set_mode(*mode));
+            }
+            Fault::OtherStorePaths(served, mode) => {
+                self.excuse_store();
+                let others = self.store_proxies.iter().enumerate();
+                let others = others.filter(|(idx, _)| idx != served);
+                others.for_each(|(_, it)| it.set_mode(*mode));
             }
             Fault::Upstream(idx, fault) => self.site.upstreams[*idx].0.set_fault(*fault, None),
             Fault::UpstreamPath(idx, mode) => self.upstream_proxies[*idx].set_mode(*mode),
@@ -338,9 +356,10 @@
                     .store
                     .put("op", &format!("evacuate/{zone}"), b"{}");
             }
-            Fault::Configure => {
-                self.config_version += 1;
-                self.site.configure(self.config_version, json!([]));
+            Fault::Configure => self.configure([]),
+            Fault::ConfigureLarge => {
+                self.other_routes = fault::LARGE_ROUTES;
+                self.configure([]);
             }
             Fault::KillAll => {
                 for idx in 0..self.nodes.len() {
@@ -369,9 +388,9 @@
                 self.excuse_store();
                 self.site.store.set_mode(Mode::Up);
             }
-            Fault::StorePath(_) => {
+            Fault::StorePath(_) | Fault::OtherStorePaths(..) => {
                 self.excuse_store();
-                self.store_proxy.set_mode(proxy::Mode::Pass);
+                self.pass_store_paths();
             }
             Fault::Upstream(idx, _) => {
                 let upstream = &self.site.upstreams[*idx].0;
@@ -393,6 +412,7 @@
             | Fault::CopyStore
             | Fault::ReturnStore { .. }
             | Fault::Configure
+            | Fault::ConfigureLarge
             | Fault::Release(_)
             | Fault::Replace(_)
             | Fault::Retire
@@ -401,6 +421,22 @@
         Ok(())
     }
 
+    /// Writes a newer version of the configuration with routes of these names.
+    fn configure(&mut self, names: impl IntoIterator<Item = String>) {
+        self.config_version += 1;
+        let others = (0..self.other_routes).map(|it| format!("other-{it}"));
+        let routes = others.chain(names).map(|name| {
+            json!({"name": name, "host": "site.example", "prefix": format!("/{name}/"),
+                "type": "idempotent", "service": "ledger", "attempts": 2})
+        });
+        self.site.configure(self.config_version, routes.collect());
+    }
+
+    fn pass_store_paths(&self) {
+        let proxies = self.store_proxies.iter();
+        proxies.for_each(|it| it.set_mode(proxy::Mode::Pass));
+    }
+
     /// Waits for a node that received SIGTERM to exit, and starts it again.
     async fn restart_terminated(&mut self, idx: usize) -> eyre::Result<()> {
         if let Some(mut daemon) = self.nodes[idx].daemon.take() {
@@ -439,7 +475,7 @@
     /// Ends every fault, writes a new configuration and checks that all nodes serve its new route.
     async fn recover_and_check(&mut self) -> eyre::Result<()> {
         self.site.store.set_mode(Mode::Up);
-        self.store_proxy.set_mode(proxy::Mode::Pass);
+        self.pass_store_paths();
         self.upstream_proxies
             .iter()
             .for_each(|it| it.set_mode(proxy::Mode::Pass));
@@ -454,10 +490,7 @@
         for zone in ["a", "b"] {
             self.site.store.delete("op", &format!("evacuate/{zone}"));
         }
-        self.config_version += 1;
-        let route = json!([{"name": "last", "host": "site.example", "prefix": "/last/",
-            "type": "idempotent", "service": "ledger", "attempts": 2}]);
-        self.site.configure(self.config_version, route);
+        self.configure(["last".to_owned()]);
         for idx in 0..self.nodes.len() {
             let daemon = self.nodes[idx].daemon.as_mut();
             if daemon.is_none_or(|it| it.has_exited()) {
