Forget former values of rows that are gone

Found by reading: registrations of 512 bytes or more that are deleted left their former values in the history of mirror::pack for good, as each start of an upstream has a new id.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -203,8 +203,10 @@
                 deleted_version: live_version.filter(|_| row.value.is_none()),
             };
             self.lost.remove(&row.key);
-            if let Some(former) = self.rows.insert(row.key.clone(), entry) {
-                self.history.keep(&row.key, former.version, former.value);
+            let former = self.rows.insert(row.key.clone(), entry);
+            match former.filter(|_| row.value.is_some()) {
+                Some(former) => self.history.keep(&row.key, former.version, former.value),
+                None => self.history.forget(&row.key),
             }
             changed_rows.push(row);
         }
--- a/crates/mirror/src/pack.rs
+++ b/crates/mirror/src/pack.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Drops what is kept of a row that is gone.
+    pub(crate) fn forget(&mut self, key: &str) {
+        self.rows.remove(key);
+    }
+
     fn value(&self, key: &str, version: u64) -> Option<&[u8]> {
         let mut values = self.rows.get(key)?.values.iter();
         let value = values.find(|it| it.0 == version)?;
