--- a/crates/mirror/tests/pack.rs
+++ b/crates/mirror/tests/pack.rs
@@ -120,6 +120,34 @@
     assert_eq!(replica.value(Table::Operators, KEY), Some(value.as_slice()));
 }
 
+/// Guards against former values that are kept for good of rows that are gone, as those of upstreams.
+#[test]
+fn former_values_of_a_row_that_is_gone_are_forgotten() {
+    let mut source = Mirror::default();
+    let mut replica = Mirror::default();
+    write(&mut source, 1, &configuration(1, 20, 1));
+    follow(&mut source, &mut replica).expect("rows");
+    write(&mut source, 2, &configuration(2, 20, 1));
+    let deletion = Row {
+        table: Table::Operators,
+        key: KEY.to_owned(),
+        version: 3,
+        value: None,
+    };
+    let batch = Batch {
+        era: Era::default(),
+        rows: vec![deletion],
+        version: 3,
+    };
+    source.apply_changes(Table::Operators, batch);
+    write(&mut source, 4, &configuration(4, 20, 1));
+    let positions = replica.positions();
+    let mut updates = source.updates_since(&positions);
+    let packed = source.pack(&mut updates, &positions, &replica.held());
+    let bases: Vec<Option<u64>> = packed.iter().map(|it| it.base).collect();
+    assert_eq!(bases, [None]);
+}
+
 /// The base of an answer may have gone from the requester meanwhile; it is left unchanged then.
 #[test]
 fn a_row_without_its_base_is_refused() {
