Build plain routes at one place of the stand-in

The fixture of the nodes and the soak wrote the same route in the platform's words; both call Site::configure_paths.

--- a/crates/node/tests/it/fixture.rs
+++ b/crates/node/tests/it/fixture.rs
@@ -14,7 +14,6 @@
 use platform_standin::site::Site;
 use platform_standin::upstream::Fault;
 use platform_standin::upstream::RecordedRequest;
-use serde_json::json;
 use telemetry::Telemetry;
 use telemetry::registry::Registry;
 use tokio::net::TcpStream;
@@ -172,14 +171,8 @@
 
 /// The same, with other routes that stay.
 pub(crate) fn configure_routes(site: &Site, version: u64, others: usize) {
-    let others = (0..others).map(|it| format!("/o{it}/"));
-    let prefixes = others.chain([format!("/v{version}/")]);
-    let routes = prefixes.map(|prefix| {
-        json!({"name": prefix, "host": "site.example", "prefix": prefix,
-            "type": "idempotent", "timeout_ms": 2_000, "goal_ms": 100, "priority": 1,
-            "service": "ledger", "attempts": 2})
-    });
-    site.configure(version, routes.collect());
+    let others = (0..others).map(|it| format!("o{it}"));
+    site.configure_paths(version, others.chain([format!("v{version}")]));
 }
 
 /// Whether a node serves the route of [`configure_route`].
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,7 +25,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
-use serde_json::json;
 use testbed::process::Daemon;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -425,11 +424,8 @@
     fn configure(&mut self, names: impl IntoIterator<Item = String>) {
         self.config_version += 1;
         let others = (0..self.other_routes).map(|it| format!("other-{it}"));
-        let routes = others.chain(names).map(|name| {
-            json!({"name": name, "host": "site.example", "prefix": format!("/{name}/"),
-                "type": "idempotent", "service": "ledger", "attempts": 2})
-        });
-        self.site.configure(self.config_version, routes.collect());
+        self.site
+            .configure_paths(self.config_version, others.chain(names));
     }
 
     fn pass_store_paths(&self) {
