Report rows that cannot be packed, and packed rows of no update

Found by reading: an error of the compression was dropped without a log line, and a packed row whose table the answer did not update was skipped, as if it had been merged. No caller is known to have seen either.

--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -561,14 +561,15 @@
     }
 
     /// Takes the large rows out of updates, and packs them for a replica at `positions` that holds
-    /// `held`. Those that cannot be packed stay.
+    /// `held`. Those that cannot be packed stay, and their errors are returned.
     pub fn pack(
         &mut self,
         updates: &mut [Update],
         positions: &[Position],
         held: &[Held],
-    ) -> Vec<Packed> {
+    ) -> (Vec<Packed>, Vec<pack::Error>) {
         let mut packed = Vec::new();
+        let mut errors = Vec::new();
         for update in updates {
             let Some(content) = self.tables.get_mut(&update.table) else {
                 continue;
@@ -591,13 +592,17 @@
                     key: row.key.clone(),
                     version: row.version,
                 };
-                let result = content.history.pack(row, value, known);
-                let is_packed = result.is_ok();
-                packed.extend(result);
-                !is_packed
+                match content.history.pack(row, value, known) {
+                    Ok(row) => packed.push(row),
+                    Err(err) => {
+                        errors.push(err);
+                        return true;
+                    }
+                }
+                false
             });
         }
-        packed
+        (packed, errors)
     }
 
     /// Puts packed rows back into the updates that they were taken out of.
@@ -609,9 +614,7 @@
         let none = Content::default();
         for packed in packed {
             let update = updates.iter_mut().find(|it| it.table == packed.row.table);
-            let Some(update) = update else {
-                continue;
-            };
+            let update = update.ok_or(pack::Error::NoUpdate(packed.row.table))?;
             let content = self.tables.get(&update.table).unwrap_or(&none);
             if let Some(base) = packed.base
                 && (content.era != Some(update.era) || content.is_unverified)
--- a/crates/mirror/src/pack.rs
+++ b/crates/mirror/src/pack.rs
@@ -57,6 +57,9 @@
     /// The receiver does not hold the value that this one is described by.
     #[strum(to_string = "no value of version {0} of the row")]
     NoBase(u64),
+    /// The row belongs to no update of the answer.
+    #[strum(to_string = "a row of the table {0}, which the answer does not update")]
+    NoUpdate(Table),
     /// The value is larger than any that the store sends.
     #[strum(to_string = "a value of {0} bytes")]
     TooLarge(usize),
--- a/crates/mirror/tests/pack.rs
+++ b/crates/mirror/tests/pack.rs
@@ -66,7 +66,8 @@
     let held = replica.held();
     let mut updates = source.updates_since(&positions);
     assert_eq!(source.has_updates_since(&positions), !updates.is_empty());
-    let packed = source.pack(&mut updates, &positions, &held);
+    let (packed, errors) = source.pack(&mut updates, &positions, &held);
+    assert_eq!(errors, []);
     let bytes = packed.iter().map(|it| it.bytes.len()).sum();
     replica.unpack(&mut updates, packed)?;
     for update in updates {
@@ -143,7 +144,7 @@
     write(&mut source, 4, &configuration(4, 20, 1));
     let positions = replica.positions();
     let mut updates = source.updates_since(&positions);
-    let packed = source.pack(&mut updates, &positions, &replica.held());
+    let (packed, _) = source.pack(&mut updates, &positions, &replica.held());
     let bases: Vec<Option<u64>> = packed.iter().map(|it| it.base).collect();
     assert_eq!(bases, [None]);
 }
@@ -157,9 +158,11 @@
     let positions = replica.positions();
     write(&mut source, 2, &configuration(2, 20, 1));
     let mut updates = source.updates_since(&positions);
-    let packed = source.pack(&mut updates, &positions, &replica.held());
-    let refused = Mirror::default().unpack(&mut updates, packed);
+    let (packed, _) = source.pack(&mut updates, &positions, &replica.held());
+    let refused = Mirror::default().unpack(&mut updates, packed.clone());
     assert_eq!(refused, Err(Error::NoBase(1)));
+    let refused = replica.unpack(&mut [], packed);
+    assert_eq!(refused, Err(Error::NoUpdate(Table::Operators)));
 }
 
 proptest! {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -350,7 +350,11 @@
     let reply = match held {
         Some(held) => {
             let mirror = &mut node.store_copy().mirror;
-            let packed = mirror.pack(&mut followed.update.tables, &follow.positions, &held);
+            let tables = &mut followed.update.tables;
+            let (packed, errors) = mirror.pack(tables, &follow.positions, &held);
+            for err in errors {
+                slog::warn!(node.logger(), "row_not_packed"; "reason" => %err);
+            }
             Reply::FollowedPacked(followed, packed)
         }
         None => Reply::Followed(followed),
