Show that a request answered lately crashes replicas beyond the bound

Tried: a caller asks the same path at three machines every 4 s; after four answered rounds each run crashes its replica.

Rule: BUDGET (a request that crashes replicas, more than three late retries).

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //! record into DIR and exits with 1 if the rule was broken, 0 if it held and 2 if the case could not
 //! run.
 
+mod crash_again;
 mod crash_host;
 mod crash_later;
 mod crowd;
@@ -35,6 +36,7 @@
         "crash-later" => crash_later::run(&mut site, has_trouble)?,
         "crowd" => crowd::run(&mut site, has_trouble)?,
         "full" => full::run(&mut site, has_trouble)?,
+        "crash-again" => crash_again::run(&mut site, has_trouble)?,
         "crash-host" => crash_host::run(&mut site, has_trouble)?,
         _ => return Err(format!("there is no case {case}").into()),
     };
