--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -14,6 +14,7 @@
 mod replica;
 mod site;
 mod store;
+mod turned_away;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -35,6 +36,7 @@
     let verdict = match case {
         "crash-later" => crash_later::run(&mut site, has_trouble)?,
         "crowd" => crowd::run(&mut site, has_trouble)?,
+        "turned-away" => turned_away::run(&mut site, has_trouble)?,
         "full" => full::run(&mut site, has_trouble)?,
         "crash-again" => crash_again::run(&mut site, has_trouble)?,
         "crash-host" => crash_host::run(&mut site, has_trouble)?,
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -41,8 +41,9 @@
         Ipv4Addr::new(127, second, third, group * 50 + number + 1)
     }
 
-    pub fn store(&self) -> SocketAddr {
-        SocketAddr::from((self.ip(0, 0), STORE_PORT))
+    /// Address at which the store serves a node.
+    pub fn store(&self, node: u8) -> SocketAddr {
+        SocketAddr::from((self.ip(0, node), STORE_PORT))
     }
 
     pub fn replica(&self, number: u8) -> SocketAddr {
@@ -73,7 +74,7 @@
         let settings = dir.join(format!("{name}.yaml"));
         std::fs::write(
             &settings,
-            settings_text(net, &name, ip, zone, zones, ram_mb),
+            settings_text(net.store(number), &name, ip, zone, zones, ram_mb),
         )?;
         let log = File::create(dir.join(format!("{name}.log")))?;
         let child = Command::new(PROGRAM)
@@ -140,7 +141,7 @@
 }
 
 fn settings_text(
-    net: Net,
+    store: SocketAddr,
     name: &str,
     ip: Ipv4Addr,
     zone: &str,
@@ -151,7 +152,6 @@
         .iter()
         .map(|it| format!("  {it}: \"cascadia\"\n"))
         .collect();
-    let store = net.store();
     format!(
         r#"node_name: "{name}"
 role: "node"
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -12,6 +12,7 @@
 use crate::node::Net;
 use crate::node::Node;
 use crate::record::Record;
+use crate::store::Gate;
 use crate::store::Store;
 
 /// The caller's key.
@@ -26,6 +27,8 @@
     pub net: Net,
     pub store: Arc<Store>,
     pub nodes: Vec<Node>,
+    /// Where the store serves each node, by the order in which the nodes were started.
+    pub gates: Vec<Arc<Gate>>,
     pub record: Record,
     /// Memory of each machine in megabytes.
     pub ram_mb: u64,
@@ -40,9 +43,10 @@
         let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
         Ok(Site {
-            store: Store::start(net.store())?,
+            store: Store::new(),
             net,
             nodes: Vec::new(),
+            gates: Vec::new(),
             record,
             ram_mb: 260,
             dir,
@@ -50,11 +54,19 @@
         })
     }
 
+    /// Starts a node, without waiting for it.
+    pub fn start_node(&mut self) -> Result<(), Failure> {
+        let number = u8::try_from(self.gates.len())?;
+        self.gates.push(self.store.listen(self.net.store(number))?);
+        let node = Node::start(self.net, number, &ZONES, self.ram_mb, &self.dir)?;
+        self.nodes.push(node);
+        Ok(())
+    }
+
     /// Starts `count` nodes and waits until all are ready.
     pub fn start_nodes(&mut self, count: u8) -> Result<(), Failure> {
-        for number in 0..count {
-            let node = Node::start(self.net, number, &ZONES, self.ram_mb, &self.dir)?;
-            self.nodes.push(node);
+        for _ in 0..count {
+            self.start_node()?;
         }
         for node in &self.nodes {
             if !node.wait_until_ready() {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -47,6 +49,18 @@
     }
 }
 
+/// An address of a store at which it may turn callers away.
+#[derive(Default)]
+pub struct Gate {
+    is_closed: AtomicBool,
+}
+
+impl Gate {
+    fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+}
+
 /// A running store.
 pub struct Store {
     state: Mutex<State>,
@@ -55,22 +69,34 @@
 }
 
 impl Store {
-    /// Serves a new store on `address`.
-    pub fn start(address: SocketAddr) -> std::io::Result<Arc<Store>> {
-        let listener = TcpListener::bind(address)?;
-        let store = Arc::new(Store {
+    /// A store that listens nowhere.
+    pub fn new() -> Arc<Store> {
+        Arc::new(Store {
             state: Mutex::default(),
             changed: Condvar::new(),
             started_at: Instant::now(),
-        });
-        let served = store.clone();
+        })
+    }
+
+    /// Serves the store on `address`.
+    pub fn listen(self: &Arc<Store>, address: SocketAddr) -> std::io::Result<Arc<Gate>> {
+        let listener = TcpListener::bind(address)?;
+        let gate = Arc::new(Gate::default());
+        let (store, served) = (self.clone(), gate.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = served.clone();
-                std::thread::spawn(move || store.serve(stream));
+                let (store, gate) = (store.clone(), served.clone());
+                std::thread::spawn(move || store.serve(stream, &gate));
             }
         });
-        Ok(store)
+        Ok(gate)
+    }
+
+    /// Turns the callers at a gate away with 503, those that wait as well, or serves them again.
+    pub fn set_closed(&self, gate: &Gate, is_closed: bool) {
+        gate.is_closed.store(is_closed, Ordering::Relaxed);
+        drop(self.lock());
+        self.changed.notify_all();
     }
 
     /// Writes a row of the unnamed part; this is the acknowledgement.
@@ -94,15 +120,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, gate: &Gate) {
         // Without it, answers are merely later.
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Some(request) = http::read_request(&mut stream, &mut buffer) {
             let (status, body) = match request.path() {
+                _ if gate.is_closed() => (503, String::from("{}")),
                 "/api/rows-tx" => self.transact(&request),
                 "/api/rows-get" => self.get(&request),
-                "/api/rows-feed" => self.feed(&request),
+                "/api/rows-feed" => self.feed(&request, gate),
                 "/api/rows-parts" => (200, self.parts(&request)),
                 _ => (404, String::from("{}")),
             };
@@ -183,13 +210,16 @@
         (200, body)
     }
 
-    fn feed(&self, request: &Request) -> (u16, String) {
+    fn feed(&self, request: &Request, gate: &Gate) -> (u16, String) {
         let table = request.parameter("table");
         let after: u64 = request.parameter("after").parse().unwrap_or(0);
         let wait: u64 = request.parameter("wait_ms").parse().unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut state = self.lock();
         loop {
+            if gate.is_closed() {
+                return (503, String::from("{}"));
+            }
             let rows = state.rows.iter();
             let rows = rows.filter(|(place, row)| place.0 == table && row.0 > after);
             let mut rows: Vec<_> = rows.collect();
